--- /dev/null
+++ b/libs/dispatch/src/dispatch/__init__.py
@@ -0,0 +1,3 @@
+"""Placement, orders, and the line of tasks whose model is coming up."""
+
+__all__ = ["ledger", "placement", "placer", "world"]
--- /dev/null
+++ b/libs/dispatch/src/dispatch/floor.py
@@ -0,0 +1,69 @@
+"""The floor: what a node makes of the feed.
+
+The registry of shard 0 and the ledgers of the service shards, kept up with
+the sections that a follower's book counted.
+"""
+
+from dataclasses import dataclass, field
+
+from dispatch import ledger as ledgers
+from dispatch import world
+from logbook import book as books
+from manifest import registry as registries
+
+__all__ = ["Floor", "on_news", "ledger_of", "holder_of", "engines_with"]
+
+
+@dataclass
+class Floor:
+    shards: int
+    zones: tuple = ()
+    registry: registries.Registry = field(default_factory=registries.Registry)
+    ledgers: dict = field(default_factory=dict)
+
+
+def on_news(floor, book, news):
+    """Apply a follower's news; True if anything that routing looks at changed."""
+    if news.rebuilt:
+        _rebuild(floor, book)
+        return True
+    for section in news.sections:
+        if section.kind != books.RECORDS:
+            continue
+        for record in section.records:
+            if section.shard == 0:
+                registries.apply(floor.registry, record)
+            else:
+                ledgers.apply(ledger_of(floor, section.shard), record)
+    return bool(news.sections)
+
+
+def _rebuild(floor, book):
+    floor.registry = registries.Registry(zonesKnown=floor.zones)
+    floor.ledgers = {}
+    for shard, part in book.shards.items():
+        if shard == 0:
+            floor.registry = registries.load(part.checkpoint, floor.zones)
+            for record in part.records:
+                registries.apply(floor.registry, record)
+        else:
+            floor.ledgers[shard] = ledgers.load(part.checkpoint)
+            for record in part.records:
+                ledgers.apply(floor.ledgers[shard], record)
+
+
+def ledger_of(floor, shard):
+    return floor.ledgers.setdefault(shard, ledgers.Ledger())
+
+
+def holder_of(book, shard):
+    part = book.shards.get(shard)
+    return part.holder if part else ""
+
+
+def engines_with(floor, service, item):
+    """Engines that may be given new work for an item (any, for a plain service)."""
+    ledger = ledger_of(floor, world.shard_of(service, floor.shards))
+    return [e for e in world.engines_of(floor.registry, service)
+            if world.usable(floor.registry, e)
+            and (not item or ledgers.loaded(ledger, e["name"], item))]
--- /dev/null
+++ b/libs/dispatch/src/dispatch/ledger.py
@@ -0,0 +1,138 @@
+"""A service shard's replicated state: orders, what engines hold, who waits.
+
+Every entry under an engine charges its room and adapter places, whatever its
+state, until a report or a refusal proves that it holds nothing.  `apply` is
+what the holder and every follower do with a logged record.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+__all__ = ["Ledger", "apply", "dump", "load", "charged", "loads_out", "loaded",
+           "order_record", "state_record", "hold_record", "unhold_record",
+           "unmet_record", "found_record", "dropped_record"]
+
+_OPEN = ("intended", "taken", "unknown")
+
+
+@dataclass
+class Ledger:
+    engines: dict = field(default_factory=dict)
+    incarnations: dict = field(default_factory=dict)
+    holds: dict = field(default_factory=dict)
+    holdCount: int = 0
+    orderCount: int = 0
+    unmet: dict = field(default_factory=dict)
+
+
+def _pack(told):
+    return json.dumps(told, separators=(",", ":"), sort_keys=True).encode()
+
+
+def order_record(engine, item, verb, order, mb, places, service):
+    return _pack({"k": "order", "engine": engine, "item": item, "verb": verb,
+                  "order": order, "mb": mb, "places": places, "service": service})
+
+
+def state_record(engine, item, order, state):
+    return _pack({"k": "state", "engine": engine, "item": item, "order": order,
+                  "state": state})
+
+
+def found_record(engine, incarnation, items, service):
+    """A new incarnation of an engine, or things on it that no order explains."""
+    return _pack({"k": "found", "engine": engine, "incarnation": incarnation,
+                  "items": items, "service": service})
+
+
+def hold_record(hold):
+    return _pack({"k": "hold", "hold": hold})
+
+
+def unhold_record(id_, why):
+    return _pack({"k": "unhold", "id": id_, "why": why})
+
+
+def unmet_record(service, unmet):
+    return _pack({"k": "unmet", "service": service, "unmet": unmet})
+
+
+def apply(ledger, record):
+    told = json.loads(record)
+    kind = told["k"]
+    if kind == "order":
+        ledger.orderCount += 1
+        ledger.engines.setdefault(told["engine"], {})[told["item"]] = {
+            "verb": told["verb"], "order": told["order"], "state": "intended",
+            "mb": told["mb"], "places": told["places"], "service": told["service"]}
+    elif kind == "state":
+        _state(ledger, told)
+    elif kind == "found":
+        _found(ledger, told)
+    elif kind == "hold":
+        ledger.holdCount += 1
+        ledger.holds[told["hold"]["id"]] = {**told["hold"], "turn": ledger.holdCount}
+    elif kind == "unhold":
+        ledger.holds.pop(told["id"], None)
+    elif kind == "unmet":
+        ledger.unmet[told["service"]] = told["unmet"]
+    elif kind == "dropped":
+        ledger.engines.pop(told["engine"], None)
+        ledger.incarnations.pop(told["engine"], None)
+
+
+def _state(ledger, told):
+    items = ledger.engines.get(told["engine"], {})
+    entry = items.get(told["item"])
+    if entry is None or entry["order"] != told["order"]:
+        return
+    state = told["state"]
+    if state in ("unloaded", "forgotten") or (
+            state == "refused" and entry["verb"] == "load"):
+        del items[told["item"]]
+    elif state in ("refused", "loaded"):
+        entry["verb"], entry["state"] = "load", "loaded"
+    else:
+        entry["state"] = state
+
+
+def _found(ledger, told):
+    if ledger.incarnations.get(told["engine"]) != told["incarnation"]:
+        ledger.engines[told["engine"]] = {}
+        ledger.incarnations[told["engine"]] = told["incarnation"]
+    items = ledger.engines.setdefault(told["engine"], {})
+    for item, facts in told["items"].items():
+        items[item] = {"verb": "load", "order": "", "state": facts["state"],
+                       "mb": facts["mb"], "places": facts["places"],
+                       "service": told["service"]}
+
+
+def charged(ledger, engine):
+    """(room, adapter places) that entries on this engine may be using."""
+    items = ledger.engines.get(engine, {}).values()
+    return sum(i["mb"] for i in items), sum(i["places"] for i in items)
+
+
+def loads_out(ledger, service):
+    """Loads that may still be asking the weight store for something."""
+    return sum(1 for items in ledger.engines.values() for i in items.values()
+               if i["service"] == service and i["verb"] == "load"
+               and i["state"] in _OPEN)
+
+
+def loaded(ledger, engine, item):
+    entry = ledger.engines.get(engine, {}).get(item)
+    return bool(entry) and entry["verb"] == "load" and entry["state"] == "loaded"
+
+
+def dump(ledger):
+    return json.dumps(vars(ledger), separators=(",", ":")).encode()
+
+
+def load(body):
+    return Ledger(**json.loads(body)) if body else Ledger()
+
+
+def dropped_record(engine):
+    """An engine the platform says is gone holds nothing any more."""
+    return _pack({"k": "dropped", "engine": engine})
--- /dev/null
+++ b/libs/dispatch/src/dispatch/placement.py
@@ -0,0 +1,168 @@
+"""Which engine should hold what: a pure function of what is known.
+
+Wishes are taken in order of yielding, copy by copy.  First each partner gets
+its own share of the pool's room; what stays spare is then lent, in the same
+order, and given back as soon as the owner wishes for it, since every plan is
+made afresh.  Items already in place are preferred, then engines where nothing
+has to go, so that moves stay few.  Every wish unmet says which rule decided
+and whose wishes won.
+"""
+
+import hashlib
+from dataclasses import dataclass, field
+
+__all__ = ["Engine", "Wish", "Plan", "place", "item_name", "LAST"]
+
+LAST = 1000
+
+
+@dataclass(frozen=True)
+class Engine:
+    name: str
+    zone: str
+    roomMb: int
+    places: int
+
+
+@dataclass(frozen=True)
+class Wish:
+    id: str
+    partner: str
+    model: str
+    adapter: str
+    copies: int
+    zones: tuple
+    yields: int
+    roomMb: int
+    places: int
+    only: str = ""
+
+
+@dataclass
+class Plan:
+    """`targets`: engine -> item -> id of the wish that won it there."""
+    targets: dict = field(default_factory=dict)
+    unmet: dict = field(default_factory=dict)
+    lent: set = field(default_factory=set)
+
+
+@dataclass
+class _Work:
+    engines: dict
+    shares: dict
+    present: dict
+    totalMb: int
+    sizes: dict
+    freeMb: dict
+    freePlaces: dict
+    plan: Plan
+    usedMb: dict = field(default_factory=dict)
+    copies: dict = field(default_factory=dict)
+
+
+def item_name(model, adapter):
+    return f"{model}/{adapter}" if adapter else model
+
+
+def place(engines, wishes, shares, present):
+    """`shares`: partner -> part of the room; `present`: engine -> items."""
+    work = _Work({e.name: e for e in engines}, shares, present,
+                 sum(e.roomMb for e in engines), {},
+                 {e.name: e.roomMb for e in engines},
+                 {e.name: e.places for e in engines},
+                 Plan({e.name: {} for e in engines}))
+    for wish in wishes:
+        work.sizes[wish.model] = wish.roomMb
+    turns = sorted(((w.yields, copy, w.partner, w.id), w)
+                   for w in wishes for copy in range(w.copies))
+    late = []
+    for _, wish in turns:
+        if wish.yields >= LAST or not _try(work, wish, True):
+            late.append(wish)
+    missing = {}
+    for wish in late:
+        if not _try(work, wish, False):
+            missing[wish.id] = wish
+    for wish in missing.values():
+        if wish.yields < LAST:
+            work.plan.unmet[wish.id] = _reason(work, wish)
+    return work.plan
+
+
+def _cost(work, wish, engine):
+    return 0 if wish.model in work.plan.targets[engine] else wish.roomMb
+
+
+def _fits(work, wish, engine):
+    return (_cost(work, wish, engine) <= work.freeMb[engine]
+            and (not wish.adapter or wish.places <= work.freePlaces[engine]))
+
+
+def _zone_engines(work, wish):
+    return [n for n, e in work.engines.items()
+            if (not wish.zones or e.zone in wish.zones) and wish.only in ("", n)]
+
+
+def _try(work, wish, ownShare):
+    """Place one more copy of the wish; False if there is no way."""
+    item = item_name(wish.model, wish.adapter)
+    mine = work.copies.setdefault(wish.id, set())
+    found = [n for n in _zone_engines(work, wish)
+             if n not in mine and _fits(work, wish, n)]
+    if ownShare:
+        leftMb = (work.shares.get(wish.partner, 0.0) * work.totalMb + 1e-6
+                  - work.usedMb.get(wish.partner, 0))
+        found = [n for n in found if _cost(work, wish, n) <= leftMb]
+    if not found:
+        return False
+    zones = {}
+    for name in mine:
+        zones[work.engines[name].zone] = zones.get(work.engines[name].zone, 0) + 1
+    best = min(found, key=lambda n: _rank(work, wish, item, n, zones))
+    _take(work, wish, item, best)
+    mine.add(best)
+    if not ownShare and wish.yields < LAST:
+        work.plan.lent.add((best, item))
+    return True
+
+
+def _rank(work, wish, item, name, zones):
+    here = work.present.get(name, ())
+    costMb = _cost(work, wish, name)
+    heldMb = sum(work.sizes.get(i, 0) for i in here if i not in work.plan.targets[name])
+    evicts = wish.model not in here and heldMb + costMb > work.freeMb[name]
+    return (item not in here, zones.get(work.engines[name].zone, 0), evicts, costMb,
+            -work.freeMb[name], hashlib.blake2b(f"{item}|{name}".encode()).digest())
+
+
+def _take(work, wish, item, name):
+    targets = work.plan.targets[name]
+    costMb = _cost(work, wish, name)
+    work.freeMb[name] -= costMb
+    work.usedMb[wish.partner] = work.usedMb.get(wish.partner, 0) + costMb
+    if wish.adapter and item not in targets:
+        work.freePlaces[name] -= wish.places
+    targets.setdefault(wish.model, wish.id)
+    targets.setdefault(item, wish.id)
+
+
+def _reason(work, wish):
+    zone = _zone_engines(work, wish)
+    mine = work.copies.get(wish.id, set())
+    others = [n for n in zone if n not in mine]
+    winners = sorted({w for n in others for w in work.plan.targets[n].values()
+                      if w != wish.id})
+    if not zone:
+        rule = "no-engine-in-zone"
+    elif not others:
+        rule = "more-copies-than-engines"
+    elif all(work.engines[n].roomMb < wish.roomMb for n in others):
+        rule = "larger-than-engines"
+    elif not any(_cost(work, wish, n) <= work.freeMb[n] for n in others):
+        rule = "no-room"
+    else:
+        rule = "no-adapter-place"
+    overShare = work.usedMb.get(wish.partner, 0) >= (
+        work.shares.get(wish.partner, 0.0) * work.totalMb - wish.roomMb)
+    return {"wanted": wish.copies, "placed": len(mine), "rule": rule,
+            "shareSpent": overShare, "partner": wish.partner, "won": winners[:8]}
--- /dev/null
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -0,0 +1,147 @@
+"""The holder of a service shard: reports in, durable orders out.
+
+A placer polls its engines, settles what their reports prove, plans, and logs
+an order before it sends it.  It sends nothing before the previous holder's
+last call must have ended, nothing to an engine whose report it has not read
+itself, and nothing that would outlast its own grant.
+"""
+
+from dispatch import ledger as ledgers
+from dispatch import orders, settle, world
+from dispatch.state import log
+from logbook import holder
+from manifest import registry as registries
+from waybill import failures
+from waybill.effects import Call, Reply
+
+__all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
+
+
+def taken_over(p, nowMs, terms):
+    """The shard is recovered: read reports, but order nothing yet."""
+    p.ledger = ledgers.load(p.held.checkpoint)
+    for record in p.held.pages:
+        ledgers.apply(p.ledger, record)
+    p.notBeforeMs = nowMs if p.calm else nowMs + terms.callMs
+    p.holdsMs = {id_: nowMs for id_ in p.ledger.holds}
+
+
+def tick(p, nowMs, registry, shards, terms, grantEndMs):
+    """One round: poll, settle holds, plan, order."""
+    if not p.held.ready or p.held.lost or nowMs >= grantEndMs:
+        return []
+    effects = _poll(p, nowMs, registry, shards, terms)
+    _drop_gone(p, registry)
+    _expire_holds(p, nowMs)
+    if nowMs >= p.notBeforeMs:
+        for name, service in world.services_of(registry, p.shard, shards).items():
+            if service["kind"] == "models":
+                orders.plan(p, nowMs, registry, name, service, terms)
+    return effects
+
+
+def _poll(p, nowMs, registry, shards, terms):
+    effects = []
+    for name in world.services_of(registry, p.shard, shards):
+        for engine in world.engines_of(registry, name):
+            busy = p.polls.get(engine["name"])
+            if busy is not None and nowMs - busy < terms.reportMs:
+                continue
+            if busy is not None and f"report:{engine['name']}" in p.calls and (
+                    nowMs - busy < 2 * terms.callMs):
+                continue
+            p.polls[engine["name"]] = nowMs
+            effects.append(_call(p, nowMs, f"report:{engine['name']}", "report",
+                                 engine, {}, terms, "", ""))
+    return effects
+
+
+def _call(p, nowMs, id_, verb, engine, body, terms, item, order, notAfterMs=float("inf")):
+    p.calls[id_] = (verb, engine["name"], item, order, nowMs)
+    return Call(f"{p.shard}|{p.epoch}|{id_}", engine["name"], engine["url"], verb,
+                body, terms.callMs, notAfterMs)
+
+
+def _drop_gone(p, registry):
+    for engine in [e for e in p.ledger.incarnations if e not in registry.engines]:
+        log(p, ledgers.dropped_record(engine))
+        p.reports.pop(engine, None)
+        p.polls.pop(engine, None)
+
+
+def _expire_holds(p, nowMs):
+    for id_, hold in list(p.ledger.holds.items()):
+        if nowMs - p.holdsMs.setdefault(id_, nowMs) > hold["waitMs"]:
+            log(p, ledgers.unhold_record(id_, "expired"))
+            p.holdsMs.pop(id_, None)
+
+
+def on_durable(p, nowMs, then, registry, terms, grantEndMs):
+    """Something that waited for DURABLE may be done now."""
+    kind = then[0]
+    if kind == "reply":
+        return [Reply(then[1], then[2])]
+    if kind == "order":
+        _, engine, item, order, verb, body = then
+        facts = registry.engines.get(engine)
+        lastMs = grantEndMs - terms.callMs
+        if facts is None or nowMs >= lastMs or not world.usable(registry, facts):
+            log(p, ledgers.state_record(engine, item, order, "refused"))
+            return []
+        return [_call(p, nowMs, order, verb, facts, body, terms, item, order, lastMs)]
+    return []
+
+
+def on_called(p, nowMs, id_, called, registry, shards, terms):
+    """A call ended: a report is settled, an order's answer is logged."""
+    known = p.calls.pop(id_, None)
+    if known is None:
+        return []
+    verb, engine, item, order, askedMs = known
+    if verb == "report":
+        if called.code == 200:
+            settle.on_report(p, nowMs, engine, called.body, askedMs, registry)
+        elif engine in p.reports and nowMs - p.reports[engine].askedMs > terms.darkMs:
+            del p.reports[engine]
+        return []
+    p.callEndMs[order] = nowMs
+    if called.code == 202:
+        state = "taken"
+    elif called.code in (400, 404, 409, 429, 503) or not called.begun:
+        state = "refused"
+        p.refusedMs[engine, item] = nowMs
+    else:
+        state = "unknown"
+    log(p, ledgers.state_record(engine, item, order, state))
+    return []
+
+
+def command(p, nowMs, token, verb, body, registry, terms):
+    """A counter puts a task in line, or takes it out; answered once durable."""
+    if verb == "hold":
+        return _hold(p, nowMs, token, body, registry, terms)
+    id_ = str(body.get("id"))
+    if id_ not in p.ledger.holds:
+        return [Reply(token, {"id": id_, "gone": True})]
+    p.holdsMs.pop(id_, None)
+    log(p, ledgers.unhold_record(id_, str(body.get("why", "")) or "done"),
+        ("reply", token, {"id": id_, "gone": True}))
+    return []
+
+
+def _hold(p, nowMs, token, body, registry, terms):
+    id_ = body["id"]
+    if id_ in p.ledger.holds:
+        answer = {"id": id_, "turn": p.ledger.holds[id_]["turn"]}
+        known = holder.barrier(p.held, ("reply", token, answer))
+        return [Reply(token, answer)] if known else []
+    if body["model"] not in registries.models(registry):
+        return [Reply(token, failures.UnknownModel(body["service"], body["model"]))]
+    same = sum(1 for h in p.ledger.holds.values() if h["model"] == body["model"])
+    if len(p.ledger.holds) >= terms.holdsMax or same >= terms.holdsPerModel:
+        return [Reply(token, failures.Overloaded(int(10 * terms.callMs), "waitlist"))]
+    p.holdsMs[id_] = nowMs
+    log(p, ledgers.hold_record({k: body[k] for k in (
+        "id", "service", "model", "adapter", "class", "waitMs")}),
+        ("reply", token, {"id": id_, "turn": p.ledger.holdCount + 1}))
+    return []
--- /dev/null
+++ b/libs/dispatch/src/dispatch/state.py
@@ -0,0 +1,52 @@
+"""What a placer keeps in memory beside the shard's replicated ledger."""
+
+from dataclasses import dataclass, field
+
+from dispatch import ledger as ledgers
+from logbook import holder
+
+__all__ = ["Placer", "Terms", "Report", "log"]
+
+
+@dataclass(frozen=True)
+class Terms:
+    """All in ms, ratios of the bounds in config."""
+    callMs: float
+    reportMs: float
+    darkMs: float
+    checkpointRecords: int = 2000
+    holdsMax: int = 2000
+    holdsPerModel: int = 200
+
+
+@dataclass(frozen=True)
+class Report:
+    incarnation: str
+    roomMb: int
+    places: int
+    items: dict
+    askedMs: float
+
+
+@dataclass
+class Placer:
+    shard: int
+    epoch: int
+    held: holder.Held
+    ledger: ledgers.Ledger = field(default_factory=ledgers.Ledger)
+    notBeforeMs: float = float("inf")
+    reports: dict = field(default_factory=dict)
+    polls: dict = field(default_factory=dict)
+    calls: dict = field(default_factory=dict)
+    callEndMs: dict = field(default_factory=dict)
+    tokens: dict = field(default_factory=dict)
+    holdsMs: dict = field(default_factory=dict)
+    planned: dict = field(default_factory=dict)
+    calm: bool = False
+    refusedMs: dict = field(default_factory=dict)
+
+
+def log(p, record, then=None):
+    """Apply a record to our own ledger and append it; `then` waits for DURABLE."""
+    ledgers.apply(p.ledger, record)
+    holder.append(p.held, record, then)
--- /dev/null
+++ b/libs/dispatch/src/dispatch/world.py
@@ -0,0 +1,102 @@
+"""From the registry to what placement needs: engines, wishes, shares.
+
+A service belongs to the shard that its name hashes to; shard 0 is kept for
+the layout and the engine list, so services spread over the others.
+"""
+
+import hashlib
+
+from dispatch.placement import LAST, Engine, Wish, item_name
+from manifest import registry as registries
+
+__all__ = ["shard_of", "services_of", "usable", "wishes_of", "shares_of", "size_of",
+           "engines_of", "placement_engines"]
+
+
+def shard_of(service, shards):
+    digest = hashlib.blake2b(service.encode(), digest_size=8).digest()
+    return 1 + int.from_bytes(digest, "big") % (shards - 1)
+
+
+def services_of(registry, shard, shards):
+    return {n: s for n, s in registries.services(registry).items()
+            if shard_of(n, shards) == shard}
+
+
+def usable(registry, engine):
+    """Whether new work may go to an engine at all."""
+    return engine["state"] == "join" and engine["zone"] not in registry.zones
+
+
+def engines_of(registry, service):
+    return [e for _, e in sorted(registry.engines.items()) if e["service"] == service]
+
+
+def size_of(registry, item):
+    """(room, places, partner) of an item, or None if no layout names it now."""
+    model, _, adapter = item.partition("/")
+    found = registries.models(registry).get(model)
+    if found is None:
+        return None
+    if not adapter:
+        return found["roomMb"], 0, found["partner"]
+    if adapter not in found["adapters"]:
+        return None
+    return 0, found["adapters"][adapter]["places"], found["partner"]
+
+
+def shares_of(service):
+    return service["shares"] or {service["partner"]: 1.0}
+
+
+def wishes_of(registry, service, ledger):
+    """Standing wishes, then models that callers wait for, then what is merely
+    still there and may stay while nobody needs the room."""
+    models = registries.models(registry)
+    found = []
+    for partner, section in sorted(registry.sections.items()):
+        for name, wish in sorted(section["wishes"].items()):
+            if wish["service"] == service:
+                found.append(_wish(models, f"{partner}:{name}", partner, wish["model"],
+                                   wish["adapter"], wish["copies"],
+                                   tuple(wish["zones"]), wish["yields"]))
+    turns = {}
+    for hold in ledger.holds.values():
+        if hold["service"] == service:
+            key = (hold["model"], hold["adapter"])
+            turns[key] = min(turns.get(key, hold["turn"]), hold["turn"])
+    for number, (turn, key) in enumerate(sorted((t, k) for k, t in turns.items())):
+        if size_of(registry, item_name(*key)):
+            found.append(_wish(models, f"hold:{item_name(*key)}", models[key[0]]["partner"],
+                               *key, 1, (), LAST + number))
+    return found + _kept(registry, models, service, ledger)
+
+
+def _kept(registry, models, service, ledger):
+    found = []
+    for engine, items in sorted(ledger.engines.items()):
+        for item, entry in sorted(items.items()):
+            if entry["service"] == service and size_of(registry, item):
+                model, _, adapter = item.partition("/")
+                found.append(_wish(models, f"kept:{engine}:{item}", "", model,
+                                   adapter, 1, (), LAST * 100, engine))
+    return found
+
+
+def _wish(models, id_, partner, model, adapter, copies, zones, yields, only=""):
+    facts = models[model]
+    places = facts["adapters"][adapter]["places"] if adapter else 0
+    return Wish(id_, partner, model, adapter, copies, zones, yields,
+                facts["roomMb"], places, only)
+
+
+def placement_engines(registry, service, reports):
+    """Engines that placement may count on, with the smaller of told rooms."""
+    found = []
+    for engine in engines_of(registry, service):
+        report = reports.get(engine["name"])
+        if usable(registry, engine) and report is not None:
+            found.append(Engine(engine["name"], engine["zone"],
+                                min(engine["roomMb"], report.roomMb),
+                                min(engine["adapterPlaces"], report.places)))
+    return found
--- /dev/null
+++ b/libs/fellows/src/fellows/circle.py
@@ -0,0 +1,119 @@
+"""The circle: the cards of other nodes, learned from three seeds and spread.
+
+Every node greets its seeds until it knows the group, and from then on a small
+rendezvous-chosen set of fellows, which it watches.  Greetings carry the cards
+one knows and the depots' membership; the membership of the highest term and
+stamp wins and a node never goes back to an older one.  Addresses learned are
+kept, so swapped seeds matter only to those who start.
+"""
+
+import hashlib
+import random
+from dataclasses import dataclass, field
+
+from waybill.effects import Note, Send
+from waybill.messages import Card, Greet, GroupCard
+
+__all__ = ["Circle", "tick", "on_greet", "learn_group", "watched", "leader_address",
+           "depot_addresses", "weight", "NO_GROUP", "live"]
+
+NO_GROUP = GroupCard("", 0, 0, "", ())
+_KNOWN = 4
+
+
+@dataclass
+class Circle:
+    card: Card
+    seeds: tuple
+    random: random.Random
+    gossipMs: float
+    lostMs: float
+    cards: dict = field(default_factory=dict)
+    heardMs: dict = field(default_factory=dict)
+    group: GroupCard = NO_GROUP
+    nextMs: float = 0.0
+    turn: int = 0
+
+
+def weight(watcher, name):
+    return hashlib.blake2b(f"{watcher}>{name}".encode(), digest_size=8).digest()
+
+
+def watched(circle):
+    """The few fellows whose heartbeat this node minds."""
+    names = sorted(circle.cards, key=lambda n: weight(circle.card.name, n))
+    return names[:_KNOWN]
+
+
+def live(circle, nowMs):
+    return [n for n, atMs in circle.heardMs.items() if nowMs - atMs < circle.lostMs]
+
+
+def greeting(circle, answer):
+    return Greet(circle.card, answer, tuple(circle.cards.values()), circle.group)
+
+
+def tick(circle, nowMs):
+    if nowMs < circle.nextMs:
+        return []
+    circle.nextMs = nowMs + circle.gossipMs * (0.8 + 0.4 * circle.random.random())
+    targets = {circle.cards[n].address for n in watched(circle)}
+    others = sorted(circle.cards)
+    if others:
+        targets.add(circle.cards[others[circle.random.randrange(len(others))]].address)
+    circle.turn += 1
+    if not circle.group.group or len(circle.cards) < _KNOWN or circle.turn % 10 == 0:
+        targets |= set(circle.seeds)
+    targets |= set(depot_addresses(circle)[:1] if circle.turn % 3 == 0 else ())
+    targets.discard(circle.card.address)
+    return [Send(to, greeting(circle, True)) for to in sorted(targets)]
+
+
+def on_greet(circle, nowMs, sender, message):
+    """Learn from a greeting, and answer it if it asks for that."""
+    effects = []
+    if message.card.name and message.card.name != circle.card.name:
+        effects += _meet(circle, nowMs, message.card, True)
+    for card in message.cards:
+        if card.name != circle.card.name:
+            effects += _meet(circle, nowMs, card, False)
+    learn_group(circle, message.group)
+    if message.answer:
+        effects.append(Send(sender, greeting(circle, False)))
+    return effects
+
+
+def _meet(circle, nowMs, card, direct):
+    """A card heard directly replaces the old one; hearsay only fills gaps, or
+    replaces a card whose node has been silent."""
+    old = circle.cards.get(card.name)
+    if direct:
+        circle.heardMs[card.name] = nowMs
+        circle.cards[card.name] = card
+    elif old is None or (old != card and nowMs - circle.heardMs.get(
+            card.name, -1e12) > circle.lostMs):
+        circle.cards[card.name] = card
+    if old is None:
+        return [Note("meets", {"name": card.name, "address": card.address})]
+    return []
+
+
+def learn_group(circle, group):
+    if not group.group or (circle.group.group and group.group != circle.group.group):
+        return
+    if (group.term, group.stamp, bool(group.leader)) > (
+            circle.group.term, circle.group.stamp, bool(circle.group.leader)):
+        circle.group = group
+
+
+def leader_address(circle):
+    return circle.group.leader
+
+
+def depot_addresses(circle):
+    """Depots to ask when the leader is silent, a different one first each time."""
+    found = [m.address for m in circle.group.members] + [
+        c.address for c in circle.cards.values() if c.role == "depot"]
+    found = sorted(set(found) - {circle.card.address})
+    turn = circle.turn % len(found) if found else 0
+    return found[turn:] + found[:turn]
--- /dev/null
+++ b/libs/junction/src/junction/callers.py
@@ -0,0 +1,95 @@
+"""Every HTTP shape that callers see, and nothing else.
+
+    POST /v1/task            {"service", "model", "adapter"?, "class"?, "prompt",
+                              "stream"?, "deadlineMs"?, "id"?}
+    POST /v1/route/<name>    the same, service and model taken from the layout
+    GET  /v1/lookup/<service>/<key>     tiles and receipts; may be asked twice
+
+Answers are JSON.  Streams are server-sent events, one numbered piece each,
+ended by an event `done`; a cut stream sends an event `failure` and then breaks
+the connection off, so it never looks complete.
+"""
+
+import json
+import secrets
+
+from werkzeug.wrappers import Response
+
+from junction.router import RANK
+from waybill import failures
+
+__all__ = ["read_task", "read_lookup", "refusal", "answer", "stream_response",
+           "event", "LIMIT_BYTES"]
+
+LIMIT_BYTES = 1 << 20
+_KEYS = {"service", "model", "adapter", "class", "prompt", "stream", "deadlineMs", "id"}
+
+
+def read_body(request, limitBytes=LIMIT_BYTES):
+    """The JSON object in a request, or a failure."""
+    if (request.content_length or 0) > limitBytes:
+        return failures.BodyOversized(limitBytes)
+    data = request.stream.read(limitBytes + 1) if request.content_length else b""
+    if len(data) > limitBytes:
+        return failures.BodyOversized(limitBytes)
+    if request.content_length and len(data) < request.content_length:
+        return failures.BodyMalformed("cut short")
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError):
+        return failures.BodyMalformed("not JSON")
+    return body if isinstance(body, dict) else failures.BodyMalformed("not an object")
+
+
+def read_task(body, route, deadlineMs):
+    """A task's facts from a caller's body, or a failure naming the field."""
+    for key in body:
+        if key not in _KEYS:
+            return failures.FieldWrong(key, "unknown key")
+    told = {**body, **{k: v for k, v in (route or {}).items() if v}}
+    for key, missing in (("service", None), ("model", ""), ("adapter", ""),
+                         ("class", "update"), ("prompt", None), ("id", "")):
+        value = told.setdefault(key, missing)
+        if not isinstance(value, str):
+            return failures.FieldWrong(key, "missing" if value is None else "not a text")
+    if told["class"] not in RANK:
+        return failures.FieldWrong("class", "not one of " + ", ".join(sorted(RANK)))
+    if len(told["id"]) > 128:
+        return failures.FieldWrong("id", "longer than 128")
+    if not isinstance(told.setdefault("stream", False), bool):
+        return failures.FieldWrong("stream", "not true or false")
+    limitMs = told.setdefault("deadlineMs", deadlineMs)
+    if not isinstance(limitMs, int) or isinstance(limitMs, bool) or not 1 <= limitMs <= 3_600_000:
+        return failures.FieldWrong("deadlineMs", "not a whole number from 1 to 3600000")
+    told["id"] = told["id"] or secrets.token_hex(12)
+    told["repeatable"] = False
+    return told
+
+
+def read_lookup(service, key, deadlineMs):
+    return {"service": service, "model": "", "adapter": "", "class": "lookup",
+            "prompt": "", "stream": False, "deadlineMs": deadlineMs,
+            "id": secrets.token_hex(12), "repeatable": True, "key": key}
+
+
+def refusal(failure):
+    """The final answer to a request that got none: at once, with Retry-After."""
+    response = answer(failures.as_json(failure), failure.status)
+    seconds = failures.retry_after(failure)
+    if seconds is not None:
+        response.headers["Retry-After"] = str(seconds)
+    return response
+
+
+def answer(body, status=200):
+    return Response(json.dumps(body) + "\n", status, content_type="application/json")
+
+
+def event(kind, body, number=None):
+    head = f"id: {number}\n" if number is not None else ""
+    return f"{head}event: {kind}\ndata: {json.dumps(body)}\n\n".encode()
+
+
+def stream_response(chunks):
+    return Response(chunks, 200, content_type="text/event-stream",
+                    headers={"Cache-Control": "no-store"}, direct_passthrough=True)
--- /dev/null
+++ b/libs/junction/src/junction/choice.py
@@ -0,0 +1,44 @@
+"""Which engine a leg goes to.
+
+A rendezvous hash over model, adapter and the opening of the prompt keeps like
+prompts on one engine's cache, with a bound on how much more than its share an
+engine takes.  A freshly started engine's limit grows from almost nothing.
+Lower classes may fill only a part of an engine's slots.
+"""
+
+import hashlib
+
+__all__ = ["choose", "limit"]
+
+_PART = {0: 1.0, 1: 0.85, 2: 0.6}
+_BOUND = 1.25
+
+
+def _weight(key, name):
+    return hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
+
+
+def limit(r, nowMs, engine, counters, rank):
+    """How many legs this node may have on an engine for a task of this rank."""
+    key = (engine["name"], engine["url"])
+    age = nowMs - r.firstMs.setdefault(key, nowMs)
+    part = min(1.0, 0.1 + age / r.terms.rampMs)
+    slots = engine["slots"] * part
+    if part < 1.0:
+        slots = slots / max(1, counters)
+    return max(1, int(slots * _PART[rank]))
+
+
+def choose(r, nowMs, engines, counters, task, rank):
+    free = [e for e in engines
+            if r.busy.get(e["name"], 0) < limit(r, nowMs, e, counters, rank)]
+    if not free:
+        return None
+    total = sum(r.busy.get(e["name"], 0) for e in engines) + 1
+    bound = max(1, -(-int(total * _BOUND * 100) // (len(engines) * 100)))
+    key = f"{task.model}|{task.adapter}|{task.opening}"
+    order = sorted(free, key=lambda e: _weight(key, e["name"]), reverse=True)
+    for engine in order:
+        if r.busy.get(engine["name"], 0) < bound:
+            return engine
+    return min(order, key=lambda e: r.busy.get(e["name"], 0))
--- /dev/null
+++ b/libs/junction/src/junction/router.py
@@ -0,0 +1,212 @@
+"""Routing: from a task to legs, one decision at a time.
+
+A task gets a leg, a place in line, or its final answer.  A leg that may have
+begun is never followed by another unless the task is repeatable or the engine
+offers to resume that very run; another leg after a proven refusal costs a
+token of a small budget.  Overload refuses the lowest class first, at once.
+"""
+
+from dataclasses import dataclass, field
+
+from dispatch import floor as floors
+from dispatch import world
+from dispatch.placement import item_name
+from junction import choice
+from manifest import registry as registries
+from waybill import failures
+from waybill.effects import Reply
+
+__all__ = ["Router", "Terms", "Task", "Leg", "Done", "begin", "ended", "wake",
+           "tick", "held", "RANK"]
+
+RANK = {"lookup": 0, "reroute": 0, "counter": 0, "update": 1, "draft": 1,
+        "plan": 2, "review": 2}
+
+
+@dataclass(frozen=True)
+class Terms:
+    """In ms, ratios of the bounds in config; the rest are plain ratios."""
+    staleMs: float
+    rampMs: float
+    retryRatio: float
+    holdMs: float
+    legMs: float
+    waitingMax: int = 500
+
+
+@dataclass
+class Task:
+    token: str
+    id: str
+    service: str
+    model: str
+    adapter: str
+    cls: str
+    opening: str
+    repeatable: bool
+    stream: bool
+    endMs: float
+    legs: list = field(default_factory=list)
+    waiting: bool = False
+    giveUpMs: float = 0.0
+    sinceMs: float = 0.0
+    turn: int = 0
+
+
+@dataclass(frozen=True)
+class Leg:
+    engine: str
+    url: str
+    timeoutMs: float
+
+
+@dataclass(frozen=True)
+class Done:
+    pass
+
+
+@dataclass(frozen=True)
+class Hold:
+    """Ask the shard's holder for a place in line (or to give one back)."""
+    verb: str
+    shard: int
+    body: dict
+
+
+@dataclass
+class Router:
+    terms: Terms
+    tasks: dict = field(default_factory=dict)
+    busy: dict = field(default_factory=dict)
+    firstMs: dict = field(default_factory=dict)
+    tokens: float = 3.0
+    refused: int = 0
+    served: int = 0
+    retried: int = 0
+
+
+def _fail(r, task, failure):
+    r.tasks.pop(task.token, None)
+    r.refused += 1
+    gone = _unhold(r, task, "refused")
+    return [Reply(task.token, failure)] + gone
+
+
+def _unhold(r, task, why):
+    if not task.waiting:
+        return []
+    task.waiting = False
+    return [Hold("unhold", -1, {"service": task.service, "id": task.id, "why": why})]
+
+
+def begin(r, nowMs, floor, ageMs, counters, task):
+    """A caller's task has come in."""
+    r.tasks[task.token] = task
+    task.sinceMs = nowMs
+    r.tokens = min(10.0, r.tokens + r.terms.retryRatio)
+    if ageMs > r.terms.staleMs:
+        return _fail(r, task, failures.Stale(int(r.terms.staleMs), int(min(ageMs, 1e9))))
+    service = registries.services(floor.registry).get(task.service)
+    if service is None:
+        return _fail(r, task, failures.UnknownService(task.service))
+    if service["kind"] == "models" and not world.size_of(
+            floor.registry, item_name(task.model, task.adapter)):
+        return _fail(r, task, failures.UnknownModel(
+            task.service, item_name(task.model, task.adapter)))
+    return _go(r, nowMs, floor, counters, task)
+
+
+def _go(r, nowMs, floor, counters, task):
+    """Give the task a leg, or a place in line, or its final answer."""
+    if nowMs >= task.endMs:
+        return _fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
+    item = item_name(task.model, task.adapter) if task.model else ""
+    found = floors.engines_with(floor, task.service, item)
+    found = [e for e in found if e["name"] not in task.legs]
+    best = choice.choose(r, nowMs, found, counters, task, RANK[task.cls])
+    if best is not None:
+        r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
+        task.legs.append(best["name"])
+        leg = Leg(best["name"], best["url"], min(r.terms.legMs, task.endMs - nowMs))
+        return [Reply(task.token, leg)] + _unhold(r, task, "served")
+    if found or not item or task.legs:
+        if task.waiting:
+            return []
+        retryMs = 1000 * (1 + RANK[task.cls])
+        cause = "no-engine" if not found else "all-busy"
+        return _fail(r, task, failures.Overloaded(retryMs, cause))
+    return _line_up(r, nowMs, floor, task)
+
+
+def _line_up(r, nowMs, floor, task):
+    if task.waiting:
+        return []
+    if sum(t.waiting for t in r.tasks.values()) >= r.terms.waitingMax:
+        return _fail(r, task, failures.Overloaded(3000, "line-full"))
+    if not any(world.usable(floor.registry, e)
+               for e in world.engines_of(floor.registry, task.service)):
+        return _fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
+    task.waiting = True
+    task.giveUpMs = min(task.endMs, nowMs + r.terms.holdMs)
+    shard = world.shard_of(task.service, floor.shards)
+    return [Hold("hold", shard, {
+        "id": task.id, "service": task.service, "model": task.model,
+        "adapter": task.adapter, "class": task.cls,
+        "waitMs": int(task.giveUpMs - nowMs)})]
+
+
+def held(r, nowMs, id_, outcome):
+    """The holder's answer to a hold: a turn in line, or a refusal."""
+    for task in list(r.tasks.values()):
+        if task.id == id_ and task.waiting:
+            if isinstance(outcome, failures.Failure):
+                task.waiting = False
+                return _fail(r, task, outcome)
+            task.turn = outcome.get("turn", 0)
+    return []
+
+
+def wake(r, nowMs, floor, ageMs, counters):
+    """The floor changed, or a leg ended: those in line try again, in order."""
+    if ageMs > r.terms.staleMs:
+        return []
+    effects = []
+    line = sorted((t for t in r.tasks.values() if t.waiting),
+                  key=lambda t: (RANK[t.cls], t.turn or 1 << 60, t.sinceMs))
+    for task in line:
+        effects += _go(r, nowMs, floor, counters, task)
+    return effects
+
+
+def tick(r, nowMs):
+    """Those whose time in line is over get their final answer now."""
+    effects = []
+    for task in list(r.tasks.values()):
+        if task.waiting and nowMs >= task.giveUpMs:
+            effects += _fail(r, task, failures.NoRoom(3000, task.model, "still-loading"))
+    return effects
+
+
+def ended(r, nowMs, floor, ageMs, counters, token, proof):
+    """A leg ended.  `proof`: "done", "not-run", "unknown", or "gone" (caller left)."""
+    task = r.tasks.get(token)
+    if task is None:
+        return []
+    if task.legs and proof != "waiting":
+        engine = task.legs[-1]
+        r.busy[engine] = max(0, r.busy.get(engine, 0) - 1)
+    if proof in ("done", "gone"):
+        r.tasks.pop(token, None)
+        r.served += proof == "done"
+        return [Reply(token, Done())] + _unhold(r, task, proof)
+    again = proof == "not-run" or task.repeatable
+    if not again:
+        r.tasks.pop(token, None)
+        return [Reply(token, failures.OutcomeUnknown("leg-broken"))]
+    if r.tokens < 1 or ageMs > r.terms.staleMs:
+        if proof == "unknown" and not task.repeatable:
+            return _fail(r, task, failures.OutcomeUnknown("leg-broken"))
+        return _fail(r, task, failures.Overloaded(2000, "no-retry-left"))
+    r.tokens -= 1
+    r.retried += 1
+    return _go(r, nowMs, floor, counters, task)
--- /dev/null
+++ b/libs/junction/src/junction/serving.py
@@ -0,0 +1,144 @@
+"""One caller's task, from its HTTP request to its answer.
+
+Runs on the request's own thread.  It asks the node's owner what to do, does
+that one thing, tells how it ended, and asks again; the owner decides, this
+thread owns the sockets.
+"""
+
+import select
+import socket
+
+from junction import callers, engines, legs, pieces
+from junction.router import Done, Leg
+from waybill import failures
+
+__all__ = ["Serving"]
+
+
+class Serving:
+    """`serve` is the one public method.  `ask(token, verb, body, gone)` puts an
+    event to the node's owner and waits for its command; `gone` is polled
+    meanwhile and says whether the caller has left."""
+
+    def __init__(self, ask, connectMs):
+        self._ask = ask
+        self._connectMs = connectMs
+
+    def serve(self, token, told, environ):
+        gone = _gone_check(environ)
+        step = self._ask(token, "task", told, gone)
+        while isinstance(step, Leg):
+            if told["stream"]:
+                return self._stream(token, told, step, gone)
+            found, proof = self._whole(told, step)
+            step = self._ask(token, "ended", {"proof": proof}, None)
+            if found is not None:
+                return found
+        if isinstance(step, failures.Failure):
+            return callers.refusal(step)
+        return callers.refusal(failures.OutcomeUnknown("caller-left"))
+
+    def _whole(self, told, leg):
+        """Run a leg for a whole answer: (response or None, proof)."""
+        ended = legs.call(engines.task_ask(leg.url, told), leg.timeoutMs, self._connectMs)
+        if ended.code == 200:
+            body = engines.read_answer(told, ended.data)
+            if body is not None:
+                return callers.answer(body), "done"
+            return None, "unknown"
+        if ended.code == 0:
+            return None, "unknown" if ended.begun else "not-run"
+        if engines.refused(ended.code, ended.data):
+            return None, "not-run"
+        if told["repeatable"]:
+            return None, "unknown"
+        return callers.refusal(failures.EngineFailed(leg.engine, ended.code)), "done"
+
+    def _stream(self, token, told, leg, gone):
+        """Find a leg whose first piece is good, then pass its pieces on."""
+        while isinstance(leg, Leg):
+            source = legs.stream(engines.task_ask(leg.url, told), leg.timeoutMs,
+                                 self._connectMs)
+            run = pieces.Run(told["id"])
+            passing = _pieces(source, run, gone)
+            passed, proof = next(passing)
+            if passed is not None:
+                chunks = self._pass_on(token, run, passed, passing, source)
+                return callers.stream_response(chunks)
+            source.close()
+            leg = self._ask(token, "ended", {"proof": proof}, None)
+        failed = leg if isinstance(leg, failures.Failure) else (
+            failures.OutcomeUnknown("caller-left"))
+        return callers.refusal(failed)
+
+    def _pass_on(self, token, run, passed, passing, source):
+        proof = "gone"
+        try:
+            yield callers.event("piece", passed.piece, passed.piece["n"])
+            last = passed.last
+            while not last:
+                passed, proof = next(passing)
+                if passed is None:
+                    break
+                yield callers.event("piece", passed.piece, passed.piece["n"])
+                last = passed.last
+            if last:
+                proof = "done"
+                yield callers.event("done", {"pieces": run.next})
+                return
+            failure = failures.StreamCut(proof, run.next)
+            yield callers.event("failure", failures.as_json(failure))
+            raise _CutOff(failure)
+        finally:
+            source.close()
+            self._ask(token, "ended", {"proof": "done" if proof == "done" else "gone"},
+                      None)
+
+
+class _CutOff(ConnectionError):
+    """Breaks the chunked body off, so that nothing cut looks complete."""
+
+
+def _pieces(source, run, gone):
+    """Yield (Pass, "") for each good piece, then one (None, proof)."""
+    buffer, refusal, code = bytearray(), bytearray(), 0
+    for kind, value in source:
+        if kind == "head":
+            code = value
+        elif kind == "data" and code == 200:
+            for piece in engines.read_pieces(buffer, value):
+                judged = pieces.take(run, piece)
+                if isinstance(judged, pieces.Pass):
+                    yield judged, ""
+                elif isinstance(judged, pieces.Cut):
+                    yield None, "unknown"
+                    return
+        elif kind == "data":
+            refusal += value
+        elif kind == "idle" and gone():
+            yield None, "gone"
+            return
+        elif kind == "end":
+            yield None, _proof(value, bytes(refusal))
+            return
+
+
+def _proof(ended, refusal):
+    if ended.code == 0:
+        return "unknown" if ended.begun else "not-run"
+    return "not-run" if engines.refused(ended.code, refusal) else "unknown"
+
+
+def _gone_check(environ):
+    """A function that says whether the caller has closed its end."""
+    sock = environ.get("werkzeug.socket")
+
+    def gone():
+        if sock is None:
+            return False
+        try:
+            ready, _, _ = select.select([sock], [], [], 0)
+            return bool(ready) and sock.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+    return gone
--- /dev/null
+++ b/libs/manifest/src/manifest/registry.py
@@ -0,0 +1,183 @@
+"""Shard 0: the layout, the zones evacuated and the platform's engine list.
+
+`decide` checks an operator's wish against the present registry and answers
+with the record to log, or a failure; `apply` is what every follower does with
+a logged record.  Each change has an id: asked again, it gets the answer it
+got.  Stamps are one numbered line for all changes.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from manifest import merging
+from waybill.failures import (FieldWrong, LayoutWrong, NotFound, StampStale,
+                              WrongPartner)
+
+__all__ = ["Registry", "apply", "decide", "dump", "load", "services", "models",
+           "zone_names", "VERBS"]
+
+VERBS = ("layout", "zone", "engine", "engines")
+_KEPT_CHANGES = 4096
+_STATES = ("join", "leaving", "gone")
+
+
+@dataclass
+class Registry:
+    stamp: int = 0
+    sections: dict = field(default_factory=dict)
+    stamps: dict = field(default_factory=dict)
+    zones: dict = field(default_factory=dict)
+    engines: dict = field(default_factory=dict)
+    changes: dict = field(default_factory=dict)
+    zonesKnown: tuple = ()
+
+
+def services(registry):
+    """Every service by name, with its owner filled in."""
+    return {name: {**service, "partner": partner}
+            for partner, section in sorted(registry.sections.items())
+            for name, service in section["services"].items()}
+
+
+def models(registry):
+    return {name: {**model, "partner": partner}
+            for partner, section in sorted(registry.sections.items())
+            for name, model in section["models"].items()}
+
+
+def zone_names(registry):
+    return set(registry.zonesKnown) | {e["zone"] for e in registry.engines.values()}
+
+
+def apply(registry, record):
+    told = json.loads(record)
+    kind = told["k"]
+    registry.stamp = told["stamp"]
+    if kind == "layout":
+        registry.sections[told["partner"]] = told["section"]
+        registry.stamps[told["partner"]] = told["stamp"]
+    elif kind == "zone":
+        if told["evacuated"]:
+            registry.zones[told["zone"]] = told["stamp"]
+        else:
+            registry.zones.pop(told["zone"], None)
+    elif kind == "engines":
+        for engine in told["engines"]:
+            registry.engines[engine["name"]] = engine
+            if engine["state"] == "gone":
+                del registry.engines[engine["name"]]
+    if told.get("change"):
+        registry.changes[told["change"]] = told["stamp"]
+        while len(registry.changes) > _KEPT_CHANGES:
+            del registry.changes[next(iter(registry.changes))]
+
+
+def decide(registry, verb, body):
+    """Return (record or None, answer dict, Failure or None)."""
+    if not isinstance(body, dict):
+        return None, None, FieldWrong("(whole)", "not an object")
+    change = body.get("change", "")
+    if not isinstance(change, str) or len(change) > 128:
+        return None, None, FieldWrong("change", "not a short text")
+    if change and change in registry.changes:
+        return None, {"stamp": registry.changes[change], "again": True}, None
+    expected = body.get("expect")
+    if expected is not None and (not isinstance(expected, int) or isinstance(expected, bool)):
+        return None, None, FieldWrong("expect", "not a whole number")
+    rule = {"layout": _layout, "zone": _zone, "engines": _engines}.get(verb)
+    if rule is None:
+        return None, None, NotFound(verb)
+    told, failure = rule(registry, body, expected)
+    if failure:
+        return None, None, failure
+    if told is None:
+        return None, {"stamp": registry.stamp, "same": True}, None
+    stamp = registry.stamp + 1
+    record = json.dumps({**told, "stamp": stamp, "change": change},
+                        separators=(",", ":")).encode()
+    return record, {"stamp": stamp}, None
+
+
+def _layout(registry, body, expected):
+    partner, section = body.get("partner"), body.get("section")
+    if not isinstance(partner, str) or not partner:
+        return None, FieldWrong("partner", "missing")
+    actor = body.get("actor")
+    if actor != partner:
+        return None, WrongPartner(str(actor), partner)
+    current = registry.stamps.get(partner, 0)
+    if expected is not None and expected != current:
+        return None, StampStale(expected, current)
+    if body.get("partial"):
+        section = merging.patched(registry.sections.get(partner, {}), section)
+    checked, wrong = merging.whole(registry.sections, partner, section,
+                                   zone_names(registry))
+    if wrong:
+        return None, LayoutWrong(tuple(wrong[:100]))
+    return {"k": "layout", "partner": partner, "section": checked}, None
+
+
+def _zone(registry, body, expected):
+    zone, evacuated = body.get("zone"), body.get("evacuated")
+    if not isinstance(evacuated, bool):
+        return None, FieldWrong("evacuated", "not true or false")
+    if zone not in zone_names(registry):
+        return None, FieldWrong("zone", f"unknown zone {zone}")
+    if expected is not None and expected != registry.stamp:
+        return None, StampStale(expected, registry.stamp)
+    return {"k": "zone", "zone": zone, "evacuated": evacuated}, None
+
+
+_ENGINE = {"name": str, "state": str, "service": str, "zone": str, "url": str}
+_SIZES = {"roomMb": 0, "adapterPlaces": 0, "slots": 1}
+
+
+def _engine_wrong(at, engine):
+    if not isinstance(engine, dict):
+        return FieldWrong(at, "not an object")
+    for key in engine:
+        if key not in _ENGINE and key not in _SIZES:
+            return FieldWrong(f"{at}.{key}", "unknown key")
+    for key, kind in _ENGINE.items():
+        if not isinstance(engine.get(key), kind) or not engine[key]:
+            return FieldWrong(f"{at}.{key}", "missing or not a text")
+    for key, low in _SIZES.items():
+        value = engine.get(key, low)
+        if not isinstance(value, int) or isinstance(value, bool) or value < low:
+            return FieldWrong(f"{at}.{key}", f"not a whole number from {low}")
+    if engine["state"] not in _STATES:
+        return FieldWrong(f"{at}.state", "not one of " + ", ".join(_STATES))
+    if not engine["url"].startswith("http://"):
+        return FieldWrong(f"{at}.url", "not an http address")
+    return None
+
+
+def _engines(registry, body, expected):
+    given = body.get("engines")
+    if not isinstance(given, list) or not given or len(given) > 2000:
+        return None, FieldWrong("engines", "not a list of 1 to 2000 engines")
+    changed = []
+    for number, engine in enumerate(given):
+        wrong = _engine_wrong(f"engines.{number}", engine)
+        if wrong:
+            return None, wrong
+        full = {**_SIZES, **engine}
+        old = registry.engines.get(full["name"])
+        if full["state"] == "gone" and old is None or full == old:
+            continue
+        changed.append(full)
+    if not changed:
+        return None, None
+    if expected is not None and expected != registry.stamp:
+        return None, StampStale(expected, registry.stamp)
+    return {"k": "engines", "engines": changed}, None
+
+
+def dump(registry):
+    fields = {k: v for k, v in vars(registry).items() if k != "zonesKnown"}
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def load(body, zonesKnown=()):
+    return Registry(**json.loads(body), zonesKnown=zonesKnown) if body else Registry(
+        zonesKnown=zonesKnown)
--- /dev/null
+++ b/libs/manifest/src/manifest/schema.py
@@ -0,0 +1,107 @@
+"""The shape of one partner's section of the layout, checked by marshmallow.
+
+A section names the partner's services (engine pools), its models with their
+adapters, its standing wishes, its routes and its weight store.  This module
+checks one section by itself; `merging` checks it against the others.
+"""
+
+import re
+
+from marshmallow import RAISE, Schema, ValidationError, fields, validate
+
+from waybill.failures import FieldWrong
+
+__all__ = ["check", "CLASSES"]
+
+CLASSES = ("reroute", "counter", "update", "draft", "plan", "review", "lookup")
+_NAME = validate.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$"),
+                        error="not a name: small letters, digits, . _ -")
+
+
+def _whole(low, high):
+    return fields.Integer(strict=True, required=True,
+                          validate=validate.Range(min=low, max=high))
+
+
+def _named(inner, most):
+    return fields.Dict(keys=fields.String(validate=_NAME), values=inner,
+                       validate=validate.Length(max=most), load_default=dict)
+
+
+class _Strict(Schema):
+    class Meta:
+        unknown = RAISE
+
+
+class _Loads(_Strict):
+    atOnce = _whole(0, 1000)
+    perMinute = _whole(0, 100000)
+
+
+class _Service(_Strict):
+    kind = fields.String(required=True, validate=validate.OneOf(["models", "plain"]))
+    shares = fields.Dict(
+        keys=fields.String(validate=_NAME),
+        values=fields.Float(validate=validate.Range(min=0, max=1), allow_nan=False),
+        load_default=dict)
+    loads = fields.Nested(_Loads, load_default=lambda: {"atOnce": 0, "perMinute": 0})
+
+
+class _Adapter(_Strict):
+    places = fields.Integer(strict=True, load_default=1,
+                            validate=validate.Range(min=1, max=64))
+
+
+class _Model(_Strict):
+    roomMb = _whole(1, 10_000_000)
+    adapters = _named(fields.Nested(_Adapter), 1000)
+
+
+class _Wish(_Strict):
+    service = fields.String(required=True, validate=_NAME)
+    model = fields.String(required=True, validate=_NAME)
+    adapter = fields.String(load_default="", validate=validate.Length(max=63))
+    copies = _whole(0, 1000)
+    zones = fields.List(fields.String(validate=_NAME), load_default=list)
+    yields = fields.Integer(strict=True, load_default=50,
+                            validate=validate.Range(min=0, max=100))
+
+
+class _Route(_Strict):
+    service = fields.String(required=True, validate=_NAME)
+    model = fields.String(load_default="")
+    adapter = fields.String(load_default="")
+    cls = fields.String(data_key="class", load_default="update",
+                        validate=validate.OneOf(CLASSES))
+
+
+class _Section(_Strict):
+    services = _named(fields.Nested(_Service), 64)
+    models = _named(fields.Nested(_Model), 1000)
+    wishes = _named(fields.Nested(_Wish), 4000)
+    routes = _named(fields.Nested(_Route), 20000)
+    weightStore = fields.Nested(_Loads, load_default=lambda: {"atOnce": 0, "perMinute": 0})
+
+
+_SECTION = _Section()
+
+
+def _flatten(messages, path=""):
+    if isinstance(messages, dict):
+        for key, inner in messages.items():
+            step = "" if key in ("value", "_schema") else str(key)
+            yield from _flatten(inner, ".".join(p for p in (path, step) if p))
+    else:
+        for text in messages if isinstance(messages, list) else [messages]:
+            yield FieldWrong(path or "(whole)", str(text))
+
+
+def check(section):
+    """Return (section with defaults filled in, list of FieldWrong)."""
+    if not isinstance(section, dict):
+        return None, [FieldWrong("(whole)", "not an object")]
+    try:
+        loaded = _SECTION.load(section)
+    except ValidationError as wrong:
+        return None, sorted(_flatten(wrong.messages), key=lambda w: w.field)
+    return _SECTION.dump(loaded), []
--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/__main__.py
@@ -0,0 +1,5 @@
+"""Run as `python -m pulleyhitch`."""
+
+from pulleyhitch.cli import main
+
+main()
--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/believing.py
@@ -0,0 +1,98 @@
+"""What a node believes, as operators may read it."""
+
+from dispatch import ledger as ledgers
+from dispatch import world
+from fellows import circle as circles
+from logbook import depot as depots
+from logbook import follow as follows
+from manifest import registry as registries
+
+__all__ = ["all_of", "read", "fleet"]
+
+
+def read(node, nowMs, body):
+    """One confirmed read; `what` names the part."""
+    what, name = body.get("what", "layout"), body.get("name", "")
+    reg = node.floor.registry
+    head = {"stamp": reg.stamp, "place": node.follow.place}
+    if what == "layout":
+        return {**head, "partners": {
+            p: {"stamp": reg.stamps.get(p, 0), "section": s}
+            for p, s in sorted(reg.sections.items()) if name in ("", p)}}
+    if what == "zones":
+        return {**head, "evacuated": dict(sorted(reg.zones.items())),
+                "known": sorted(registries.zone_names(reg))}
+    if what == "engines":
+        return {**head, "engines": _engines(node, name)}
+    if what == "why":
+        return {**head, "unmet": _unmet(node, name)}
+    return {**head, "holds": {
+        str(s): ledger.holds for s, ledger in sorted(node.floor.ledgers.items())}}
+
+
+def _engines(node, name):
+    found = []
+    for engine in node.floor.registry.engines.values():
+        if name not in ("", engine["name"], engine["service"]):
+            continue
+        shard = world.shard_of(engine["service"], node.config.shards)
+        ledger = node.floor.ledgers.get(shard, ledgers.Ledger())
+        found.append({**engine, "shard": shard,
+                      "incarnation": ledger.incarnations.get(engine["name"], ""),
+                      "usable": world.usable(node.floor.registry, engine),
+                      "items": {i: {"verb": e["verb"], "state": e["state"]} for i, e in
+                                sorted(ledger.engines.get(engine["name"], {}).items())}})
+    return sorted(found, key=lambda e: e["name"])
+
+
+def _unmet(node, name):
+    found = {}
+    for ledger in node.floor.ledgers.values():
+        for service, unmet in ledger.unmet.items():
+            for wish, why in unmet.items():
+                if name in ("", wish, wish.partition(":")[2], service):
+                    found[wish] = {"service": service, **why}
+    return dict(sorted(found.items()))
+
+
+def all_of(node, nowMs):
+    """Everything this node believes right now, confirmed or not; for compare."""
+    told = {
+        "node": node.card.name, "role": node.card.role, "zone": node.card.zone,
+        "place": node.follow.place, "term": node.follow.term,
+        "ageMs": round(min(follows.age(node.follow, nowMs), 1e9)),
+        "leader": node.circle.group.leader, "group": node.circle.group.group,
+        "members": [vars(x) for x in node.circle.group.members],
+        "stamp": node.floor.registry.stamp,
+        "stamps": dict(sorted(node.floor.registry.stamps.items())),
+        "zones": dict(sorted(node.floor.registry.zones.items())),
+        "fellows": {n: c.address for n, c in sorted(node.circle.cards.items())},
+        "https": {n: c.http for n, c in sorted(node.circle.cards.items())},
+        "watches": circles.watched(node.circle),
+        "live": sorted(circles.live(node.circle, nowMs)),
+        "holders": {str(s): {"holder": p.holder, "epoch": p.epoch}
+                    for s, p in sorted(node.follow.book.shards.items())},
+        "holds": {str(s): {"epoch": k.epoch, "ready": k.held.ready, "lost": k.held.lost,
+                           "next": k.held.next, "durable": k.held.durable}
+                  for s, k in sorted(node.keepers.keepers.items())},
+        "engines": {e["name"]: e["items"] for e in _engines(node, "")},
+        "router": {"busy": dict(sorted(node.router.busy.items())),
+                   "tasks": len(node.router.tasks),
+                   "waiting": sum(t.waiting for t in node.router.tasks.values()),
+                   "served": node.router.served, "refused": node.router.refused,
+                   "retried": node.router.retried}}
+    if node.depot is not None:
+        told["depot"] = depots.view_of(node.depot)
+    return told
+
+
+def fleet(node, nowMs):
+    """The log node's view of everyone who pings it."""
+    depot = node.depot
+    return {"term": depot.group.term, "commit": depot.group.commit,
+            "members": [vars(x) for x in depots.group_card(depot.group).members],
+            "holders": {str(s): {"holder": p.holder, "epoch": p.epoch}
+                        for s, p in sorted(depot.group.book.shards.items())},
+            "nodes": {n: {"role": s.role, "address": s.address, "place": s.place,
+                          "silentMs": round(nowMs - s.heardMs)}
+                      for n, s in sorted(depot.nodes.seen.items())}}
--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -0,0 +1,148 @@
+"""Config: what a process is told about itself, read and checked.
+
+From a TOML file, from flags, or both (flags win).  The bounds are the promises
+made to users; every timeout in the system is a ratio of one of them, so there
+is one place to make a deployment slower or faster.
+"""
+
+import tomllib
+from dataclasses import dataclass
+
+from marshmallow import RAISE, Schema, ValidationError, fields, validate, validates_schema
+
+from dispatch import state as dispatching
+from junction import router
+from logbook.group import Times
+from waybill import failures
+
+__all__ = ["Config", "read", "check", "times", "terms", "routing", "Bounds"]
+
+_ADDRESS = validate.Regexp(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$",
+                           error="not an IP number and port, like 10.0.0.5:7400")
+_NAME = validate.Regexp(r"^[a-z0-9][a-z0-9._-]{0,62}$", error="not a name")
+
+
+@dataclass(frozen=True)
+class Bounds:
+    layoutMs: int = 2000
+    leavingMs: int = 3000
+    evacuateMs: int = 5000
+    serviceBackMs: int = 12000
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    role: str
+    zone: str
+    address: str
+    http: str
+    seeds: tuple
+    zones: tuple
+    folder: str
+    shards: int
+    depots: int
+    httpThreads: int
+    deadlineMs: int
+    bounds: Bounds
+    tokens: dict
+    groupWait: bool = True
+    retryRatio: float = 0.1
+
+
+class _Strict(Schema):
+    class Meta:
+        unknown = RAISE
+
+
+class _BoundsSchema(_Strict):
+    layoutMs = fields.Integer(strict=True, load_default=2000, validate=validate.Range(min=100))
+    leavingMs = fields.Integer(strict=True, load_default=3000, validate=validate.Range(min=100))
+    evacuateMs = fields.Integer(strict=True, load_default=5000, validate=validate.Range(min=100))
+    serviceBackMs = fields.Integer(strict=True, load_default=12000,
+                                   validate=validate.Range(min=500))
+
+
+class _ConfigSchema(_Strict):
+    name = fields.String(required=True, validate=_NAME)
+    role = fields.String(required=True, validate=validate.OneOf(["depot", "counter"]))
+    zone = fields.String(required=True, validate=_NAME)
+    address = fields.String(required=True, validate=_ADDRESS)
+    http = fields.String(required=True, validate=_ADDRESS)
+    seeds = fields.List(fields.String(validate=_ADDRESS), required=True,
+                        validate=validate.Length(min=1, max=16))
+    zones = fields.List(fields.String(validate=_NAME), load_default=list)
+    folder = fields.String(load_default="")
+    shards = fields.Integer(strict=True, load_default=8, validate=validate.Range(min=2, max=256))
+    depots = fields.Integer(strict=True, load_default=3, validate=validate.OneOf([1, 3, 5]))
+    httpThreads = fields.Integer(strict=True, load_default=192,
+                                 validate=validate.Range(min=4, max=4096))
+    deadlineMs = fields.Integer(strict=True, load_default=30000,
+                                validate=validate.Range(min=1, max=3_600_000))
+    bounds = fields.Nested(_BoundsSchema, load_default=lambda: _BoundsSchema().load({}))
+    tokens = fields.Dict(keys=fields.String(validate=_NAME),
+                         values=fields.String(validate=validate.Length(min=8)),
+                         load_default=dict)
+    groupWait = fields.Boolean(load_default=True)
+    retryRatio = fields.Float(load_default=0.1, validate=validate.Range(min=0, max=1))
+
+    @validates_schema
+    def _depot_needs_folder(self, data, **_):
+        if data.get("role") == "depot" and not data.get("folder"):
+            raise ValidationError("a depot needs a data folder", "folder")
+
+
+def _first(messages, path=""):
+    if isinstance(messages, dict):
+        key, inner = sorted(messages.items(), key=lambda kv: str(kv[0]))[0]
+        return _first(inner, f"{path}.{key}" if path else str(key))
+    return path, str(messages[0] if isinstance(messages, list) else messages)
+
+
+def check(raw):
+    """A Config, or ConfigWrong naming the first wrong field."""
+    try:
+        loaded = _ConfigSchema().load(raw)
+    except ValidationError as wrong:
+        return failures.ConfigWrong(*_first(wrong.messages))
+    for key in ("address", "http"):
+        if not 0 < int(loaded[key].rpartition(":")[2]) < 65536:
+            return failures.ConfigWrong(key, "port out of range")
+    loaded["bounds"] = Bounds(**loaded["bounds"])
+    loaded["seeds"], loaded["zones"] = tuple(loaded["seeds"]), tuple(loaded["zones"])
+    return Config(**loaded)
+
+
+def read(path, flags):
+    """Config from a file (may be None) with flags laid over it."""
+    raw = {}
+    if path:
+        try:
+            with open(path, "rb") as source:
+                raw = tomllib.load(source)
+        except OSError as failed:
+            return failures.ConfigWrong("(file)", failed.strerror or "unreadable")
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as failed:
+            return failures.ConfigWrong("(file)", str(failed))
+    return check({**raw, **{k: v for k, v in flags.items() if v is not None}})
+
+
+def times(config):
+    backMs = config.bounds.serviceBackMs
+    return Times(electMs=0.06 * backMs, heartbeatMs=0.015 * backMs,
+                 pingMs=0.03 * backMs, revokeMs=0.25 * backMs,
+                 groupWait=config.groupWait, depots=config.depots)
+
+
+def terms(config):
+    backMs = config.bounds.serviceBackMs
+    return dispatching.Terms(callMs=0.08 * backMs, reportMs=0.15 * config.bounds.leavingMs,
+                             darkMs=config.bounds.leavingMs)
+
+
+def routing(config):
+    backMs = config.bounds.serviceBackMs
+    return router.Terms(
+        staleMs=0.8 * min(config.bounds.leavingMs, config.bounds.evacuateMs),
+        rampMs=0.5 * backMs, retryRatio=config.retryRatio, holdMs=0.75 * backMs,
+        legMs=10 * backMs)
--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -0,0 +1,198 @@
+"""A process: the owner thread that feeds the core and carries out its effects.
+
+Everything reaches the owner through one queue.  Sockets belong to pipe
+threads, callers to HTTP threads, engine calls and log writes to pools; they
+post events here and never touch the core's state.
+"""
+
+import queue
+import random
+import secrets
+import threading
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from junction import engines, legs
+from logbook import disk as disks
+from logbook import group as groups
+from pulleyhitch import config as configs
+from pulleyhitch import node as nodes
+from waybill import events as e
+from waybill import failures
+from waybill.effects import Call, Dump, Install, Note, Reply, Save, Send, Stop, Wake, Write
+from waybill.messages import Greet
+from waybill.pipes import Pipes
+from waybill.ring import Ring
+
+__all__ = ["Process", "CannotStart"]
+
+_TICKS_PER_PING = 6
+
+
+class CannotStart(Exception):
+    def __init__(self, failure):
+        super().__init__(failure.tag)
+        self.failure = failure
+
+
+class Process:
+    """`ask` is the public method: put an event to the owner, wait for its word."""
+
+    def __init__(self, config):
+        self.config = config
+        self.ring = Ring(config.name)
+        self._queue = queue.SimpleQueue()
+        self._waiting = {}
+        self._lock = threading.Lock()
+        self._wakeMs = float("inf")
+        self._stopped = threading.Event()
+        self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
+        self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
+        self._disk, group = self._open_disk(config)
+        self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group)
+        try:
+            self._pipes = Pipes(
+                config.address, lambda: Greet(self._node.card, False, (), self._node.circle.group),
+                lambda sender, message: self._queue.put(e.Received(sender, message)),
+                self._note, configs.times(config).electMs)
+        except OSError as failed:
+            raise CannotStart(failures.AddressTaken(config.address)) from failed
+        self._owner = threading.Thread(target=self._own, name="owner", daemon=True)
+
+    def _open_disk(self, config):
+        if config.role != "depot":
+            return None, None
+        try:
+            disk = disks.Disk(config.folder, 8 << 20)
+        except disks.DiskFailed as failed:
+            raise CannotStart(failed.failure) from failed
+        identity = disk.loaded.files.get("identity")
+        if identity is None:
+            identity = secrets.token_hex(8).encode()
+            disk.write(Save("identity", identity))
+        group = groups.Group(config.name, identity.decode(), config.address,
+                             configs.times(config), random.Random(secrets.randbits(64)))
+        groups.open_group(group, disk.loaded.files, disk.loaded.entries)
+        group.electAtMs = _now() + group.times.electMs * (1 + random.random())
+        return disk, group
+
+    def _note(self, what, facts):
+        self.ring.note(what, facts)
+
+    def start(self):
+        self._owner.start()
+        return self
+
+    def close(self, waitS=3.0):
+        """Orderly: give grants and lead away, then stop."""
+        self._queue.put(e.Closing())
+        self._stopped.wait(waitS / 3)
+        self._stopped.set()
+        self._queue.put(e.Tick())
+
+    def stopped(self):
+        return self._stopped.is_set()
+
+    def ask(self, token, verb, body, gone=None, waitS=600.0):
+        future = Future()
+        with self._lock:
+            self._waiting[token] = future
+        self._queue.put(e.Asked(token, verb, body))
+        endS, left = time.monotonic() + waitS, False
+        while True:
+            try:
+                return future.result(timeout=0.25 if gone else waitS)
+            except TimeoutError:
+                if time.monotonic() > endS:
+                    return failures.MajorityLost(1000)
+                if gone and not left and gone():
+                    left = True
+                    self._queue.put(e.Asked(token, "ended", {"proof": "gone"}))
+
+    def _own(self):
+        tickMs = configs.times(self.config).pingMs / _TICKS_PER_PING
+        nextMs = _now()
+        while not self._stopped.is_set():
+            nowMs = _now()
+            waitMs = max(0.0, min(nextMs, self._wakeMs) - nowMs)
+            try:
+                event = self._queue.get(timeout=waitMs / 1000) if waitMs else (
+                    self._queue.get_nowait())
+            except queue.Empty:
+                nowMs = _now()
+                if nowMs < min(nextMs, self._wakeMs):
+                    continue
+                if nowMs >= nextMs:
+                    nextMs = nowMs + tickMs
+                self._wakeMs = float("inf")
+                event = e.Tick()
+            else:
+                if _now() >= nextMs + 4 * tickMs and self._queue.empty():
+                    nextMs = _now()
+            self._feed(event)
+
+    def _feed(self, event):
+        try:
+            for effect in nodes.handle(self._node, _now(), event):
+                self._do(effect)
+        except disks.DiskFailed as failed:
+            self._fail(failed.failure)
+        except OSError as failed:
+            self._fail(failures.DiskUntrusted("data folder", str(failed.strerror)))
+        except Exception as failed:
+            self.ring.note("core-broke", {"event": type(event).__name__,
+                                          "error": repr(failed)},
+                           why="core-broke")
+            raise
+
+    def _fail(self, failure):
+        self.ring.note("stops", failures.as_json(failure), why=failure.tag)
+        self._stopped.set()
+
+    def _do(self, effect):
+        if isinstance(effect, Send):
+            self._pipes.send(effect.to, effect.message)
+        elif isinstance(effect, Write):
+            self._write(effect)
+        elif isinstance(effect, (Save, Install)):
+            self._disk.write(effect)
+        elif isinstance(effect, Reply):
+            with self._lock:
+                future = self._waiting.pop(effect.token, None)
+            if future is not None:
+                future.set_result(effect.outcome)
+        elif isinstance(effect, Call):
+            self._calls.submit(self._call, effect)
+        elif isinstance(effect, Wake):
+            self._wakeMs = min(self._wakeMs, effect.atMs)
+        elif isinstance(effect, Note):
+            self.ring.note(effect.what, effect.facts)
+        elif isinstance(effect, Dump):
+            self.ring.note("dump", {}, why=effect.why)
+        elif isinstance(effect, Stop):
+            self._fail(effect.failure)
+
+    def _write(self, effect):
+        last = effect.entries[-1]
+        claim = self._disk.reserve(effect)
+        if effect.inline:
+            tookMs = self._disk.put(claim)
+            self._feed(e.Written(last.index, last.term, tookMs))
+        else:
+            self._writes.submit(self._put, claim, last)
+
+    def _put(self, claim, last):
+        try:
+            self._queue.put(e.Written(last.index, last.term, self._disk.put(claim)))
+        except OSError as failed:
+            self._fail(failures.DiskUntrusted("log", str(failed.strerror)))
+
+    def _call(self, effect):
+        ask = engines.order_ask(effect.url, effect.verb, effect.body)
+        ended = legs.call(ask, effect.timeoutMs, effect.timeoutMs / 2, effect.notAfterMs)
+        body = engines.read_json(ended.data) if ended.code else {}
+        self._queue.put(e.Called(effect.id, ended.code, body or {}, ended.begun))
+
+
+def _now():
+    return time.monotonic() * 1000
--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/engine.py
@@ -0,0 +1,122 @@
+"""A stand-in engine's core: room, adapters, orders, reports, runs.
+
+Loads take time; an order is taken or refused, never answered with its
+outcome.  A fencing engine refuses orders of an older epoch or number than it
+has seen.  The same core stands behind the HTTP stand-in and in the simulator;
+it also keeps the counts that checkers read.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Engine", "order", "report", "settle", "can_run", "begin", "finish", "restart"]
+
+
+@dataclass
+class Engine:
+    name: str
+    roomMb: int
+    places: int
+    slots: int
+    incarnation: str
+    loadMs: float = 400.0
+    fencing: bool = True
+    plain: bool = False
+    items: dict = field(default_factory=dict)
+    sizes: dict = field(default_factory=dict)
+    changeMs: dict = field(default_factory=dict)
+    seen: dict = field(default_factory=dict)
+    running: int = 0
+    mostRunning: int = 0
+    overRoom: int = 0
+    fenced: int = 0
+    loads: int = 0
+    ran: dict = field(default_factory=dict)
+    history: list = field(default_factory=list)
+
+
+def settle(engine, nowMs):
+    """Loads and unloads whose time has come are done."""
+    for item, atMs in list(engine.changeMs.items()):
+        if nowMs >= atMs:
+            del engine.changeMs[item]
+            if engine.items.get(item) == "loading":
+                engine.items[item] = "loaded"
+            elif engine.items.get(item) == "unloading":
+                del engine.items[item]
+                engine.sizes.pop(item, None)
+
+
+def _used(engine):
+    return (sum(s[0] for s in engine.sizes.values()),
+            sum(s[1] for s in engine.sizes.values()))
+
+
+def order(engine, nowMs, verb, body):
+    """(status, answer) for a load or unload."""
+    settle(engine, nowMs)
+    mark, told = (body["epoch"], body["number"]), engine.seen.get(body["shard"], (0, 0))
+    engine.history.append((nowMs, verb, body["shard"], body["epoch"], body["number"],
+                           body["item"]))
+    if engine.fencing and mark <= told:
+        engine.fenced += 1
+        return 409, {"refused": "old-order"}
+    engine.seen[body["shard"]] = max(mark, told)
+    item = body["item"]
+    if verb == "unload":
+        if engine.items.get(item) != "loaded":
+            return 409, {"refused": "not-loaded"}
+        if any(i.startswith(item + "/") for i in engine.items):
+            return 409, {"refused": "adapters-on-it"}
+        engine.items[item] = "unloading"
+        engine.changeMs[item] = nowMs + engine.loadMs / 4
+        return 202, {"taken": body["order"]}
+    if item in engine.items:
+        return 409, {"refused": "already-there"}
+    usedMb, usedPlaces = _used(engine)
+    if usedMb + body["roomMb"] > engine.roomMb or usedPlaces + body["places"] > engine.places:
+        engine.overRoom += 1
+        return 409, {"refused": "no-room"}
+    if "/" in item and engine.items.get(item.partition("/")[0]) != "loaded":
+        return 409, {"refused": "no-base"}
+    engine.loads += 1
+    engine.items[item] = "loading"
+    engine.sizes[item] = (body["roomMb"], body["places"])
+    engine.changeMs[item] = nowMs + engine.loadMs
+    return 202, {"taken": body["order"]}
+
+
+def report(engine, nowMs):
+    settle(engine, nowMs)
+    return {"incarnation": engine.incarnation, "roomMb": engine.roomMb,
+            "adapterPlaces": engine.places, "items": dict(engine.items)}
+
+
+def can_run(engine, nowMs, model, adapter):
+    """None, or why a task is refused without having run."""
+    settle(engine, nowMs)
+    if engine.running >= engine.slots:
+        return "busy"
+    if engine.plain:
+        return None
+    for item in [model] + ([f"{model}/{adapter}"] if adapter else []):
+        if engine.items.get(item) != "loaded":
+            return "not-loaded"
+    return None
+
+
+def begin(engine, nowMs, task):
+    """A task begins; returns its run id.  A second run of a task is counted."""
+    engine.running += 1
+    engine.mostRunning = max(engine.mostRunning, engine.running)
+    engine.ran[task] = engine.ran.get(task, 0) + 1
+    return f"{engine.incarnation}.{task}.{engine.ran[task]}"
+
+
+def finish(engine):
+    engine.running -= 1
+
+
+def restart(engine, incarnation):
+    """The engine comes back empty and has forgotten its orders."""
+    engine.incarnation, engine.running = incarnation, 0
+    engine.items, engine.sizes, engine.changeMs, engine.seen = {}, {}, {}, {}
--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/engine_process.py
@@ -0,0 +1,108 @@
+"""The stand-in engine as a process: its core behind HTTP."""
+
+import json
+import secrets
+import threading
+import time
+
+from werkzeug.serving import WSGIRequestHandler, make_server
+from werkzeug.wrappers import Request, Response
+
+from rehearsal import engine as core
+
+__all__ = ["EngineServer"]
+
+
+class _Quiet(WSGIRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log(self, type, message, *args):
+        """Quiet."""
+
+
+class EngineServer:
+    """`run` serves; the core is guarded by one lock."""
+
+    def __init__(self, name, port, roomMb, places, slots, plain=False, loadMs=400.0,
+                 fencing=True, pieceMs=15.0, pieces=12):
+        self._engine = core.Engine(name, roomMb, places, slots, secrets.token_hex(4),
+                                   loadMs=loadMs, fencing=fencing, plain=plain)
+        self._lock = threading.Lock()
+        self._pieceS, self._pieces = pieceMs / 1000, pieces
+        self._http = make_server("127.0.0.1", port, self._app, threaded=True,
+                                 request_handler=_Quiet)
+
+    def run(self):
+        self._http.serve_forever(poll_interval=0.2)
+
+    def _app(self, environ, start_response):
+        request = Request(environ)
+        return self._answer(request)(environ, start_response)
+
+    def _answer(self, request):
+        nowMs, path = time.monotonic() * 1000, request.path
+        if path == "/report":
+            with self._lock:
+                return _json(core.report(self._engine, nowMs))
+        if path == "/counts":
+            with self._lock:
+                e = self._engine
+                return _json({"ran": e.ran, "loads": e.loads, "overRoom": e.overRoom,
+                              "mostRunning": e.mostRunning, "fenced": e.fenced})
+        if path in ("/load", "/unload"):
+            with self._lock:
+                status, body = core.order(self._engine, nowMs, path[1:], request.get_json())
+            return _json(body, status)
+        if path.startswith("/lookup/"):
+            return self._lookup(request.args["task"], path[8:])
+        return self._task(request.get_json())
+
+    def _begin(self, task, model, adapter):
+        with self._lock:
+            nowMs = time.monotonic() * 1000
+            why = core.can_run(self._engine, nowMs, model, adapter)
+            return (None, why) if why else (core.begin(self._engine, nowMs, task), None)
+
+    def _finish(self):
+        with self._lock:
+            core.finish(self._engine)
+
+    def _lookup(self, task, key):
+        run, why = self._begin(task, "", "")
+        if why:
+            return _json({"refused": why}, 503)
+        try:
+            return _json({"task": task, "run": run, "complete": True, "key": key,
+                          "engine": self._engine.name})
+        finally:
+            self._finish()
+
+    def _task(self, body):
+        run, why = self._begin(body["task"], body["model"], body["adapter"])
+        if why:
+            return _json({"refused": why}, 503)
+        if body["stream"]:
+            return Response(self._stream(body["task"], run), 200,
+                            content_type="application/x-ndjson")
+        try:
+            time.sleep(self._pieceS * 2)
+            return _json({"task": body["task"], "run": run, "complete": True,
+                          "text": f"{body['model']}: {body['prompt'][:40]}",
+                          "engine": self._engine.name})
+        finally:
+            self._finish()
+
+    def _stream(self, task, run):
+        try:
+            for n in range(self._pieces):
+                last = n == self._pieces - 1
+                piece = {"task": task, "run": run, "n": n, "text": f"piece {n}", "last": last}
+                yield json.dumps(piece).encode() + b"\n"
+                if not last:
+                    time.sleep(self._pieceS)
+        finally:
+            self._finish()
+
+
+def _json(body, status=200):
+    return Response(json.dumps(body), status, content_type="application/json")
--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/fleet.py
@@ -0,0 +1,135 @@
+"""A fleet of real processes on one machine.
+
+The harness is the only thing here that starts processes.  Ports are free ones
+picked at start, kept for restarts, so a process comes back where it was.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from junction import legs
+from junction.engines import Ask, read_json
+from rehearsal import deployments
+
+__all__ = ["Fleet"]
+
+
+def _free_ports(count):
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+class Fleet:
+    """Starts, kills and asks processes; `call` and `until` are what tests use."""
+
+    def __init__(self, deployment, folder):
+        self.deployment, self.folder = deployment, Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        d = deployment
+        self.depots = [f"d{i}" for i in range(d.depots)]
+        self.counters = [f"c{i}" for i in range(d.counters)]
+        self.engines = ([f"e{i}" for i in range(d.engines)]
+                        + [f"p{i}" for i in range(d.plainEngines)])
+        nodes = self.depots + self.counters
+        ports = _free_ports(2 * len(nodes) + len(self.engines))
+        self.address = {n: f"127.0.0.1:{ports[2 * i]}" for i, n in enumerate(nodes)}
+        self.http = {n: f"127.0.0.1:{ports[2 * i + 1]}" for i, n in enumerate(nodes)}
+        self.engine_port = dict(zip(self.engines, ports[2 * len(nodes):]))
+        self.running = {}
+
+    def zone(self, name):
+        zones = self.deployment.zones
+        return zones[int(name[1:]) % len(zones)]
+
+    def seeds(self):
+        return [self.address["d0"], self.address["d1"], self.address["c0"]]
+
+    def start(self, name):
+        log = open(self.folder / f"{name}.log", "ab")
+        if name in self.engine_port:
+            command = [sys.executable, "-m", "rehearsal.cli", "engine", name,
+                       str(self.engine_port[name]), self.deployment.name]
+        else:
+            role = "depot" if name in self.depots else "counter"
+            command = [sys.executable, "-m", "pulleyhitch", role, "--name", name,
+                       "--zone", self.zone(name), "--address", self.address[name],
+                       "--http", self.http[name],
+                       "--zones", ",".join(self.deployment.zones)]
+            for seed in self.seeds():
+                command += ["--seed", seed]
+            if role == "depot":
+                command += ["--folder", str(self.folder / f"{name}.data")]
+        self.running[name] = subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"})
+        log.close()
+
+    def start_all(self):
+        for name in self.depots + self.counters + self.engines:
+            self.start(name)
+
+    def kill(self, name, number=signal.SIGKILL):
+        process = self.running.pop(name)
+        process.send_signal(number)
+        process.wait(20)
+
+    def freeze(self, name):
+        self.running[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        self.running[name].send_signal(signal.SIGCONT)
+
+    def stop_all(self):
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for process in self.running.values():
+            try:
+                process.wait(8)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.running.clear()
+
+    def call(self, name, method, path, body=None, headers=(), timeoutMs=20000):
+        """(status, JSON body) from a node or an engine; 0 if none came."""
+        host = (f"127.0.0.1:{self.engine_port[name]}" if name in self.engine_port
+                else self.http[name])
+        data = json.dumps(body).encode() if body is not None else b""
+        ended = legs.call(Ask(method, f"http://{host}{path}", data), timeoutMs,
+                          headers=list(headers))
+        return ended.code, (read_json(ended.data) if ended.data else None) or {}
+
+    def until(self, what, limitS=60.0):
+        """Ask again and again until `what()` is true; its value, or a failure."""
+        endS = time.monotonic() + limitS
+        while True:
+            found = what()
+            if found:
+                return found
+            if time.monotonic() > endS:
+                raise TimeoutError(getattr(what, "__name__", "condition"))
+            time.sleep(0.02)
+
+    def furnish(self, node="c0"):
+        """Tell the platform's engine list and the partner's layout to a node."""
+        d = self.deployment
+        engines = deployments.engine_list(
+            d, lambda n: f"http://127.0.0.1:{self.engine_port[n]}")
+        self.until(lambda: self.call(node, "POST", "/operator/engines",
+                                     {"engines": engines})[0] == 200)
+        code, body = self.call(node, "POST", "/operator/layout",
+                               {"partner": d.name, "section": deployments.section(d)},
+                               [f"X-Partner: {d.name}"])
+        if code != 200:
+            raise RuntimeError(f"layout refused: {code} {body}")
+        return body["stamp"]
--- /dev/null
+++ b/libs/waybill/src/waybill/effects.py
@@ -0,0 +1,82 @@
+"""What a state machine asks of the shell around it.
+
+Cores return lists of these; the shell (a process, or the simulator) carries
+them out in order.  `Save` and `Install` are synced before anything after
+them in the same list is done, so a promise is on disk before it is told.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Send", "Save", "Install", "Write", "Reply", "Call", "Wake", "Note",
+           "Dump", "Stop"]
+
+
+@dataclass(frozen=True)
+class Send:
+    to: str
+    message: object
+
+
+@dataclass(frozen=True)
+class Save:
+    """Write a named state file as a new version, synced."""
+    name: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Install:
+    """Replace the log: a view at `index`, everything before it dropped."""
+    index: int
+    body: bytes
+    restart: bool = False
+
+
+@dataclass(frozen=True)
+class Write:
+    """Append entries to the log; answer with a Written event once synced."""
+    entries: tuple
+    inline: bool = False
+    known: int = 0
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer a local asker (an HTTP thread, a test) waiting on `token`."""
+    token: str
+    outcome: object
+
+
+@dataclass(frozen=True)
+class Call:
+    """Call an engine, unless it is too late to; answer with a Called event."""
+    id: str
+    engine: str
+    url: str
+    verb: str
+    body: dict = field(default_factory=dict)
+    timeoutMs: float = 1000.0
+    notAfterMs: float = float("inf")
+
+
+@dataclass(frozen=True)
+class Wake:
+    atMs: float
+
+
+@dataclass(frozen=True)
+class Note:
+    """A line for the ring."""
+    what: str
+    facts: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Dump:
+    """Something went wrong: write the ring out."""
+    why: str
+
+
+@dataclass(frozen=True)
+class Stop:
+    failure: object
--- /dev/null
+++ b/libs/waybill/src/waybill/events.py
@@ -0,0 +1,46 @@
+"""What a shell tells a state machine: the only way in."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Received", "Tick", "Written", "Called", "Asked", "Closing"]
+
+
+@dataclass(frozen=True)
+class Received:
+    sender: str
+    message: object
+
+
+@dataclass(frozen=True)
+class Tick:
+    pass
+
+
+@dataclass(frozen=True)
+class Written:
+    """Every entry up to `index` of `term` is synced here; the write took tookMs."""
+    index: int
+    term: int
+    tookMs: float
+
+
+@dataclass(frozen=True)
+class Called:
+    """An engine call ended: `code` 0 means no answer, `begun` that bytes left."""
+    id: str
+    code: int
+    body: dict = field(default_factory=dict)
+    begun: bool = True
+
+
+@dataclass(frozen=True)
+class Asked:
+    """A local asker wants something; it waits on `token`."""
+    token: str
+    verb: str
+    body: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Closing:
+    pass
--- /dev/null
+++ b/libs/waybill/src/waybill/failures.py
@@ -0,0 +1,184 @@
+"""Every way to fail, as a type.
+
+A failure is a frozen dataclass with a class-level `tag` (its stable name for
+programs) and `status` (the HTTP status it maps to).  Whoever hands one to a
+person or a caller uses `as_json`; nothing in the system fails with a bare
+string.
+"""
+
+import dataclasses
+from dataclasses import dataclass
+from typing import ClassVar
+
+__all__ = ["Failure", "FieldWrong", "LayoutWrong", "StampStale", "WrongPartner",
+           "BodyOversized", "BodyMalformed", "UnknownModel", "UnknownService",
+           "NotFound", "Overloaded", "NoRoom", "Stale", "NoHolder",
+           "OutcomeUnknown", "EngineFailed", "DeadlinePassed", "StreamCut",
+           "ConfigWrong", "FolderInUse", "FolderUnwritable", "DiskUntrusted",
+           "MajorityLost", "AddressTaken", "Unreachable", "TaskRepeated",
+           "as_json", "retry_after"]
+
+
+@dataclass(frozen=True)
+class Failure:
+    tag: ClassVar[str] = "failure"
+    status: ClassVar[int] = 500
+
+
+def _kind(tag, status):
+    def wrap(cls):
+        cls.tag, cls.status = tag, status
+        return dataclass(frozen=True)(cls)
+    return wrap
+
+
+@_kind("field-wrong", 422)
+class FieldWrong(Failure):
+    field: str
+    cause: str
+
+
+@_kind("layout-wrong", 422)
+class LayoutWrong(Failure):
+    fields: tuple[FieldWrong, ...]
+
+
+@_kind("stamp-stale", 409)
+class StampStale(Failure):
+    expected: int
+    current: int
+
+
+@_kind("wrong-partner", 403)
+class WrongPartner(Failure):
+    partner: str
+    section: str
+
+
+@_kind("body-oversized", 413)
+class BodyOversized(Failure):
+    limitBytes: int
+
+
+@_kind("body-malformed", 400)
+class BodyMalformed(Failure):
+    cause: str
+
+
+@_kind("unknown-model", 404)
+class UnknownModel(Failure):
+    service: str
+    model: str
+
+
+@_kind("unknown-service", 404)
+class UnknownService(Failure):
+    service: str
+
+
+@_kind("not-found", 404)
+class NotFound(Failure):
+    what: str
+
+
+@_kind("overloaded", 503)
+class Overloaded(Failure):
+    retryMs: int
+    cause: str
+
+
+@_kind("no-room", 503)
+class NoRoom(Failure):
+    retryMs: int
+    model: str
+    cause: str
+
+
+@_kind("stale", 503)
+class Stale(Failure):
+    """This node has not heard a confirmed mark lately and gives out no work."""
+    retryMs: int
+    ageMs: int
+
+
+@_kind("no-holder", 503)
+class NoHolder(Failure):
+    retryMs: int
+    shard: int
+
+
+@_kind("outcome-unknown", 502)
+class OutcomeUnknown(Failure):
+    """The work may have run; asking again may run it a second time."""
+    cause: str
+
+
+@_kind("engine-failed", 502)
+class EngineFailed(Failure):
+    engine: str
+    code: int
+
+
+@_kind("deadline-passed", 504)
+class DeadlinePassed(Failure):
+    retryMs: int
+    ran: bool
+
+
+@_kind("stream-cut", 502)
+class StreamCut(Failure):
+    cause: str
+    pieces: int
+
+
+@_kind("config-wrong", 500)
+class ConfigWrong(Failure):
+    field: str
+    cause: str
+
+
+@_kind("folder-in-use", 500)
+class FolderInUse(Failure):
+    folder: str
+
+
+@_kind("folder-unwritable", 500)
+class FolderUnwritable(Failure):
+    folder: str
+    cause: str
+
+
+@_kind("disk-untrusted", 500)
+class DiskUntrusted(Failure):
+    file: str
+    cause: str
+
+
+@_kind("majority-lost", 503)
+class MajorityLost(Failure):
+    retryMs: int
+
+
+@_kind("address-taken", 500)
+class AddressTaken(Failure):
+    address: str
+
+
+@_kind("unreachable", 502)
+class Unreachable(Failure):
+    node: str
+
+
+@_kind("task-repeated", 409)
+class TaskRepeated(Failure):
+    task: str
+
+
+def as_json(failure):
+    return {"failure": failure.tag, **dataclasses.asdict(failure)}
+
+
+def retry_after(failure):
+    """Whole seconds for the Retry-After header, or None where none belongs."""
+    waitMs = getattr(failure, "retryMs", None)
+    return None if waitMs is None else max(1, -(-int(waitMs) // 1000))
--- /dev/null
+++ b/libs/waybill/src/waybill/messages.py
@@ -0,0 +1,261 @@
+"""What our processes say to each other.
+
+All are plain dataclasses; the number of a message on the wire is its place
+in `_ALL`, so new messages are only ever added at the end.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["KIND_OF", "TYPE_OF"]
+
+
+@dataclass(frozen=True)
+class Card:
+    """Who a process is and where it is reached."""
+    name: str
+    role: str
+    zone: str
+    address: str
+    http: str
+    incarnation: str
+    identity: str = ""
+    empty: bool = False
+
+
+@dataclass(frozen=True)
+class Member:
+    name: str
+    identity: str
+    address: str
+
+
+@dataclass(frozen=True)
+class GroupCard:
+    """The depots' membership as somebody knows it; the highest term wins."""
+    group: str
+    term: int
+    stamp: int
+    leader: str
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True)
+class Greet:
+    card: Card
+    answer: bool
+    cards: tuple[Card, ...]
+    group: GroupCard
+
+
+@dataclass(frozen=True)
+class FoundAsk:
+    group: str
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True)
+class FoundAgree:
+    group: str
+    identity: str
+    agreed: bool
+
+
+@dataclass(frozen=True)
+class Canvass:
+    group: str
+    term: int
+    identity: str
+    lastIndex: int
+    lastTerm: int
+    trial: bool
+    named: bool
+
+
+@dataclass(frozen=True)
+class Ballot:
+    term: int
+    identity: str
+    granted: bool
+    trial: bool
+
+
+@dataclass(frozen=True)
+class Entry:
+    index: int
+    term: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Entries:
+    group: str
+    term: int
+    identity: str
+    address: str
+    to: str
+    prevIndex: int
+    prevTerm: int
+    commit: int
+    round: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True)
+class EntriesAck:
+    term: int
+    identity: str
+    name: str
+    address: str
+    agreed: bool
+    index: int
+    round: int
+
+
+@dataclass(frozen=True)
+class ViewPart:
+    group: str
+    term: int
+    identity: str
+    address: str
+    to: str
+    index: int
+    viewTerm: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class TakeOver:
+    """The leader asks its named successor to canvass at once."""
+    term: int
+
+
+@dataclass(frozen=True)
+class Ask:
+    """A node's ping: who asks, from which place it follows, when it sent this."""
+    name: str
+    address: str
+    incarnation: str
+    role: str
+    sentMs: float
+    place: int
+
+
+@dataclass(frozen=True)
+class Mark:
+    """All up to `place` was current when the ask was sent; a majority said so."""
+    sentMs: float
+    term: int
+    place: int
+    direct: bool
+
+
+@dataclass(frozen=True)
+class FeedItems:
+    term: int
+    place: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True)
+class FeedView:
+    term: int
+    place: int
+    viewTerm: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Section:
+    """One shard's records inside a batch."""
+    shard: int
+    epoch: int
+    kind: int
+    first: int
+    records: tuple[bytes, ...]
+
+
+@dataclass(frozen=True)
+class Append:
+    name: str
+    incarnation: str
+    section: Section
+
+
+@dataclass(frozen=True)
+class ShardPlace:
+    shard: int
+    epoch: int
+    position: int
+
+
+@dataclass(frozen=True)
+class Durable:
+    term: int
+    places: tuple[ShardPlace, ...]
+
+
+@dataclass(frozen=True)
+class Refused:
+    shard: int
+    epoch: int
+    cause: str
+    expected: int
+
+
+@dataclass(frozen=True)
+class RecoverAsk:
+    shard: int
+    epoch: int
+    address: str
+    after: int
+
+
+@dataclass(frozen=True)
+class RecoverPage:
+    shard: int
+    epoch: int
+    checkpointAt: int
+    checkpoint: bytes
+    first: int
+    records: tuple[bytes, ...]
+    last: bool
+
+
+@dataclass(frozen=True)
+class Release:
+    """An orderly holder gives its grant back and names who should follow."""
+    name: str
+    shard: int
+    epoch: int
+    successor: str
+
+
+@dataclass(frozen=True)
+class Command:
+    """An operator's or a router's wish for the holder of a shard."""
+    id: str
+    shard: int
+    address: str
+    verb: str
+    body: bytes
+
+
+@dataclass(frozen=True)
+class CommandAnswer:
+    id: str
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Batch:
+    """The body of a log entry: the sections that were written together."""
+    sections: tuple[Section, ...]
+
+
+_ALL = (Greet, FoundAsk, FoundAgree, Canvass, Ballot, Entries, EntriesAck,
+        ViewPart, TakeOver, Ask, Mark, FeedItems, FeedView, Append, Durable,
+        Refused, RecoverAsk, RecoverPage, Release, Command,
+        CommandAnswer)
+KIND_OF = {kind: number for number, kind in enumerate(_ALL, 1)}
+TYPE_OF = {number: kind for kind, number in KIND_OF.items()}
