--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/sim/checkers.py
@@ -0,0 +1,169 @@
+"""The never-list as functions over a recorded history.
+
+Each takes the run and returns the violations it found, as (checker, facts).
+They look only at what engines, callers and operators saw, and at samples of
+what nodes believed; never at what the cores think of themselves.
+"""
+
+from junction.router import Done
+from waybill import failures
+
+__all__ = ["ALL", "check"]
+
+_SURE = (failures.Overloaded, failures.NoRoom, failures.Stale, failures.UnknownModel,
+         failures.UnknownService, failures.NoHolder)
+_SLACK_MS = 400.0
+
+
+def ran_twice(run):
+    """A task that may not be repeated ran twice."""
+    counts = {}
+    for _, _, _, task, _, repeatable in run.history.begun:
+        if not repeatable:
+            counts[task] = counts.get(task, 0) + 1
+    return [("ran-twice", {"task": t, "runs": c}) for t, c in counts.items() if c > 1]
+
+
+def refused_but_ran(run):
+    """A caller was told "refused", yet the task ran, before or after."""
+    ran = {b[3] for b in run.history.begun if not b[5]}
+    return [("refused-but-ran", {"task": t["id"], "outcome": type(t["outcome"]).__name__})
+            for t in run.history.ended
+            if t["id"] in ran and isinstance(t["outcome"], _SURE)]
+
+
+def answers(run):
+    """Foreign or cut answers that look whole; pieces skipped, repeated, joined."""
+    found = []
+    for task in run.history.ended:
+        outcome, seen = task["outcome"], task["seen"]
+        whole = isinstance(outcome, dict)
+        if isinstance(outcome, Done):
+            found.append(("done-without-answer", {"task": task["id"]}))
+        if any(p["task"] != task["id"] for p in seen):
+            found.append(("foreign-piece", {"task": task["id"]}))
+        if len({p["run"] for p in seen}) > 1:
+            found.append(("joined-runs", {"task": task["id"]}))
+        numbers = [p["n"] for p in seen]
+        if task["told"]["stream"] and numbers != list(range(len(numbers))):
+            found.append(("pieces", {"task": task["id"], "numbers": numbers}))
+        if whole and not (seen and seen[-1]["last"]):
+            found.append(("cut-looks-whole", {"task": task["id"]}))
+    return found
+
+
+def _late_work(run, news, of, boundMs, tag):
+    """Work begun later than the bound after news that forbade it."""
+    found = []
+    for atMs, engine, zone, task, _, _ in run.history.begun:
+        last = None
+        for toldMs, key, closed in news:
+            if key == (engine if of == "engine" else zone) and toldMs <= atMs:
+                last = (toldMs, closed)
+        if last and last[1] and atMs - last[0] > boundMs + _SLACK_MS:
+            found.append((tag, {"task": task, "engine": engine,
+                                "lateMs": round(atMs - last[0])}))
+    return found
+
+
+def leaving(run):
+    return _late_work(run, run.history.engineNews, "engine",
+                      run.bounds.leavingMs, "leaving-engine-got-work")
+
+
+def evacuated(run):
+    return _late_work(run, run.history.zoneNews, "zone",
+                      run.bounds.evacuateMs, "evacuated-zone-got-work")
+
+
+def layout_followed(run):
+    """A reachable node not following an acknowledged change in time."""
+    return [("not-followed", facts) for facts in run.history.wrong
+            if facts["what"] == "not-followed"]
+
+
+def slipped(run):
+    return [("slipped-back", facts) for facts in run.history.wrong
+            if facts["what"] == "slipped-back"]
+
+
+def acked_lost(run):
+    """An acknowledged change that the final state does not hold."""
+    found = []
+    for change, stamp in run.history.acked:
+        if run.finalChanges is None or run.finalChanges.get(change) != stamp:
+            found.append(("acked-lost", {"change": change, "stamp": stamp}))
+    stamps = [s for _, s in run.history.acked]
+    if len(set(stamps)) != len(stamps):
+        found.append(("one-stamp-two-changes", {"stamps": sorted(stamps)}))
+    return found
+
+
+def two_owners(run):
+    """An engine obeyed an older epoch's order after a newer one's."""
+    newest, found = {}, []
+    for atMs, engine, incarnation, shard, epoch, verb, item, code in run.history.orders:
+        key = (engine, incarnation, shard)
+        if code == 202 and epoch < newest.get(key, 0):
+            found.append(("old-owner-obeyed", {"engine": engine, "epoch": epoch,
+                                               "newest": newest[key], "atMs": round(atMs)}))
+        newest[key] = max(newest.get(key, 0), epoch)
+    return found
+
+
+def over_room(run):
+    found = [("over-room", {"engine": n, "times": e.core.overRoom})
+             for n, e in run.world.engines.items() if e.core.overRoom]
+    atOnce, perMinute = run.deployment.loads
+    times = sorted(o[0] for o in run.history.orders if o[5] == "load" and o[7] == 202)
+    for i, first in enumerate(times):
+        inside = sum(1 for t in times[i:] if t < first + 60000)
+        if inside > perMinute:
+            found.append(("store-rate", {"loads": inside, "fromMs": round(first)}))
+            break
+    if run.mostLoading > atOnce:
+        found.append(("store-at-once", {"loads": run.mostLoading}))
+    return found
+
+
+def flooded(run):
+    """Too many tasks on an engine in its first moments; too many retries."""
+    found, early = [], {}
+    for atMs, engine, _, _, born, _ in run.history.begun:
+        if born > 0 and atMs - born < 1000:
+            early[engine, born] = early.get((engine, born), 0) + 1
+    for (engine, born), count in early.items():
+        if count > run.floodLimit:
+            found.append(("flooded", {"engine": engine, "bornMs": round(born),
+                                      "tasks": count}))
+    retries = run.history.legs - run.history.firstLegs
+    if retries > 0.1 * run.history.asked + 3 * run.deployment.counters + 3:
+        found.append(("retries", {"retries": retries, "asked": run.history.asked}))
+    return found
+
+
+def returned(run):
+    return [] if run.backMs is not None and run.backMs <= run.bounds.serviceBackMs else [
+        ("not-back", {"afterMs": run.backMs, "missing": run.missing})]
+
+
+def finals(run):
+    """Every task ends by its deadline, and none is held back towards it."""
+    found = [("no-answer", {"asked": run.history.asked, "ended": len(run.history.ended)})
+             ] if len(run.history.ended) < run.history.asked else []
+    for task in run.history.ended:
+        lateMs = task["endMs"] - task["atMs"] - task["told"]["deadlineMs"]
+        if lateMs > 1000 and not task["seen"]:
+            found.append(("late-answer", {"task": task["id"], "lateMs": round(lateMs)}))
+    return found
+
+
+ALL = {"stream-runs-once": ran_twice, "refused-never-runs": refused_but_ran,
+       "answers-whole": answers, "leaving-engine": leaving, "evacuated-zone": evacuated,
+       "layout-followed": layout_followed, "never-back": slipped,
+       "acked-kept": acked_lost, "one-owner": two_owners, "room-and-store": over_room,
+       "no-flood": flooded, "service-back": returned, "final-answers": finals}
+
+
+def check(run):
+    return {name: found for name, rule in ALL.items() if (found := rule(run))}
--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/sim/run.py
@@ -0,0 +1,153 @@
+"""One simulated run: a deployment, a seed, a script of faults, a verdict."""
+
+import random
+from dataclasses import dataclass, field
+
+from pulleyhitch import config as configs
+from rehearsal import deployments
+from rehearsal.sim import checkers, faults, floor
+from rehearsal.sim import disk as disks
+from rehearsal.sim import world as worlds
+from rehearsal.sim.operators import Operators
+from waybill import failures
+
+__all__ = ["Run", "simulate", "Verdict"]
+
+_SETTLE_MS = 30000.0
+
+
+@dataclass(frozen=True)
+class Verdict:
+    seed: int
+    violations: dict
+    backMs: object
+    facts: dict
+
+
+@dataclass
+class Run(Operators):
+    seed: int
+    deployment: deployments.Deployment
+    world: worlds.World
+    history: floor.History
+    bounds: configs.Bounds = configs.Bounds()
+    jumped: list = field(default_factory=list)
+    calmMs: dict = field(default_factory=dict)
+    backMs: object = None
+    missing: list = field(default_factory=list)
+    finalChanges: object = None
+    mostLoading: int = 0
+    floodLimit: int = 0
+    stamps: dict = field(default_factory=dict)
+    changes: int = 0
+    moved: int = 0
+    quiet: bool = False
+    engineFacts: dict = field(default_factory=dict)
+
+    def disturbed(self, name, forMs=0.0):
+        """Until when a node is excused from following in time."""
+        untilMs = self.world.nowMs + forMs + self.bounds.serviceBackMs
+        self.calmMs[name] = max(self.calmMs.get(name, 0.0), untilMs)
+
+    def leader(self):
+        for name, host in sorted(self.world.hosts.items()):
+            if host.node and host.node.depot and host.node.depot.desk.serving:
+                return name
+        return None
+
+    def holder(self, shard):
+        for host in self.world.hosts.values():
+            if host.node and not host.frozen:
+                part = host.node.follow.book.shards.get(shard)
+                if part and part.holder:
+                    return part.holder
+        return None
+
+    def move(self, host):
+        """The machine comes back at another address."""
+        self.world.by_address.pop(host.config.address, None)
+        self.moved += 1
+        address = f"10.9.{self.moved // 200}.{self.moved % 200 + 1}:7400"
+        host.config = configs.Config(**{**vars(host.config), "address": address})
+
+
+def _build(seed, deployment, fencing):
+    rng = random.Random(seed)
+    world = worlds.World(seed, rng)
+    run = Run(seed, deployment, world, floor.History())
+    names = [f"d{i}" for i in range(deployment.depots)] + [
+        f"c{i}" for i in range(deployment.counters)]
+    address = {n: f"10.0.0.{i + 1}:7400" for i, n in enumerate(names)}
+    seeds = tuple(address[n] for n in ("d0", "d1", "c0"))
+    for number, name in enumerate(names):
+        config = configs.Config(
+            name, "depot" if name[0] == "d" else "counter",
+            deployment.zones[int(name[1:]) % len(deployment.zones)], address[name],
+            f"10.0.0.{number + 1}:7500", seeds, deployment.zones, "x", 8,
+            deployment.depots, 8, 30000, configs.Bounds(), {})
+        host = worlds.Host(name, config, disks.SimDisk() if name[0] == "d" else None,
+                           clockMs=rng.random() * 1e6)
+        world.hosts[name] = host
+        worlds.after(world, rng.random() * 1500, lambda h=host: worlds.boot(world, h))
+    engines = deployments.engine_list(deployment, lambda n: f"http://{n}")
+    for facts in engines:
+        floor.add_engine(world, facts, fencing)
+        run.engineFacts[facts["name"]] = facts
+    run.floodLimit = 3 + deployment.slots // 2 + deployment.counters
+    world.on_call = lambda host, effect, life: floor.call(
+        world, run.history, host, effect, life)
+    world.on_step = run.sample
+    return run
+
+
+def simulate(seed, deployment, count=8, spanMs=40000.0, steps=None, fencing=None,
+             closing=False):
+    """Run it all; `steps` replaces the seeded script."""
+    rng = random.Random(seed * 7919 + 1)
+    fencing = rng.random() < 0.5 if fencing is None else fencing
+    steps = faults.script(rng, deployment, count, spanMs) if steps is None else (
+        faults.checked(steps, deployment))
+    if isinstance(steps, failures.Failure):
+        return steps
+    run = _build(seed, deployment, fencing)
+    run.furnish()
+    run.traffic()
+    worlds.spin(run.world, _SETTLE_MS)
+    for step in steps:
+        worlds.after(run.world, step.atMs, lambda s=step: faults.begin(run, s))
+    endMs = _SETTLE_MS + max([spanMs] + [s.atMs + s.forMs for s in steps])
+    worlds.spin(run.world, endMs)
+    if closing:
+        _all_down(run)
+    _heal(run)
+    run.probe()
+    worlds.spin(run.world, run.world.nowMs + run.bounds.serviceBackMs + 8000)
+    run.quiet = True
+    worlds.spin(run.world, run.world.nowMs + 32000)
+    run.finish()
+    return Verdict(seed, checkers.check(run), run.backMs, {
+        "fencing": fencing, "asked": run.history.asked, "begun": len(run.history.begun),
+        "acked": len(run.history.acked), "orders": len(run.history.orders),
+        "virtualMs": round(run.world.nowMs), "steps": run.world.steps,
+        "script": [(round(s.atMs), s.fault, s.target, round(s.forMs)) for s in steps]})
+
+
+def _all_down(run):
+    """A closing fault: the power goes everywhere at once."""
+    for host in run.world.hosts.values():
+        if host.node is not None:
+            worlds.kill(run.world, host, power=True)
+    worlds.spin(run.world, run.world.nowMs + 3000)
+
+
+def _heal(run):
+    worlds.heal(run.world)
+    for host in run.world.hosts.values():
+        if host.disk is not None:
+            host.disk.stalled, host.disk.slowMs = False, 1.0
+        if host.frozen:
+            worlds.thaw(run.world, host)
+        if host.node is None:
+            worlds.boot(run.world, host)
+    for engine in run.world.engines.values():
+        engine.frozen = engine.silent = engine.foreign = False
--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/sim/world.py
@@ -0,0 +1,244 @@
+"""The simulated world: virtual time, hosts, and the network between them.
+
+Hosts run the real node core.  A host may be killed, frozen, cut off one way or
+both, its disk slowed, stalled or wiped, its clock set off; all from one seed.
+"""
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from logbook import group as groups
+from pulleyhitch import config as configs
+from pulleyhitch import node as nodes
+from rehearsal.sim import disk as disks
+from waybill import events as e
+from waybill.effects import Call, Install, Note, Reply, Save, Send, Stop, Wake, Write
+
+__all__ = ["World", "Host", "after", "boot", "kill", "freeze", "thaw", "post", "spin",
+           "cut", "heal", "NetworkTerms"]
+
+
+@dataclass
+class NetworkTerms:
+    lowMs: float = 0.2
+    highMs: float = 3.0
+    loss: float = 0.0
+
+
+@dataclass
+class Host:
+    name: str
+    config: object
+    disk: object = None
+    node: object = None
+    clockMs: float = 0.0
+    frozen: bool = False
+    life: int = 0
+    waiting: list = field(default_factory=list)
+    busyMs: float = 0.0
+    wakeMs: float = float("inf")
+    notes: list = field(default_factory=list)
+
+
+@dataclass
+class World:
+    seed: int
+    random: random.Random
+    nowMs: float = 0.0
+    heap: list = field(default_factory=list)
+    count: int = 0
+    hosts: dict = field(default_factory=dict)
+    by_address: dict = field(default_factory=dict)
+    engines: dict = field(default_factory=dict)
+    cuts: set = field(default_factory=set)
+    lastMs: dict = field(default_factory=dict)
+    network: NetworkTerms = field(default_factory=NetworkTerms)
+    replies: dict = field(default_factory=dict)
+    on_call: object = None
+    on_step: object = None
+    steps: int = 0
+
+
+def after(world, waitMs, action):
+    world.count += 1
+    heapq.heappush(world.heap, (world.nowMs + waitMs, world.count, action))
+
+
+def spin(world, untilMs):
+    """Run everything due up to a time."""
+    while world.heap and world.heap[0][0] <= untilMs:
+        atMs, _, action = heapq.heappop(world.heap)
+        world.nowMs = max(world.nowMs, atMs)
+        action()
+    world.nowMs = untilMs
+
+
+def latency(world):
+    net = world.network
+    spreadMs = net.highMs - net.lowMs
+    slow = 20 if world.random.random() < 0.01 else 1
+    return slow * (net.lowMs + spreadMs * world.random.random() ** 2)
+
+
+def passes(world, sender, to):
+    return (sender, to) not in world.cuts and (
+        world.network.loss == 0 or world.random.random() >= world.network.loss)
+
+
+def cut(world, sender, to):
+    world.cuts.add((sender, to))
+
+
+def heal(world):
+    world.cuts.clear()
+
+
+def boot(world, host):
+    """Start a host's process from its disk (if it has one)."""
+    host.life += 1
+    host.frozen, host.waiting, host.busyMs = False, [], 0.0
+    group = None
+    if host.disk is not None:
+        files = host.disk.files
+        files.setdefault("identity", f"{world.random.getrandbits(48):012x}".encode())
+        group = groups.Group(host.name, files["identity"].decode(), host.config.address,
+                             configs.times(host.config),
+                             random.Random(world.random.getrandbits(32)))
+        after_index = groups.read_view_file(files["view"])[0] if files.get("view") else 0
+        groups.open_group(group, files, disks.load(host.disk, after_index))
+        group.electAtMs = local(world, host) + group.times.electMs * (1 + world.random.random())
+    host.node = nodes.make(host.config, f"{host.name}.{host.life}",
+                           world.random.getrandbits(32), group)
+    world.by_address[host.config.address] = host
+    _ticker(world, host, host.life)
+
+
+def local(world, host):
+    return world.nowMs + host.clockMs
+
+
+def _ticker(world, host, life):
+    if host.life != life or host.node is None:
+        return
+    post(world, host, e.Tick())
+    tickMs = host.node.times.pingMs / 6
+    after(world, tickMs, lambda: _ticker(world, host, life))
+
+
+def kill(world, host, power=False):
+    host.life += 1
+    host.node = None
+    if host.disk is not None:
+        if power:
+            disks.crash(host.disk, world.random)
+        else:
+            for number in sorted(host.disk.pending):
+                disks.end_write(host.disk, number)
+    if host.disk is not None:
+        host.disk.pending.clear()
+
+
+def freeze(host):
+    host.frozen = True
+
+
+def thaw(world, host):
+    host.frozen = False
+    waiting, host.waiting = host.waiting, []
+    ticks = 0
+    for event in waiting:
+        if isinstance(event, e.Tick):
+            ticks += 1
+            continue
+        _take(world, host, event)
+    if ticks and host.node is not None:
+        _take(world, host, e.Tick())
+
+
+def post(world, host, event):
+    """An event for a host's owner: now, or when the host can take it."""
+    if host.node is None:
+        return
+    if host.frozen:
+        if not (isinstance(event, e.Tick) and host.waiting
+                and isinstance(host.waiting[-1], e.Tick)):
+            host.waiting.append(event)
+        return
+    if world.nowMs < host.busyMs:
+        life = host.life
+        after(world, host.busyMs - world.nowMs + 0.001,
+              lambda: post(world, host, event) if host.life == life else None)
+        return
+    _take(world, host, event)
+
+
+def _take(world, host, event):
+    if host.node is None:
+        return
+    world.steps += 1
+    effects = nodes.handle(host.node, local(world, host), event)
+    _do(world, host, effects, host.life)
+    if world.on_step:
+        world.on_step(host)
+
+
+def _do(world, host, effects, life):
+    for number, effect in enumerate(effects):
+        if host.life != life:
+            return
+        if isinstance(effect, Send):
+            _send(world, host, effect)
+        elif isinstance(effect, (Save, Install)):
+            disks.sync(host.disk, effect)
+            waitMs = 60000 if host.disk.stalled else disks.delay(host.disk, world.random)
+            host.busyMs = world.nowMs + waitMs
+            rest = effects[number + 1:]
+            after(world, waitMs, lambda: _do(world, host, rest, life))
+            return
+        elif isinstance(effect, Write):
+            _write(world, host, effect, life)
+        elif isinstance(effect, Reply):
+            waiter = world.replies.pop((host.name, life, effect.token), None)
+            if waiter:
+                waiter(effect.outcome)
+        elif isinstance(effect, Call):
+            world.on_call(host, effect, life)
+        elif isinstance(effect, Wake):
+            waitMs = max(0.001, effect.atMs - local(world, host))
+            after(world, waitMs, lambda: post(world, host, e.Tick())
+                  if host.life == life else None)
+        elif isinstance(effect, Note):
+            host.notes.append((world.nowMs, effect.what, effect.facts))
+        elif isinstance(effect, Stop):
+            kill(world, host)
+            return
+
+
+def _send(world, host, effect):
+    target = world.by_address.get(effect.to)
+    if target is None or not passes(world, host.name, target.name):
+        return
+    key = (host.name, effect.to)
+    atMs = max(world.lastMs.get(key, 0.0), world.nowMs + latency(world))
+    world.lastMs[key] = atMs
+    sender, address, message = host.name, host.config.address, effect.message
+    def arrive():
+        if target.config.address == effect.to and (sender, target.name) not in world.cuts:
+            post(world, target, e.Received(address, message))
+    after(world, atMs - world.nowMs, arrive)
+
+
+def _write(world, host, effect, life):
+    number = disks.begin_write(host.disk, effect.entries)
+    last = effect.entries[-1]
+    waitMs = disks.delay(host.disk, world.random)
+    def done():
+        if host.life != life:
+            return
+        if host.disk.stalled or host.frozen:
+            after(world, 20.0, done)
+            return
+        disks.end_write(host.disk, number)
+        post(world, host, e.Written(last.index, last.term, waitMs))
+    after(world, waitMs, done)
