--- a/libs/rehearsal/src/rehearsal/sim/world.py
+++ b/libs/rehearsal/src/rehearsal/sim/world.py
@@ -190,11 +190,7 @@
         if isinstance(effect, Send):
             _send(world, host, effect)
         elif isinstance(effect, (Save, Install)):
-            disks.sync(host.disk, effect)
-            waitMs = 60000 if host.disk.stalled else disks.delay(host.disk, world.random)
-            host.busyMs = world.nowMs + waitMs
-            rest = effects[number + 1:]
-            after(world, waitMs, lambda: _do(world, host, rest, life))
+            _sync(world, host, effect, effects[number + 1:], life)
             return
         elif isinstance(effect, Write):
             _write(world, host, effect, life)
@@ -215,6 +211,23 @@
             return
 
 
+def _sync(world, host, effect, rest, life):
+    """The owner waits for its disk; what follows the sync waits with it."""
+    waitMs = 20.0 if host.disk.stalled else disks.delay(host.disk, world.random)
+    host.busyMs = world.nowMs + waitMs
+
+    def done():
+        if host.life != life:
+            return
+        if host.disk.stalled:
+            host.busyMs = world.nowMs + 20.0
+            after(world, 20.0, done)
+            return
+        disks.sync(host.disk, effect)
+        _do(world, host, rest, life)
+    after(world, waitMs, done)
+
+
 def _send(world, host, effect):
     target = world.by_address.get(effect.to)
     if target is None or not passes(world, host.name, target.name):
