Clear the old leader's address when a canvass opens a new term

Cause: a named successor opened term N+1 while its card still showed the old leader; nodes took that card as newest and kept pinging the old depot, so the freshness mark of half the counters aged out. Ruled out: loss of gossip (cards did spread), the relay of marks (it worked, late). Also the depot to ask next was chosen by the sum of two counters, which could skip one depot for long. A new leader now also tells everyone it knows as soon as it serves.

--- a/libs/fellows/src/fellows/circle.py
+++ b/libs/fellows/src/fellows/circle.py
@@ -15,7 +15,8 @@
 from waybill.messages import Card, Greet, GroupCard
 
 __all__ = ["Circle", "tick", "on_greet", "learn_group", "watched", "leader_address",
-           "depot_addresses", "weight", "NO_GROUP", "live"]
+           "depot_addresses", "weight", "NO_GROUP", "live", "announce",
+           "greeting"]
 
 NO_GROUP = GroupCard("", 0, 0, "", ())
 _KNOWN = 4
@@ -64,7 +65,9 @@
     circle.turn += 1
     if not circle.group.group or len(circle.cards) < _KNOWN or circle.turn % 10 == 0:
         targets |= set(circle.seeds)
-    targets |= set(depot_addresses(circle)[:1] if circle.turn % 3 == 0 else ())
+    depots = depot_addresses(circle)
+    if depots:
+        targets.add(depots[circle.turn % len(depots)])
     targets.discard(circle.card.address)
     return [Send(to, greeting(circle, True)) for to in sorted(targets)]
 
@@ -77,7 +80,7 @@
     for card in message.cards:
         if card.name != circle.card.name:
             effects += _meet(circle, nowMs, card, False)
-    learn_group(circle, message.group)
+    learn_group(circle, message.group, message.card.address)
     if message.answer:
         effects.append(Send(sender, greeting(circle, False)))
     return effects
@@ -98,11 +101,20 @@
     return []
 
 
-def learn_group(circle, group):
+def announce(circle):
+    """Tell everyone known what we know, as a new leader does."""
+    return [Send(card.address, greeting(circle, False))
+            for _, card in sorted(circle.cards.items())]
+
+
+def learn_group(circle, group, teller=""):
+    """Take what is newer; at the same term the leader's own word counts most."""
     if not group.group or (circle.group.group and group.group != circle.group.group):
         return
     if (group.term, group.stamp, bool(group.leader)) > (
-            circle.group.term, circle.group.stamp, bool(circle.group.leader)):
+            circle.group.term, circle.group.stamp, bool(circle.group.leader)) or (
+            group.term == circle.group.term and group.leader
+            and teller == group.leader and group.stamp >= circle.group.stamp):
         circle.group = group
 
 
@@ -111,9 +123,7 @@
 
 
 def depot_addresses(circle):
-    """Depots to ask when the leader is silent, a different one first each time."""
+    """Every depot there is to ask when the leader is silent."""
     found = [m.address for m in circle.group.members] + [
         c.address for c in circle.cards.values() if c.role == "depot"]
-    found = sorted(set(found) - {circle.card.address})
-    turn = circle.turn % len(found) if found else 0
-    return found[turn:] + found[:turn]
+    return sorted(set(found) - {circle.card.address})
--- a/libs/logbook/src/logbook/election.py
+++ b/libs/logbook/src/logbook/election.py
@@ -8,8 +8,8 @@
 
 from logbook import book as books
 from logbook import copying
-from logbook.group import (Other, group_card, last_index, last_term,
-                           leader_live, majority, members, save_promise)
+from logbook.group import (Other, last_index, last_term, leader_live, majority,
+                           members, save_promise)
 from waybill.codec import to_bytes
 from waybill.effects import Note, Send
 from waybill.messages import Ballot, Batch, Canvass, TakeOver
@@ -96,6 +96,7 @@
     if g.trial:
         g.trial, g.ballots = False, {g.identity}
         g.term, g.votedFor, g.verified = g.term + 1, g.identity, 0
+        g.leader = g.leaderAddress = ""
         return ([save_promise(g)] + _canvass(g, g.term, named)
                 + _count(g, nowMs, named))
     return _lead(g, nowMs)
@@ -152,7 +153,3 @@
     restart_clock(g, nowMs)
     g.role, g.trial, g.ballots = "candidate", True, set(members(g))
     return _count(g, nowMs, True)
-
-
-def known_group(g):
-    return group_card(g)
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -96,13 +96,16 @@
     if isinstance(event, e.Received) and not isinstance(
             event.message, _DEPOT_TALK + (m.Ask,)):
         return []
+    served = node.depot.desk.serving
     effects = depots.handle(node.depot, nowMs, event, node.circle.cards,
                             bool(node.circle.group.group))
     group = node.depot.group
     if node.card.empty and group.group:
         node.card = m.Card(**{**vars(node.card), "empty": False})
         node.circle.card = node.depot.card = node.card
-    circles.learn_group(node.circle, depots.group_card(group))
+    circles.learn_group(node.circle, depots.group_card(group), node.card.address)
+    if node.depot.desk.serving and not served:
+        effects += circles.announce(node.circle)
     return effects
 
 
