End an orderly stop at once, and type every body that can't be read

Cause: on SIGTERM a process handed over and then waited for its pool threads, which sit in accept and recv for ever, so every orderly stop ended in a kill; and construct's compiled parsers let struct.error through, which ended a pipe's thread without a typed failure. Ruled out: the owner thread (it had stopped).

--- a/libs/pulleyhitch/src/pulleyhitch/running.py
+++ b/libs/pulleyhitch/src/pulleyhitch/running.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import signal
 import sys
 import threading
@@ -64,7 +65,9 @@
             code = 4
             break
     process.close()
-    return code
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
 
 
 class _Role(Command):
--- a/libs/rehearsal/src/rehearsal/fleet.py
+++ b/libs/rehearsal/src/rehearsal/fleet.py
@@ -31,8 +31,9 @@
 class Fleet:
     """Starts, kills and asks processes; `call` and `until` are what tests use."""
 
-    def __init__(self, deployment, folder):
-        self.deployment, self.folder = deployment, Path(folder)
+    def __init__(self, deployment, folder, **config):
+        self.deployment, self.folder = deployment, Path(folder).resolve()
+        self.config = config
         self.folder.mkdir(parents=True, exist_ok=True)
         d = deployment
         self.depots = [f"d{i}" for i in range(d.depots)]
@@ -60,19 +61,28 @@
                        str(self.engine_port[name]), self.deployment.name]
         else:
             role = "depot" if name in self.depots else "counter"
-            command = [sys.executable, "-m", "pulleyhitch", role, "--name", name,
-                       "--zone", self.zone(name), "--address", self.address[name],
-                       "--http", self.http[name],
-                       "--zones", ",".join(self.deployment.zones)]
-            for seed in self.seeds():
-                command += ["--seed", seed]
-            if role == "depot":
-                command += ["--folder", str(self.folder / f"{name}.data")]
+            command = [sys.executable, "-m", "pulleyhitch", role, "--config",
+                       self._config_file(name, role)]
         self.running[name] = subprocess.Popen(
             command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
             env={**os.environ, "PYTHONUNBUFFERED": "1"})
         log.close()
 
+    def _config_file(self, name, role):
+        """Write the process's config, as an operator would."""
+        told = {"name": name, "zone": self.zone(name), "address": self.address[name],
+                "http": self.http[name], "seeds": self.seeds(),
+                "zones": list(self.deployment.zones), **self.config}
+        if role == "depot":
+            told["folder"] = str(self.folder / f"{name}.data")
+        tables = {k: v for k, v in told.items() if isinstance(v, dict)}
+        lines = [f"{k} = {json.dumps(v)}" for k, v in told.items() if k not in tables]
+        for table, inner in tables.items():
+            lines += [f"[{table}]"] + [f"{k} = {json.dumps(v)}" for k, v in inner.items()]
+        path = self.folder / f"{name}.toml"
+        path.write_text("\n".join(lines) + "\n", encoding="utf8")
+        return str(path)
+
     def start_all(self):
         for name in self.depots + self.counters + self.engines:
             self.start(name)
@@ -80,7 +90,7 @@
     def kill(self, name, number=signal.SIGKILL):
         process = self.running.pop(name)
         process.send_signal(number)
-        process.wait(20)
+        return process.wait(20)
 
     def freeze(self, name):
         self.running[name].send_signal(signal.SIGSTOP)
--- a/libs/waybill/src/waybill/codec.py
+++ b/libs/waybill/src/waybill/codec.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import struct
 import typing
 
 import construct as c
@@ -85,6 +86,6 @@
 def from_bytes(kind, data):
     try:
         return _rebuild(kind, _compiled(kind).parse(data))
-    except (c.ConstructError, ValueError, KeyError, EOFError, OverflowError,
-            MemoryError) as broken:
+    except (c.ConstructError, struct.error, ValueError, LookupError, TypeError,
+            EOFError, OverflowError, MemoryError) as broken:
         raise BadBody(kind.__name__) from broken
--- a/libs/waybill/src/waybill/pipes.py
+++ b/libs/waybill/src/waybill/pipes.py
@@ -53,6 +53,11 @@
         except queue.Full:
             self._on_note("pipe-full", {"to": to})
 
+    def close(self):
+        """Take no more pipes; those that are open end with their other side."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _listen(self):
         while True:
             try:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,6 +1,7 @@
 """The whole path on real processes: found, furnish, serve, lose, return."""
 
 import json
+import signal
 import tempfile
 
 from testtools import TestCase
@@ -97,6 +98,12 @@
         fleet.until(lambda: self.answered(others[1]))
         fleet.start(first)
         fleet.until(lambda: self.answered(first))
+        lead = self.leader()
+        self.assertThat(fleet.kill(lead, signal.SIGTERM), Equals(0))
+        self.assertThat(fleet.kill(self.holder(0), signal.SIGTERM), Equals(0))
+        for name in sorted(set(fleet.depots + fleet.counters) - set(fleet.running)):
+            fleet.start(name)
+        fleet.until(lambda: self.answered("c0"))
         self.stamp = told["stamp"]
 
     def survives_all_restarting(self):
--- /dev/null
+++ b/tests/test_waybill.py
@@ -0,0 +1,95 @@
+"""Frames and messages: whatever is said arrives the same; what is broken is
+typed, and closes only the pipe it came on."""
+
+import queue
+import random
+import socket
+import typing
+from dataclasses import fields, is_dataclass
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from waybill import codec, frames, messages
+from waybill.pipes import Pipes
+
+CARD = messages.Card("n", "counter", "z", "127.0.0.1:1", "127.0.0.1:2", "i")
+HELLO = messages.Greet(CARD, False, (), messages.GroupCard("", 0, 0, "", ()))
+
+
+def made_up(kind, rng):
+    """A random value of any type that messages use."""
+    if is_dataclass(kind):
+        hints = typing.get_type_hints(kind)
+        return kind(*(made_up(hints[f.name], rng) for f in fields(kind)))
+    if typing.get_origin(kind) is tuple:
+        inner = typing.get_args(kind)[0]
+        return tuple(made_up(inner, rng) for _ in range(rng.randrange(4)))
+    return {int: lambda: rng.randrange(-2**62, 2**62), bool: lambda: rng.random() < 0.5,
+            float: lambda: rng.random() * 1e9, str: lambda: "žř" * rng.randrange(9),
+            bytes: lambda: rng.randbytes(rng.randrange(300))}[kind]()
+
+
+class Frames(TestCase):
+    def test_every_message_in_any_cutting(self):
+        rng = random.Random(7)
+        sent = [made_up(kind, rng) for kind in messages.KIND_OF for _ in range(5)]
+        data = b"".join(frames.pack(m) for m in sent)
+        intake, got = frames.Intake(), []
+        while data:
+            size = rng.randrange(1, 900)
+            found, broken = frames.feed(intake, data[:size])
+            self.assertThat(broken, Equals(None))
+            got += found
+            data = data[size:]
+        self.assertThat(got, Equals(sent))
+
+    def test_any_flipped_byte_is_typed(self):
+        rng = random.Random(8)
+        whole = frames.pack(HELLO)
+        causes = set()
+        for at in range(len(whole)):
+            bad = bytearray(whole)
+            bad[at] ^= 1 << rng.randrange(8)
+            found, broken = frames.feed(frames.Intake(), bytes(bad))
+            self.assertThat(found, Equals([]))
+            if broken:
+                causes.add(broken.cause)
+        self.assertTrue(causes >= {"magic", "kind", "checksum"}, causes)
+
+    def test_oversized_and_nonsense(self):
+        head = frames._HEADER.build({"kind": 1, "size": frames.LIMIT_BYTES + 1, "crc": 0})
+        self.assertThat(frames.feed(frames.Intake(), head)[1], Equals(frames.Broken("oversized")))
+        for size in range(0, 40):
+            body = random.Random(size).randbytes(size)
+            try:
+                codec.from_bytes(messages.Entries, body)
+            except codec.BadBody:
+                pass
+
+
+class OnPipes(TestCase):
+    def test_a_broken_frame_closes_only_its_pipe(self):
+        got, notes = queue.Queue(), queue.Queue()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = "127.0.0.1:%d" % free.getsockname()[1]
+        pipes = Pipes(address, lambda: HELLO, lambda s, m: got.put((s, m)),
+                      lambda what, facts: notes.put((what, facts)), 2000)
+        self.addCleanup(pipes.close)
+        host, port = address.split(":")
+        good = socket.create_connection((host, int(port)))
+        bad = socket.create_connection((host, int(port)))
+        rude = socket.create_connection((host, int(port)))
+        for sock in (good, bad, rude):
+            self.addCleanup(sock.close)
+            sock.settimeout(20)
+        good.sendall(frames.pack(HELLO))
+        bad.sendall(frames.pack(HELLO) + b"PHW1 this is no frame at all")
+        rude.sendall(frames.pack(messages.TakeOver(1)))
+        self.assertThat(bad.recv(1), Equals(b""))
+        self.assertThat(rude.recv(1), Equals(b""))
+        good.sendall(frames.pack(messages.TakeOver(9)))
+        seen = [got.get(timeout=20) for _ in range(3)]
+        self.assertIn((CARD.address, messages.TakeOver(9)), seen)
+        self.assertThat({notes.get(timeout=20)[0] for _ in range(2)},
+                        Equals({"pipe-broken", "pipe-rude"}))
