Found one group whatever is lost, and resend feed entries that went missing

Cause: an agreed depot's greeting made the other two believe that a group existed already, so they stopped asking and refused to agree: a lost answer left one founder alone for ever. Found on real processes whose first messages fell into a dial that failed. A group's name now follows from its founders, and any depot that has agreed asks the others while nobody leads. Ruled out: gossip and ports (all three knew each other's addresses).

--- a/libs/logbook/src/logbook/depot.py
+++ b/libs/logbook/src/logbook/depot.py
@@ -28,12 +28,12 @@
     founder: founding.Founding = field(default_factory=founding.Founding)
 
 
-def handle(depot, nowMs, event, cards, groupKnown):
-    """`cards` are the fellows known by name; `groupKnown`, whether any of them
-    ever spoke of a group while we have none."""
+def handle(depot, nowMs, event, cards, known):
+    """`cards` are the fellows known by name; `known` is the group that any of
+    them ever spoke of, or nothing."""
     g = depot.group
     if isinstance(event, Tick):
-        effects = _tick(depot, nowMs, cards, groupKnown)
+        effects = _tick(depot, nowMs, cards, known)
     elif isinstance(event, Written):
         if g.role == "leader":
             depot.desk.lastWriteMs = event.tookMs
@@ -41,16 +41,16 @@
     elif isinstance(event, Closing):
         effects = election.hand_over(g, nowMs)
     elif isinstance(event, Received):
-        effects = _receive(depot, nowMs, event.sender, event.message, groupKnown)
+        effects = _receive(depot, nowMs, event.sender, event.message, known)
     else:
         effects = []
     return effects + _after(depot, nowMs)
 
 
-def _tick(depot, nowMs, cards, groupKnown):
+def _tick(depot, nowMs, cards, known):
     g = depot.group
     grants.excuse_freeze(g, depot.nodes, nowMs)
-    effects = founding.tick(g, depot.founder, nowMs, cards, groupKnown)
+    effects = founding.tick(g, depot.founder, nowMs, cards, known)
     effects += election.tick(g, nowMs)
     effects += founding.replace_tick(g, nowMs, cards)
     if g.role == "leader" and depot.desk.serving:
@@ -58,7 +58,7 @@
     return effects
 
 
-def _receive(depot, nowMs, sender, message, groupKnown):
+def _receive(depot, nowMs, sender, message, known):
     g = depot.group
     if isinstance(message, m.Entries):
         return copying.on_entries(g, nowMs, sender, message)
@@ -75,7 +75,7 @@
     if isinstance(message, m.TakeOver):
         return election.on_take_over(g, nowMs, message)
     if isinstance(message, m.FoundAsk):
-        return founding.on_ask(g, depot.founder, nowMs, sender, message, groupKnown)
+        return founding.on_ask(g, depot.founder, nowMs, sender, message, known)
     if isinstance(message, m.FoundAgree):
         return founding.on_agree(g, depot.founder, nowMs, message)
     return _serve(depot, nowMs, sender, message)
--- a/libs/logbook/src/logbook/feed.py
+++ b/libs/logbook/src/logbook/feed.py
@@ -24,11 +24,13 @@
 
 
 def on_ask(g, n, asks, nowMs, sender, ask):
-    """Queue the ask behind a new round, and send what the asker lacks."""
+    """Queue the ask behind a new round, and send what the asker lacks.  What was
+    sent before its last ask and is not there by now was lost on the way."""
     node = n.seen[ask.name]
-    if ask.place < node.sentPlace and nowMs - node.sentMs > g.times.pingMs:
+    if ask.place < node.sentAtAsk:
         node.sentPlace = ask.place
     node.sentPlace = max(node.sentPlace, ask.place)
+    node.sentAtAsk = node.sentPlace
     asks.waiting.append((sender, ask, g.round + 1))
     effects = []
     if copying.confirmed_round(g) >= g.round:
--- a/libs/logbook/src/logbook/founding.py
+++ b/libs/logbook/src/logbook/founding.py
@@ -7,11 +7,12 @@
 one added: two records, one change at a time, so majorities always overlap.
 """
 
+import hashlib
 from dataclasses import dataclass, field
 
 from logbook import book as books
 from logbook import copying
-from logbook.group import majority, members, save_promise
+from logbook.group import last_index, majority, members, save_promise
 from waybill.codec import to_bytes
 from waybill.effects import Note, Send
 from waybill.messages import Batch, FoundAgree, FoundAsk, Member
@@ -35,28 +36,40 @@
     return tuple(found[n] for n in sorted(found))
 
 
-def tick(g, f, nowMs, cards, groupKnown):
-    """As the first by name of three empty depots, ask the others to found."""
-    if g.group or groupKnown:
-        return []
-    empties = _empties(g, cards)
-    if len(empties) < g.times.depots or empties[0].identity != g.identity:
+def _name(members):
+    """A group's name follows from its founders, so asking again, after a restart
+    or by another of them, is asking for the same group."""
+    told = "|".join(f"{m.name}={m.identity}" for m in members)
+    return hashlib.blake2b(told.encode(), digest_size=8).hexdigest()
+
+
+def tick(g, f, nowMs, cards, known):
+    """Ask the others to found: as the first by name of three empty depots, or
+    as any that has agreed while nobody leads yet.  `known` is the group that
+    was heard of, if any."""
+    if g.group and (last_index(g) or not g.founders or g.leader):
         return []
-    empties = empties[:g.times.depots]
-    if f.members != empties:
-        f.group, f.members, f.agreed = f"{g.random.getrandbits(64):016x}", empties, set()
+    if not g.group:
+        empties = _empties(g, cards)[:g.times.depots]
+        if len(empties) < g.times.depots or empties[0].identity != g.identity:
+            return []
+        if f.members != empties:
+            f.group, f.members, f.agreed = _name(empties), empties, set()
+        if known not in ("", f.group):
+            return []
     if nowMs - f.askedMs < g.times.electMs / 2:
         return []
     f.askedMs = nowMs
-    return [Send(m.address, FoundAsk(f.group, f.members))
-            for m in f.members if m.identity != g.identity]
+    ask = FoundAsk(g.group, g.founders) if g.group else FoundAsk(f.group, f.members)
+    return [Send(m.address, ask) for m in ask.members if m.identity != g.identity]
 
 
-def on_ask(g, f, nowMs, sender, ask, groupKnown):
+def on_ask(g, f, nowMs, sender, ask, known):
     if g.identity not in {m.identity for m in ask.members}:
         return []
     effects = []
-    if not g.group and not groupKnown and len(ask.members) == g.times.depots:
+    if not g.group and known in ("", ask.group) and (
+            len(ask.members) == g.times.depots):
         effects = _adopt(g, nowMs, ask.group, ask.members)
     agreed = g.group == ask.group
     return effects + [Send(sender, FoundAgree(ask.group, g.identity, agreed))]
--- a/libs/logbook/src/logbook/grants.py
+++ b/libs/logbook/src/logbook/grants.py
@@ -26,6 +26,7 @@
     heardMs: float
     place: int = 0
     sentPlace: int = 0
+    sentAtAsk: int = 0
     sentMs: float = -1e9
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -98,7 +98,7 @@
         return []
     served = node.depot.desk.serving
     effects = depots.handle(node.depot, nowMs, event, node.circle.cards,
-                            bool(node.circle.group.group))
+                            node.circle.group.group)
     group = node.depot.group
     if node.card.empty and group.group:
         node.card = m.Card(**{**vars(node.card), "empty": False})
--- a/libs/rehearsal/src/rehearsal/cli.py
+++ b/libs/rehearsal/src/rehearsal/cli.py
@@ -1,5 +1,6 @@
 """The rehearsal's command line: `pulleyhitch-rehearsal`."""
 
+import shutil
 import sys
 
 from cleo.application import Application
@@ -47,10 +48,86 @@
                     self.option("stay"))
 
 
+def _deployment(command):
+    found = deployments.BY_NAME.get(command.argument("deployment"))
+    if found is None:
+        command.line_error("no such deployment: zatacka, byggesag or small")
+    return found
+
+
+class SweepCommand(Command):
+    name = "sweep"
+    description = "Simulate many seeds under the brief's faults; exit 1 if any is red."
+    arguments = [argument("deployment", "zatacka, byggesag or small", optional=True,
+                          default="small")]
+    options = [option("first", None, "First seed", flag=False, default="1"),
+               option("last", None, "Last seed", flag=False, default="40"),
+               option("faults", None, "Faults in each run", flag=False, default="12"),
+               option("workers", None, "Processes", flag=False, default="8")]
+
+    def handle(self):
+        from rehearsal.sweep import sweep
+        if _deployment(self) is None:
+            return 2
+        first, last, faults, workers = (int(self.option(n)) for n in (
+            "first", "last", "faults", "workers"))
+        return 1 if sweep(self.argument("deployment"), first, last, faults, workers) else 0
+
+
+class ReplayCommand(Command):
+    name = "replay"
+    description = "Run one seed of a sweep again, exactly, and print all of it."
+    arguments = [argument("deployment", "Which"), argument("seed", "The seed")]
+    options = [option("faults", None, "Faults in the run", flag=False, default="12")]
+
+    def handle(self):
+        from rehearsal.sweep import replay
+        if _deployment(self) is None:
+            return 2
+        return int(replay(self.argument("deployment"), int(self.argument("seed")),
+                          int(self.option("faults"))))
+
+
+class MeasureCommand(Command):
+    name = "measure"
+    description = "Measure on real processes: batches, spread, leader-loss."
+    arguments = [argument("what", "batches, spread or leader-loss")]
+    options = [option("runs", None, "How many", flag=False, default="5"),
+               option("seconds", None, "Length of each (batches)", flag=False, default="5"),
+               option("deployment", None, "Which fleet (spread, leader-loss)", flag=False,
+                      default="small"),
+               option("folder", None, "Where data and logs go", flag=False,
+                      default="run/measure")]
+
+    def handle(self):
+        from rehearsal import measure
+        from rehearsal.fleet import Fleet
+        runs = int(self.option("runs"))
+        if self.argument("what") == "batches":
+            measure.batches(runs, float(self.option("seconds")))
+            return 0
+        rule = {"spread": measure.spread, "leader-loss": measure.leader_loss}.get(
+            self.argument("what"))
+        if rule is None:
+            self.line_error("no such measurement: batches, spread or leader-loss")
+            return 2
+        shutil.rmtree(self.option("folder"), ignore_errors=True)
+        fleet = Fleet(deployments.BY_NAME[self.option("deployment")], self.option("folder"))
+        try:
+            fleet.start_all()
+            fleet.until(lambda: fleet.call("c0", "GET", "/operator/fleet")[0] == 200)
+            fleet.furnish()
+            rule(fleet, runs)
+        finally:
+            fleet.stop_all()
+        return 0
+
+
 def main():
     application = Application("pulleyhitch-rehearsal")
     application.add(EngineCommand())
-    application.add(FleetCommand())
+    for command in (FleetCommand, SweepCommand, ReplayCommand, MeasureCommand):
+        application.add(command())
     sys.exit(application.run())
 
 
--- a/libs/rehearsal/src/rehearsal/fleet.py
+++ b/libs/rehearsal/src/rehearsal/fleet.py
@@ -17,10 +17,10 @@
 from junction.engines import Ask, read_json
 from rehearsal import deployments
 
-__all__ = ["Fleet"]
+__all__ = ["Fleet", "free_ports"]
 
 
-def _free_ports(count):
+def free_ports(count):
     held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
     ports = [s.getsockname()[1] for s in held]
     for s in held:
@@ -41,7 +41,7 @@
         self.engines = ([f"e{i}" for i in range(d.engines)]
                         + [f"p{i}" for i in range(d.plainEngines)])
         nodes = self.depots + self.counters
-        ports = _free_ports(2 * len(nodes) + len(self.engines))
+        ports = free_ports(2 * len(nodes) + len(self.engines))
         self.address = {n: f"127.0.0.1:{ports[2 * i]}" for i, n in enumerate(nodes)}
         self.http = {n: f"127.0.0.1:{ports[2 * i + 1]}" for i, n in enumerate(nodes)}
         self.engine_port = dict(zip(self.engines, ports[2 * len(nodes):]))
--- a/libs/rehearsal/src/rehearsal/sim/floor.py
+++ b/libs/rehearsal/src/rehearsal/sim/floor.py
@@ -70,7 +70,7 @@
         worlds.after(world, 1.0, lambda: answer(0, {}, False))
         return
     worlds.after(world, effect.timeoutMs, lambda: answer(0, {}))
-    if not worlds.passes(world, host.name, effect.engine):
+    if not worlds.reaches(world, host.name, effect.engine):
         return
 
     sentMs = world.nowMs
@@ -82,7 +82,7 @@
             worlds.after(world, 50.0, arrive)
         else:
             code, body = _serve(world, history, engine, effect, sentMs)
-            if not engine.silent and worlds.passes(world, effect.engine, host.name):
+            if not engine.silent and worlds.reaches(world, effect.engine, host.name):
                 worlds.after(world, worlds.latency(world), lambda: answer(code, body))
     worlds.after(world, worlds.latency(world), arrive)
 
@@ -189,7 +189,7 @@
         last = n == _PIECES - 1
         piece = {"task": "someone-else" if engine.foreign else told["id"], "run": name,
                  "n": n, "last": last}
-        if worlds.passes(world, leg.engine, host.name):
+        if worlds.reaches(world, leg.engine, host.name):
             worlds.after(world, 0.5, lambda: take(piece))
         if last:
             engines.finish(engine.core)
@@ -208,5 +208,5 @@
             if judged.last:
                 close("done", {"task": told["id"], "pieces": run.next})
 
-    if worlds.passes(world, host.name, leg.engine):
+    if worlds.reaches(world, host.name, leg.engine):
         worlds.after(world, worlds.latency(world), arrive)
--- a/libs/rehearsal/src/rehearsal/sim/run.py
+++ b/libs/rehearsal/src/rehearsal/sim/run.py
@@ -110,6 +110,7 @@
     if isinstance(steps, failures.Failure):
         return steps
     run = _build(seed, deployment, fencing)
+    _lossy(run, seed)
     run.furnish()
     run.traffic()
     worlds.spin(run.world, _SETTLE_MS)
@@ -132,6 +133,13 @@
         "script": [(round(s.atMs), s.fault, s.target, round(s.forMs)) for s in steps]})
 
 
+def _lossy(run, seed):
+    """Pipes that are not up yet lose what is sent: much of it at first."""
+    run.world.network.loss = 0.4 if seed % 2 else 0.0
+    worlds.after(run.world, 2500, lambda: setattr(
+        run.world.network, "loss", 0.01 if seed % 4 == 1 else 0.0))
+
+
 def _all_down(run):
     """A closing fault: the power goes everywhere at once."""
     for host in run.world.hosts.values():
--- a/libs/rehearsal/src/rehearsal/sim/world.py
+++ b/libs/rehearsal/src/rehearsal/sim/world.py
@@ -16,7 +16,7 @@
 from waybill.effects import Call, Install, Note, Reply, Save, Send, Stop, Wake, Write
 
 __all__ = ["World", "Host", "after", "boot", "kill", "freeze", "thaw", "post", "spin",
-           "cut", "heal", "NetworkTerms"]
+           "reaches", "cut", "heal", "NetworkTerms"]
 
 
 @dataclass
@@ -81,8 +81,14 @@
     return slow * (net.lowMs + spreadMs * world.random.random() ** 2)
 
 
+def reaches(world, sender, to):
+    return (sender, to) not in world.cuts
+
+
 def passes(world, sender, to):
-    return (sender, to) not in world.cuts and (
+    """Between our processes a pipe that breaks also loses messages; calls over
+    HTTP either get through or are seen to break."""
+    return reaches(world, sender, to) and (
         world.network.loss == 0 or world.random.random() >= world.network.loss)
 
 
