Stop a process whose core broke; let unreadable records change nothing

Cause: a committed record that was not JSON raised in every follower's owner thread, and the thread's end left the process up, answering nobody. Found when the log measurement appended padding as records. Ruled out: the log itself (the records were durable and whole). Before: all three depots half alive after one such record.

--- a/libs/dispatch/src/dispatch/ledger.py
+++ b/libs/dispatch/src/dispatch/ledger.py
@@ -58,8 +58,12 @@
 
 
 def apply(ledger, record):
-    told = json.loads(record)
-    kind = told["k"]
+    """What can't be read, or is of a later version's kind, changes nothing."""
+    try:
+        told = json.loads(record)
+        kind = told["k"]
+    except (ValueError, KeyError, TypeError):
+        return
     if kind == "order":
         ledger.orderCount += 1
         ledger.engines.setdefault(told["engine"], {})[told["item"]] = {
--- a/libs/manifest/src/manifest/registry.py
+++ b/libs/manifest/src/manifest/registry.py
@@ -50,8 +50,14 @@
 
 
 def apply(registry, record):
-    told = json.loads(record)
-    kind = told["k"]
+    """What can't be read, or is of a later version's kind, changes nothing."""
+    try:
+        told = json.loads(record)
+        kind = told["k"]
+    except (ValueError, KeyError, TypeError):
+        return
+    if kind not in ("layout", "zone", "engines"):
+        return
     registry.stamp = told["stamp"]
     if kind == "layout":
         registry.sections[told["partner"]] = told["section"]
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -140,9 +140,7 @@
         except OSError as failed:
             self._fail(failures.DiskUntrusted("data folder", str(failed.strerror)))
         except Exception as failed:
-            self.ring.note("core-broke", {"event": type(event).__name__,
-                                          "error": repr(failed)},
-                           why="core-broke")
+            self._fail(failures.CoreBroke(type(event).__name__, repr(failed)))
             raise
 
     def _fail(self, failure):
--- a/libs/rehearsal/src/rehearsal/measure.py
+++ b/libs/rehearsal/src/rehearsal/measure.py
@@ -21,6 +21,9 @@
 __all__ = ["batches", "spread", "leader_loss"]
 
 
+_RECORD = b'{"k":"measure","pad":"' + b"x" * 180 + b'"}'
+
+
 def _up(folder, **config):
     fleet = Fleet(deployments.SMALL, folder, **config)
     for name in fleet.depots:
@@ -85,7 +88,7 @@
         return sum(h.ready for h in self._held.values()) == 8
 
     def _append(self, held):
-        holder.append(held, b"x" * 200)
+        holder.append(held, _RECORD)
         self._out(holder.flush(held, time.monotonic() * 1000, self._card, self._leader))
 
     def _out(self, effects):
--- a/libs/waybill/src/waybill/failures.py
+++ b/libs/waybill/src/waybill/failures.py
@@ -15,7 +15,7 @@
            "NotFound", "Overloaded", "NoRoom", "Stale", "NoHolder",
            "OutcomeUnknown", "EngineFailed", "DeadlinePassed", "StreamCut",
            "ConfigWrong", "FolderInUse", "FolderUnwritable", "DiskUntrusted",
-           "MajorityLost", "AddressTaken", "Unreachable", "TaskRepeated",
+           "MajorityLost", "CoreBroke", "AddressTaken", "Unreachable", "TaskRepeated",
            "as_json", "retry_after"]
 
 
@@ -159,6 +159,13 @@
     retryMs: int
 
 
+@_kind("core-broke", 500)
+class CoreBroke(Failure):
+    """A defect of ours: the process stops rather than go on half alive."""
+    event: str
+    error: str
+
+
 @_kind("address-taken", 500)
 class AddressTaken(Failure):
     address: str
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from dispatch import ledger
 from manifest import merging, registry
 from rehearsal import deployments
 from waybill import failures
@@ -148,6 +149,16 @@
         self.do("engines", {"engines": [{**ENGINE, "state": "gone"}]})
         self.assertThat(self.reg.engines, Equals({}))
 
+    def test_unreadable_records_change_nothing(self):
+        self.layout(self.section)
+        before, lines = registry.dump(self.reg), ledger.dump(ledger.Ledger())
+        for record in (b"", b"xx", b"{}", b"[]", b"7", b'{"k":"of-a-later-version"}'):
+            registry.apply(self.reg, record)
+            other = ledger.Ledger()
+            ledger.apply(other, record)
+            self.assertThat((registry.dump(self.reg), ledger.dump(other)),
+                            Equals((before, lines)))
+
     def test_dump_and_load(self):
         self.layout(self.section)
         self.do("engines", {"engines": [ENGINE]})
