--- a/libs/logbook/src/logbook/desk.py
+++ b/libs/logbook/src/logbook/desk.py
@@ -114,12 +114,13 @@
             places[s.shard] = ShardPlace(s.shard, s.epoch, s.first + len(s.records) - 1)
             d.records += len(s.records)
     d.batches += 1
+    d.lastShards = frozenset(places)
     d.flights.append(Flight(last_index(g) + 1, nowMs, tuple(places.values())))
     return copying.propose(g, nowMs, to_bytes(Batch(tuple(taken))), inline=fast)
 
 
 def _hold_until(d, nowMs):
-    """Until when the next batch waits for the shards last made durable."""
+    """Until when the next batch waits for the last one's shards."""
     here = {s.shard for s in d.staged}
     if len(d.lastShards) <= 1 or d.lastShards <= here:
         return nowMs
@@ -142,7 +143,6 @@
         flight = d.flights.pop(0)
         d.flushMs += 0.25 * (nowMs - flight.sentMs - d.flushMs)
         d.lastDoneMs = nowMs
-        d.lastShards = frozenset(p.shard for p in flight.places)
         for place in flight.places:
             if place.shard in d.pipes and place.epoch == d.epochs.get(place.shard):
                 told.setdefault(d.pipes[place.shard], {})[place.shard] = place
