--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -46,6 +46,7 @@
     deadlineMs: int
     bounds: Bounds
     tokens: dict
+    listen: str = ""
     groupWait: bool = True
     retryRatio: float = 0.1
 
@@ -69,6 +70,7 @@
     zone = fields.String(required=True, validate=_NAME)
     address = fields.String(required=True, validate=_ADDRESS)
     http = fields.String(required=True, validate=_ADDRESS)
+    listen = fields.String(validate=_ADDRESS)
     seeds = fields.List(fields.String(validate=_ADDRESS), required=True,
                         validate=validate.Length(min=1, max=16))
     zones = fields.List(fields.String(validate=_NAME), load_default=list)
@@ -108,6 +110,7 @@
     for key in ("address", "http"):
         if not 0 < int(loaded[key].rpartition(":")[2]) < 65536:
             return failures.ConfigWrong(key, "port out of range")
+    loaded.setdefault("listen", loaded["address"])
     loaded["bounds"] = Bounds(**loaded["bounds"])
     loaded["seeds"], loaded["zones"] = tuple(loaded["seeds"]), tuple(loaded["zones"])
     return Config(**loaded)
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -52,11 +52,11 @@
         self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group)
         try:
             self._pipes = Pipes(
-                config.address, lambda: Greet(self._node.card, False, (), self._node.circle.group),
+                config.listen, lambda: Greet(self._node.card, False, (), self._node.circle.group),
                 lambda sender, message: self._queue.put(e.Received(sender, message)),
                 self._note, configs.times(config).electMs)
         except OSError as failed:
-            raise CannotStart(failures.AddressTaken(config.address)) from failed
+            raise CannotStart(failures.AddressTaken(config.listen)) from failed
         self._owner = threading.Thread(target=self._own, name="owner", daemon=True)
 
     def _open_disk(self, config):
--- a/libs/rehearsal/src/rehearsal/fleet.py
+++ b/libs/rehearsal/src/rehearsal/fleet.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 from junction import legs
 from junction.engines import Ask, read_json
 from rehearsal import deployments
+from rehearsal.relay import Relay
 
 __all__ = ["Fleet", "free_ports"]
 
@@ -46,6 +48,7 @@
         self.http = {n: f"127.0.0.1:{ports[2 * i + 1]}" for i, n in enumerate(nodes)}
         self.engine_port = dict(zip(self.engines, ports[2 * len(nodes):]))
         self.running = {}
+        self.relays = {}
 
     def zone(self, name):
         zones = self.deployment.zones
@@ -68,11 +71,23 @@
             env={**os.environ, "PYTHONUNBUFFERED": "1"})
         log.close()
 
+    def relay(self, name):
+        """Put a relay before a process that is not started yet."""
+        self.relays[name] = Relay(self.address[name], f"127.0.0.1:{free_ports(1)[0]}")
+        return self.relays[name]
+
+    def wipe(self, name):
+        """An empty machine of the same name, at another address."""
+        shutil.rmtree(self.folder / f"{name}.data")
+        self.address[name] = f"127.0.0.1:{free_ports(1)[0]}"
+
     def _config_file(self, name, role):
         """Write the process's config, as an operator would."""
         told = {"name": name, "zone": self.zone(name), "address": self.address[name],
                 "http": self.http[name], "seeds": self.seeds(),
                 "zones": list(self.deployment.zones), **self.config}
+        if name in self.relays:
+            told["listen"] = self.relays[name].target
         if role == "depot":
             told["folder"] = str(self.folder / f"{name}.data")
         tables = {k: v for k, v in told.items() if isinstance(v, dict)}
@@ -109,6 +124,8 @@
                 process.kill()
                 process.wait()
         self.running.clear()
+        for relay in self.relays.values():
+            relay.close()
 
     def call(self, name, method, path, body=None, headers=(), timeoutMs=20000):
         """(status, JSON body) from a node or an engine; 0 if none came."""
