Tell a waiting task at once when its model can't come up in time

Cause: a task for a model with no room, no loads granted, or many loads before it stood in line for 9 s before its final answer, though the holder knew better from its plan. Ruled out: the deadline (it never came into it). After: within 2 s, four of four, with Retry-After; models that do come up are served as before, and two rare models with room for one both get a turn.

--- a/libs/dispatch/src/dispatch/orders.py
+++ b/libs/dispatch/src/dispatch/orders.py
@@ -9,8 +9,9 @@
 from dispatch import ledger as ledgers
 from dispatch import placement, world
 from dispatch.state import log
+from manifest import registry as registries
 
-__all__ = ["plan"]
+__all__ = ["plan", "wait_estimate"]
 
 
 def plan(p, nowMs, registry, name, service, terms):
@@ -23,12 +24,40 @@
     made = placement.place(engines, wishes, world.shares_of(service), present)
     p.planned[name] = made
     _tell_unmet(p, name, made, service)
+    if engines:
+        _give_up_holds(p, name, made)
     for engine in engines:
         _unload(p, registry, engine, name, made.targets[engine.name])
     for engine in sorted(engines, key=lambda e: e.name):
         _load(p, nowMs, registry, engine, name, service, made.targets[engine.name])
 
 
+def _give_up_holds(p, name, made):
+    """Who waits for what no plan has room for is told so now, not later."""
+    coming = {i for targets in made.targets.values() for i in targets}
+    coming |= {i for items in p.ledger.engines.values() for i in items}
+    for id_, hold in list(p.ledger.holds.items()):
+        item = placement.item_name(hold["model"], hold["adapter"])
+        if hold["service"] == name and item not in coming:
+            p.holdsMs.pop(id_, None)
+            log(p, ledgers.unhold_record(id_, "no-room"))
+
+
+def wait_estimate(p, registry, hold):
+    """How long the loads before this one take the weight store, at its rate; None
+    if the service may load nothing at all."""
+    service = registries.services(registry).get(hold["service"])
+    if service is None or not service["loads"]["atOnce"] or not service["loads"]["perMinute"]:
+        return None
+    item = placement.item_name(hold["model"], hold["adapter"])
+    if any(item in items for items in p.ledger.engines.values()):
+        return 0
+    made = p.planned.get(hold["service"], placement.Plan())
+    ahead = sum(1 for engine, targets in made.targets.items() for other in targets
+                if other not in p.ledger.engines.get(engine, {}) and other != item)
+    return max(0, ahead - service["loads"]["atOnce"]) * 60000 / service["loads"]["perMinute"]
+
+
 def _tell_unmet(p, name, made, service):
     unmet = made.unmet
     if service["loads"]["atOnce"] == 0 and not unmet:
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -140,6 +140,11 @@
     same = sum(1 for h in p.ledger.holds.values() if h["model"] == body["model"])
     if len(p.ledger.holds) >= terms.holdsMax or same >= terms.holdsPerModel:
         return [Reply(token, failures.Overloaded(int(10 * terms.callMs), "waitlist"))]
+    waitMs = orders.wait_estimate(p, registry, body)
+    if waitMs is None or waitMs > body["waitMs"]:
+        retryMs = int(min(waitMs or 30 * terms.callMs, 60 * terms.callMs))
+        cause = "no-loads" if waitMs is None else "loads-queue"
+        return [Reply(token, failures.NoRoom(max(1000, retryMs), body["model"], cause))]
     p.holdsMs[id_] = nowMs
     log(p, ledgers.hold_record({k: body[k] for k in (
         "id", "service", "model", "adapter", "class", "waitMs")}),
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -51,6 +51,7 @@
     giveUpMs: float = 0.0
     sinceMs: float = 0.0
     turn: int = 0
+    lined: bool = False
 
 
 @dataclass(frozen=True)
@@ -176,10 +177,23 @@
     line = sorted((t for t in r.tasks.values() if t.waiting),
                   key=lambda t: (RANK[t.cls], t.turn or 1 << 60, t.sinceMs))
     for task in line:
-        effects += _go(r, nowMs, floor, counters, task)
+        if _dropped(floor, task):
+            task.waiting = False
+            effects += _fail(r, task, failures.NoRoom(5000, task.model, "no-room"))
+        else:
+            effects += _go(r, nowMs, floor, counters, task)
     return effects
 
 
+def _dropped(floor, task):
+    """Whether the holder has taken a task out of the line it was in."""
+    ledger = floors.ledger_of(floor, world.shard_of(task.service, floor.shards))
+    if task.id in ledger.holds:
+        task.lined = True
+        return False
+    return task.lined
+
+
 def tick(r, nowMs):
     """Those whose time in line is over get their final answer now."""
     effects = []
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -184,7 +184,9 @@
 def _finish(node, nowMs, pending, outcome):
     if pending.verb == "hold":
         if isinstance(outcome, Answered) and outcome.status != 200:
-            outcome = failures.Overloaded(3000, str(outcome.body.get("failure", "waitlist")))
+            outcome = failures.NoRoom(int(outcome.body.get("retryMs", 3000)),
+                                      pending.body["model"],
+                                      str(outcome.body.get("cause", "waitlist")))
         elif isinstance(outcome, Answered):
             outcome = outcome.body
         return router.held(node.router, nowMs, pending.body["id"], outcome)
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,82 @@
+"""The line of tasks whose model is coming up: served, or told at once."""
+
+import dataclasses
+
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+from rehearsal import deployments
+from rehearsal.sim import floor, run
+from rehearsal.sim import world as worlds
+from waybill import failures
+
+
+class Waiting(TestCase):
+    def ask(self, deployment, model, seed=5, count=1):
+        """Ask for a model on a settled floor; the tasks as they ended."""
+        made = run._build(seed, deployment, True)
+        made.furnish()
+        worlds.spin(made.world, 25000)
+        for number in range(count):
+            host = made.world.hosts[f"c{number % deployment.counters}"]
+            told = {**made._told(model, "reroute", True), "id": f"w{number}"}
+            floor.caller(made.world, made.history, host, told)
+        worlds.spin(made.world, 45000)
+        self.assertThat(len(made.history.ended), Equals(count))
+        holds = [h for x in made.world.hosts["c0"].node.floor.ledgers.values()
+                 for h in x.holds]
+        self.assertThat(holds, Equals([]), "nobody is left in line")
+        return made.history.ended
+
+    def test_served_once_loaded(self):
+        for task in self.ask(deployments.SMALL, "m05", count=9):
+            self.assertIsInstance(task["outcome"], dict)
+            self.assertThat(task["endMs"] - task["atMs"], LessThan(4000))
+
+    def test_told_at_once_when_there_is_no_room(self):
+        tight = dataclasses.replace(deployments.SMALL, roomMb=40)
+        for task in self.ask(tight, "m05", count=4):
+            self.assertThat(task["outcome"], Equals(
+                failures.NoRoom(5000, "m05", "no-room")))
+            self.assertThat(task["endMs"] - task["atMs"], LessThan(2000))
+
+    def test_told_at_once_when_the_store_is_asked_for_nothing(self):
+        shut = dataclasses.replace(deployments.SMALL, loads=(0, 0))
+        task, = self.ask(shut, "m05")
+        self.assertThat(task["outcome"].cause, Equals("no-loads"))
+        self.assertThat(task["endMs"] - task["atMs"], LessThan(2000))
+
+    def test_told_at_once_when_many_loads_come_first(self):
+        slow = dataclasses.replace(deployments.BYGGESAG, loads=(1, 6))
+        task, = self.ask(slow, "m34")
+        self.assertThat(task["outcome"].cause, Equals("loads-queue"))
+        self.assertThat(task["endMs"] - task["atMs"], LessThan(2000))
+
+    def test_rare_models_wanted_together_all_come_up(self):
+        """Room for one of two: who is told to come back does, and has a turn."""
+        tight = dataclasses.replace(deployments.SMALL, roomMb=80, models=9)
+        for seed in (6, 7):
+            made = run._build(seed, tight, True)
+            made.furnish()
+            worlds.spin(made.world, 25000)
+            served, told_back = set(), set()
+
+            def ask(model, number):
+                told = {**made._told(model, "reroute", True),
+                        "id": f"{model}.{number}", "deadlineMs": 30000}
+                floor.caller(made.world, made.history, made.world.hosts["c0"], told,
+                             lambda task: ended(task, model, number))
+
+            def ended(task, model, number):
+                outcome = task["outcome"]
+                if isinstance(outcome, dict):
+                    served.add(model)
+                elif number < 12:
+                    told_back.add(model)
+                    worlds.after(made.world, outcome.retryMs,
+                                 lambda: ask(model, number + 1))
+            for model in ("m07", "m08"):
+                ask(model, 0)
+            worlds.spin(made.world, 90000)
+            self.assertThat(served, Equals({"m07", "m08"}))
+            self.assertThat(len(told_back), Equals(1), "only one had room at first")
