Send nothing for a shard once its grant is given back; refuse callers beyond the pool

Cause: after an orderly stop's release the old holder could still send an order whose record became durable meanwhile, up to its hearing of the next grant, so the next holder's wait for calls might be a feed's delay too short; found by reading. And callers beyond the HTTP threads waited in the pool's own queue, unanswered, up to as many again; they now get their 503 with Retry-After at once.

--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -85,7 +85,7 @@
         _, engine, item, order, verb, body = then
         facts = registry.engines.get(engine)
         lastMs = grantEndMs - terms.callMs
-        if facts is None or nowMs >= lastMs or not world.usable(registry, facts):
+        if facts is None or nowMs >= lastMs or p.held.lost or not world.usable(registry, facts):
             log(p, ledgers.state_record(engine, item, order, "refused"))
             return []
         return [_call(p, nowMs, order, verb, facts, body, terms, item, order, lastMs)]
--- a/libs/junction/src/junction/serving.py
+++ b/libs/junction/src/junction/serving.py
@@ -9,7 +9,7 @@
 import socket
 
 from junction import callers, engines, legs, pieces
-from junction.router import Done, Leg
+from junction.router import Leg
 from waybill import failures
 
 __all__ = ["Serving"]
--- a/libs/pulleyhitch/src/pulleyhitch/keeping.py
+++ b/libs/pulleyhitch/src/pulleyhitch/keeping.py
@@ -160,9 +160,11 @@
 
 
 def release_all(k, card, leader, successors):
-    """On an orderly stop: give grants back, naming who should follow."""
+    """On an orderly stop: give grants back, naming who should follow.  From here
+    on nothing is sent for these shards; the next holder waits out our calls."""
     effects = []
     for shard, kept in sorted(k.keepers.items()):
+        kept.held.lost = True
         successor = successors[shard % len(successors)] if successors else ""
         if leader:
             effects.append(Send(leader, Release(card.name, shard, kept.epoch, successor)))
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -13,6 +13,7 @@
 import hmac
 import secrets
 import socket
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 from werkzeug.exceptions import HTTPException
@@ -55,20 +56,20 @@
 
     def __init__(self, host, port, app, threads):
         self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
-        self._threads = threads
-        self._running = 0
+        self._free = threading.BoundedSemaphore(threads)
         super().__init__(host, port, app, handler=_Handler)
 
     def process_request(self, request, client_address):
-        if self._pool._work_queue.qsize() > self._threads:
-            self._turn_away(request)
-        else:
+        if self._free.acquire(blocking=False):
             self._pool.submit(self._one, request, client_address)
+        else:
+            self._turn_away(request)
 
     def _turn_away(self, request):
         body = b'{"failure": "overloaded", "cause": "threads", "retryMs": 2000}\n'
         try:
-            request.settimeout(0.2)
+            request.settimeout(0.05)
+            request.recv(1 << 16)
             request.sendall(b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\n"
                             b"Content-Type: application/json\r\nConnection: close\r\n"
                             b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
@@ -83,6 +84,7 @@
             pass
         finally:
             self.shutdown_request(request)
+            self._free.release()
 
 
 class Server:
--- a/libs/rehearsal/src/rehearsal/show.py
+++ b/libs/rehearsal/src/rehearsal/show.py
@@ -21,7 +21,8 @@
             kind, good = "lookup", code == 200
         else:
             kind, _, stream = rng.choices(d.classes, [c[1] for c in d.classes])[0]
-            body = {"service": d.service, "model": f"m{min(rng.randrange(d.models), rng.randrange(d.models)):02d}",
+            model = min(rng.randrange(d.models), rng.randrange(d.models))
+            body = {"service": d.service, "model": f"m{model:02d}",
                     "class": kind, "prompt": f"caller {number}", "stream": stream,
                     "deadlineMs": 15000}
             if stream:
--- a/libs/rehearsal/src/rehearsal/sim/world.py
+++ b/libs/rehearsal/src/rehearsal/sim/world.py
@@ -12,18 +12,12 @@
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
 from rehearsal.sim import disk as disks
+from rehearsal.sim.network import NetworkTerms, cut, heal, latency, passes, reaches
 from waybill import events as e
 from waybill.effects import Call, Install, Note, Reply, Save, Send, Stop, Wake, Write
 
 __all__ = ["World", "Host", "after", "boot", "kill", "freeze", "thaw", "post", "spin",
-           "reaches", "cut", "heal", "NetworkTerms"]
-
-
-@dataclass
-class NetworkTerms:
-    lowMs: float = 0.2
-    highMs: float = 3.0
-    loss: float = 0.0
+           "reaches", "passes", "latency", "cut", "heal", "NetworkTerms"]
 
 
 @dataclass
@@ -74,32 +68,6 @@
     world.nowMs = untilMs
 
 
-def latency(world):
-    net = world.network
-    spreadMs = net.highMs - net.lowMs
-    slow = 20 if world.random.random() < 0.01 else 1
-    return slow * (net.lowMs + spreadMs * world.random.random() ** 2)
-
-
-def reaches(world, sender, to):
-    return (sender, to) not in world.cuts
-
-
-def passes(world, sender, to):
-    """Between our processes a pipe that breaks also loses messages; calls over
-    HTTP either get through or are seen to break."""
-    return reaches(world, sender, to) and (
-        world.network.loss == 0 or world.random.random() >= world.network.loss)
-
-
-def cut(world, sender, to):
-    world.cuts.add((sender, to))
-
-
-def heal(world):
-    world.cuts.clear()
-
-
 def boot(world, host):
     """Start a host's process from its disk (if it has one)."""
     host.life += 1
--- a/libs/waybill/src/waybill/messages.py
+++ b/libs/waybill/src/waybill/messages.py
@@ -6,6 +6,9 @@
 
 from dataclasses import dataclass
 
+from waybill.depot_talk import (Ballot, Canvass, Entries, EntriesAck, Entry, FoundAgree,
+                                FoundAsk, Member, TakeOver, ViewPart)
+
 __all__ = ["KIND_OF", "TYPE_OF"]
 
 
@@ -22,13 +25,6 @@
     empty: bool = False
 
 
-@dataclass(frozen=True)
-class Member:
-    name: str
-    identity: str
-    address: str
-
-
 @dataclass(frozen=True)
 class GroupCard:
     """The depots' membership as somebody knows it; the highest term wins."""
@@ -47,88 +43,6 @@
     group: GroupCard
 
 
-@dataclass(frozen=True)
-class FoundAsk:
-    group: str
-    members: tuple[Member, ...]
-
-
-@dataclass(frozen=True)
-class FoundAgree:
-    group: str
-    identity: str
-    agreed: bool
-
-
-@dataclass(frozen=True)
-class Canvass:
-    group: str
-    term: int
-    identity: str
-    lastIndex: int
-    lastTerm: int
-    trial: bool
-    named: bool
-
-
-@dataclass(frozen=True)
-class Ballot:
-    term: int
-    identity: str
-    granted: bool
-    trial: bool
-
-
-@dataclass(frozen=True)
-class Entry:
-    index: int
-    term: int
-    body: bytes
-
-
-@dataclass(frozen=True)
-class Entries:
-    group: str
-    term: int
-    identity: str
-    address: str
-    to: str
-    prevIndex: int
-    prevTerm: int
-    commit: int
-    round: int
-    entries: tuple[Entry, ...]
-
-
-@dataclass(frozen=True)
-class EntriesAck:
-    term: int
-    identity: str
-    name: str
-    address: str
-    agreed: bool
-    index: int
-    round: int
-
-
-@dataclass(frozen=True)
-class ViewPart:
-    group: str
-    term: int
-    identity: str
-    address: str
-    to: str
-    index: int
-    viewTerm: int
-    body: bytes
-
-
-@dataclass(frozen=True)
-class TakeOver:
-    """The leader asks its named successor to canvass at once."""
-    term: int
-
-
 @dataclass(frozen=True)
 class Ask:
     """A node's ping: who asks, from which place it follows, when it sent this."""
