Let faults on depots overlap in scripts; judge late work by when it was given out

Cause: scripts spared the depots, so two at once were never tried. The checkers now go by the moment a leg is given and by the stamps of the answers; both still see the broken variants.

--- a/libs/rehearsal/src/rehearsal/sim/checkers.py
+++ b/libs/rehearsal/src/rehearsal/sim/checkers.py
@@ -18,7 +18,7 @@
 def ran_twice(run):
     """A task that may not be repeated ran twice."""
     counts = {}
-    for _, _, _, task, _, repeatable, _ in run.history.begun:
+    for _, _, _, task, _, repeatable, _, _ in run.history.begun:
         if not repeatable:
             counts[task] = counts.get(task, 0) + 1
     return [("ran-twice", {"task": t, "runs": c}) for t, c in counts.items() if c > 1]
@@ -52,17 +52,24 @@
     return found
 
 
+def _shut_since(news, key, atMs):
+    """Since when a zone or engine is surely shut for new work at a time: told so
+    at some stamp, and nobody has asked to open it that might come after."""
+    shut = [n for n in news if n["key"] == key and n["shut"] and n["atMs"] <= atMs]
+    opened = [n for n in news if n["key"] == key and not n["shut"] and n["atMs"] <= atMs]
+    sure = [s["atMs"] for s in shut
+            if not any(o["stamp"] is None or o["stamp"] > s["stamp"] for o in opened)]
+    return min(sure, default=None)
+
+
 def _late_work(run, news, of, boundMs, tag):
-    """Work begun later than the bound after news that forbade it."""
+    """Work given out later than the bound after news that forbade it."""
     found = []
-    for atMs, engine, zone, task, _, _, _ in run.history.begun:
-        last = None
-        for toldMs, key, closed in news:
-            if key == (engine if of == "engine" else zone) and toldMs <= atMs:
-                last = (toldMs, closed)
-        if last and last[1] and atMs - last[0] > boundMs + _SLACK_MS:
+    for _, engine, zone, task, _, _, _, givenMs in run.history.begun:
+        sinceMs = _shut_since(news, engine if of == "engine" else zone, givenMs)
+        if sinceMs is not None and givenMs - sinceMs > boundMs + _SLACK_MS:
             found.append((tag, {"task": task, "engine": engine,
-                                "lateMs": round(atMs - last[0])}))
+                                "lateMs": round(givenMs - sinceMs)}))
     return found
 
 
@@ -132,7 +139,7 @@
 def flooded(run):
     """Too many tasks on an engine in its first moments; too many retries."""
     found, first, most = [], {}, {}
-    for atMs, engine, _, _, born, _, running in run.history.begun:
+    for atMs, engine, _, _, born, _, running, _ in run.history.begun:
         start = first.setdefault((engine, born), atMs)
         if born > 0 and atMs - start < 1000:
             most[engine, born] = max(most.get((engine, born), 0), running)
--- a/libs/rehearsal/src/rehearsal/sim/faults.py
+++ b/libs/rehearsal/src/rehearsal/sim/faults.py
@@ -196,19 +196,25 @@
 
 
 def script(rng, deployment, count, spanMs):
-    """A seeded script.  At most one depot is down or wiped at a time, which is
-    what a majority of three bears; everything else overlaps freely."""
-    steps, depotFreeMs = [], 0.0
+    """A seeded script.  Faults overlap freely, but while a depot's disk is lost
+    and until it is replaced no other depot is touched: a second disk lost then
+    would be a majority's."""
+    steps, wipes, depots = [], [], []
     for _ in range(count):
         fault = rng.choice(sorted(FAULTS))
         kind = FAULTS[fault][0]
         atMs, forMs = rng.random() * spanMs, 500 + rng.random() * 6000
-        if kind in ("depot", "leader") or fault in ("cut-off", "cut-one-way"):
-            atMs = max(atMs, depotFreeMs)
-            if fault.startswith("wipe"):
-                forMs = 500.0
-            depotFreeMs = atMs + forMs + 5000
-        steps.append(Step(atMs, fault, _target(rng, kind, deployment), forMs))
+        target = _target(rng, kind, deployment)
+        if fault.startswith("wipe"):
+            forMs = 500.0
+            atMs = max([atMs] + [toMs + 2000 for _, toMs in wipes + depots])
+            wipes.append((atMs - 1000, atMs + forMs + 10000))
+        elif kind in ("depot", "leader") or target.startswith("d"):
+            for fromMs, toMs in wipes:
+                if atMs < toMs and atMs + forMs > fromMs:
+                    atMs = toMs
+            depots.append((atMs, atMs + forMs))
+        steps.append(Step(atMs, fault, target, forMs))
     return checked(sorted(steps, key=lambda s: s.atMs), deployment)
 
 
--- a/libs/rehearsal/src/rehearsal/sim/floor.py
+++ b/libs/rehearsal/src/rehearsal/sim/floor.py
@@ -154,6 +154,7 @@
         worlds.after(world, 1.0, lambda: done("no-pipe", None, ()))
         return
     run, seen, state = pieces.Run(told["id"]), [], {"open": True}
+    givenMs = world.nowMs
 
     def close(proof, answer=None):
         if state["open"]:
@@ -178,7 +179,8 @@
             return worlds.after(world, worlds.latency(world), lambda: close("not-run"))
         name = engines.begin(engine.core, world.nowMs, told["id"])
         history.begun.append((world.nowMs, leg.engine, engine.zone, told["id"],
-                              engine.born, told["repeatable"], engine.core.running))
+                              engine.born, told["repeatable"], engine.core.running,
+                              givenMs))
         emit(name, 0, engine.life)
 
     def emit(name, n, engineLife):
--- a/libs/rehearsal/src/rehearsal/sim/operators.py
+++ b/libs/rehearsal/src/rehearsal/sim/operators.py
@@ -88,18 +88,24 @@
 
     def engine_state(self, name, state):
         facts = {**self.engineFacts[name], "state": state}
-        news = self.history.engineNews
-        self.change("engines", {"engines": [facts]},
-                    lambda _: news.append((self.world.nowMs, name, state != "join")))
-        if state == "join":
-            news.append((self.world.nowMs, name, False))
+        self._shut_or_open(self.history.engineNews, name, state != "join",
+                           "engines", {"engines": [facts]})
 
     def evacuate(self, zone, evacuated):
-        news = self.history.zoneNews
-        if not evacuated:
-            news.append((self.world.nowMs, zone, False))
-        self.change("zone", {"zone": zone, "evacuated": evacuated},
-                    lambda _: news.append((self.world.nowMs, zone, evacuated)))
+        self._shut_or_open(self.history.zoneNews, zone, evacuated,
+                           "zone", {"zone": zone, "evacuated": evacuated})
+
+    def _shut_or_open(self, news, key, shut, verb, body):
+        """Shutting counts from its answer; opening, possibly, from the asking."""
+        told = {"atMs": self.world.nowMs, "key": key, "shut": shut, "stamp": None}
+        if not shut:
+            news.append(told)
+
+        def answered(answer):
+            told["stamp"] = answer["stamp"]
+            if shut:
+                news.append({**told, "atMs": self.world.nowMs})
+        self.change(verb, body, answered)
 
     def traffic(self):
         def one():
