Tick on time under any load; take what a freeze left before judging

Cause: the owner took the next event whenever one waited and ticked only when none did, so under steady load pings, elections and give-ups would stop; found by reading, then shown. And select() fails on handles over 1023, where every caller would have looked gone. Before: five ticks never came with a queue that is never empty. After: they come, and after a held-up time the waiting events are taken before the tick that judges silence. poll() replaces select().

--- a/libs/junction/src/junction/serving.py
+++ b/libs/junction/src/junction/serving.py
@@ -5,12 +5,10 @@
 thread owns the sockets.
 """
 
-import select
-import socket
-
 from junction import callers, engines, legs, pieces
 from junction.router import Leg
 from waybill import failures
+from waybill.pipes import hung_up
 
 __all__ = ["Serving"]
 
@@ -132,13 +130,4 @@
 def _gone_check(environ):
     """A function that says whether the caller has closed its end."""
     sock = environ.get("werkzeug.socket")
-
-    def gone():
-        if sock is None:
-            return False
-        try:
-            ready, _, _ = select.select([sock], [], [], 0)
-            return bool(ready) and sock.recv(1, socket.MSG_PEEK) == b""
-        except (OSError, ValueError):
-            return True
-    return gone
+    return lambda: sock is not None and hung_up(sock)
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -110,26 +110,26 @@
                     self._queue.put(e.Asked(token, "ended", {"proof": "gone"}))
 
     def _own(self):
+        """Events as they come, and a tick whenever one is due, however many wait.
+        After a time in which we did not run, what came meanwhile goes first."""
         tickMs = configs.times(self.config).pingMs / _TICKS_PER_PING
         nextMs = _now()
         while not self._stopped.is_set():
             nowMs = _now()
-            waitMs = max(0.0, min(nextMs, self._wakeMs) - nowMs)
-            try:
-                event = self._queue.get(timeout=waitMs / 1000) if waitMs else (
-                    self._queue.get_nowait())
-            except queue.Empty:
-                nowMs = _now()
-                if nowMs < min(nextMs, self._wakeMs):
-                    continue
-                if nowMs >= nextMs:
-                    nextMs = nowMs + tickMs
-                self._wakeMs = float("inf")
-                event = e.Tick()
-            else:
-                if _now() >= nextMs + 4 * tickMs and self._queue.empty():
-                    nextMs = _now()
-            self._feed(event)
+            dueMs = min(nextMs, self._wakeMs)
+            if nowMs < dueMs:
+                try:
+                    self._feed(self._queue.get(timeout=(dueMs - nowMs) / 1000))
+                except queue.Empty:
+                    pass
+                continue
+            if nowMs - dueMs > 4 * tickMs:
+                for _ in range(self._queue.qsize()):
+                    self._feed(self._queue.get())
+            if nowMs >= nextMs:
+                nextMs = _now() + tickMs
+            self._wakeMs = float("inf")
+            self._feed(e.Tick())
 
     def _feed(self, event):
         try:
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -12,7 +12,6 @@
 
 import hmac
 import secrets
-import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
@@ -100,7 +99,6 @@
                                  self._config.httpThreads)
         except (OSError, SystemExit) as failed:
             raise OSError(self._config.http) from failed
-        self._http.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
 
     def run(self):
         self._http.serve_forever(poll_interval=0.2)
--- a/libs/waybill/src/waybill/pipes.py
+++ b/libs/waybill/src/waybill/pipes.py
@@ -7,6 +7,7 @@
 """
 
 import queue
+import select
 import socket
 import struct
 import threading
@@ -16,7 +17,7 @@
 from waybill import frames
 from waybill.messages import Greet
 
-__all__ = ["Pipes"]
+__all__ = ["Pipes", "hung_up"]
 
 _LINE = 4096
 _CHUNK_BYTES = 1 << 16
@@ -106,7 +107,7 @@
                     batch.append(line.get_nowait())
                 except queue.Empty:
                     break
-            if sock is not None and _closed(sock):
+            if sock is not None and hung_up(sock):
                 sock.close()
                 sock = None
             try:
@@ -123,17 +124,11 @@
                     sock = None
 
 
-def _closed(sock):
-    """Whether the other end hung up: nothing is ever sent back on a pipe."""
+def hung_up(sock):
+    """Whether the other end has closed, without waiting or taking what it sent."""
     try:
-        sock.settimeout(0)
-        return sock.recv(1) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        return bool(poll.poll(0)) and sock.recv(1, socket.MSG_PEEK) == b""
+    except (OSError, ValueError):
         return True
-    finally:
-        try:
-            sock.settimeout(2.0)
-        except OSError:
-            pass
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,76 @@
+"""The owner's loop: ticks come however many events wait, and after a freeze
+what came meanwhile is taken first."""
+
+import queue
+import threading
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from pulleyhitch import config, node, process
+from pulleyhitch.process import Process
+from rehearsal.fleet import free_ports
+from waybill import events as e
+
+
+class _Endless(queue.SimpleQueue):
+    """Always holds another event."""
+
+    def get(self, block=True, timeout=None):
+        return e.Received("127.0.0.1:1", None)
+
+    def get_nowait(self):
+        return self.get()
+
+    def qsize(self):
+        return 3
+
+
+class Owner(TestCase):
+    def process(self, seen):
+        ports = free_ports(2)
+        made = Process(config.check({
+            "name": "c0", "role": "counter", "zone": "x",
+            "address": f"127.0.0.1:{ports[0]}", "http": f"127.0.0.1:{ports[1]}",
+            "seeds": [f"127.0.0.1:{ports[0]}"]}))
+        self.addCleanup(made._pipes.close)
+        self.addCleanup(made._stopped.set)
+
+        def handle(_, nowMs, event):
+            seen(event)
+            return []
+        self.patch(node, "handle", handle)
+        return made
+
+    def test_ticks_come_under_any_load(self):
+        ticked, count = threading.Event(), []
+
+        def seen(event):
+            if isinstance(event, e.Tick):
+                count.append(1)
+                if len(count) == 5:
+                    ticked.set()
+        made = self.process(seen)
+        made._queue = _Endless()
+        made.start()
+        self.assertTrue(ticked.wait(60))
+
+    def test_what_came_during_a_freeze_goes_first(self):
+        """The first event takes ten seconds of the clock; ten wait behind it."""
+        order, done, clock = [], threading.Event(), [0.0]
+
+        def seen(event):
+            if isinstance(event, e.Closing):
+                clock[0] += 10000.0
+            order.append(type(event).__name__)
+            if len(order) > 11:
+                done.set()
+        made = self.process(seen)
+        self.patch(process, "_now", lambda: clock[0])
+        made._queue.put(e.Closing())
+        for _ in range(10):
+            made._queue.put(e.Received("a", None))
+        made.start()
+        self.assertTrue(done.wait(60))
+        first = order[order.index("Closing") + 1:]
+        self.assertThat(first[:11], Equals(["Received"] * 10 + ["Tick"]))
