--- a/libs/manifest/src/manifest/registry.py
+++ b/libs/manifest/src/manifest/registry.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass, field
 
 from manifest import merging
-from waybill.failures import (FieldWrong, LayoutWrong, NotFound, StampStale,
-                              WrongPartner)
+from waybill.failures import (FieldWrong, LayoutWrong, NotFound, RefusedBefore,
+                              StampStale, WrongPartner, as_json)
 
 __all__ = ["Registry", "apply", "decide", "dump", "load", "services", "models",
            "zone_names", "VERBS"]
@@ -56,7 +56,7 @@
         kind = told["k"]
     except (ValueError, KeyError, TypeError):
         return
-    if kind not in ("layout", "zone", "engines"):
+    if kind not in ("layout", "zone", "engines", "same", "refused"):
         return
     registry.stamp = told["stamp"]
     if kind == "layout":
@@ -73,35 +73,61 @@
             if engine["state"] == "gone":
                 del registry.engines[engine["name"]]
     if told.get("change"):
-        registry.changes[told["change"]] = told["stamp"]
+        registry.changes[told["change"]] = told.get("answer", told["stamp"])
         while len(registry.changes) > _KEPT_CHANGES:
             del registry.changes[next(iter(registry.changes))]
 
 
 def decide(registry, verb, body):
-    """Return (record or None, answer dict, Failure or None)."""
+    """Return (record or None, answer dict or None, Failure or None).
+
+    Whatever the answer, it is recorded under the change's id, refusals and
+    changes of nothing too: a copy of the same change that arrives later, when
+    things have changed, must not come to another answer.
+    """
     if not isinstance(body, dict):
         return None, None, FieldWrong("(whole)", "not an object")
     change = body.get("change", "")
     if not isinstance(change, str) or len(change) > 128:
         return None, None, FieldWrong("change", "not a short text")
     if change and change in registry.changes:
-        return None, {"stamp": registry.changes[change], "again": True}, None
+        return None, *_told_before(registry.changes[change])
+    told, failure = _judged(registry, verb, body)
+    stamp = registry.stamp + (told is not None)
+    if failure:
+        answer = {"status": failure.status, "told": as_json(failure)}
+        told = {"k": "refused", "answer": answer}
+    elif told is None:
+        answer = {"status": 200, "told": {"stamp": stamp, "same": True}}
+        told = {"k": "same", "answer": answer}
+    if told["k"] in ("refused", "same") and not change:
+        return None, None if failure else {"stamp": stamp, "same": True}, failure
+    record = _pack({**told, "stamp": stamp, "change": change})
+    if failure:
+        return record, None, failure
+    return record, {"stamp": stamp, **({"same": True} if told["k"] == "same" else {})}, None
+
+
+def _told_before(kept):
+    if isinstance(kept, dict) and kept["status"] == 200:
+        return {**kept["told"], "again": True}, None
+    if isinstance(kept, dict):
+        return None, RefusedBefore(kept["status"], kept["told"])
+    return {"stamp": kept, "again": True}, None
+
+
+def _pack(told):
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def _judged(registry, verb, body):
     expected = body.get("expect")
     if expected is not None and (not isinstance(expected, int) or isinstance(expected, bool)):
-        return None, None, FieldWrong("expect", "not a whole number")
+        return None, FieldWrong("expect", "not a whole number")
     rule = {"layout": _layout, "zone": _zone, "engines": _engines}.get(verb)
     if rule is None:
-        return None, None, NotFound(verb)
-    told, failure = rule(registry, body, expected)
-    if failure:
-        return None, None, failure
-    if told is None:
-        return None, {"stamp": registry.stamp, "same": True}, None
-    stamp = registry.stamp + 1
-    record = json.dumps({**told, "stamp": stamp, "change": change},
-                        separators=(",", ":")).encode()
-    return record, {"stamp": stamp}, None
+        return None, NotFound(verb)
+    return rule(registry, body, expected)
 
 
 def _layout(registry, body, expected):
--- a/libs/pulleyhitch/src/pulleyhitch/keeping.py
+++ b/libs/pulleyhitch/src/pulleyhitch/keeping.py
@@ -149,8 +149,7 @@
     if shard != 0:
         return placer.command(kept, nowMs, token, verb, body, floor.registry, terms)
     record, answer, failure = registries.decide(kept.registry, verb, body)
-    if failure is not None:
-        return [Reply(token, failure)]
+    answer = failure if failure is not None else answer
     then = ("reply", token, answer)
     if record is not None:
         registries.apply(kept.registry, record)
--- a/libs/rehearsal/src/rehearsal/cli.py
+++ b/libs/rehearsal/src/rehearsal/cli.py
@@ -90,8 +90,8 @@
 
 class MeasureCommand(Command):
     name = "measure"
-    description = "Measure on real processes: batches, spread, leader-loss."
-    arguments = [argument("what", "batches, spread or leader-loss")]
+    description = "Measure on real processes: batches, spread, leader-loss, window, comeback."
+    arguments = [argument("what", "batches, spread, leader-loss, window or comeback")]
     options = [option("runs", None, "How many", flag=False, default="5"),
                option("seconds", None, "Length of each (batches)", flag=False, default="5"),
                option("deployment", None, "Which fleet (spread, leader-loss)", flag=False,
@@ -106,10 +106,11 @@
         if self.argument("what") == "batches":
             measure.batches(runs, float(self.option("seconds")))
             return 0
-        rule = {"spread": measure.spread, "leader-loss": measure.leader_loss}.get(
+        rule = {"spread": measure.spread, "leader-loss": measure.leader_loss,
+                "window": measure.window, "comeback": measure.comeback}.get(
             self.argument("what"))
         if rule is None:
-            self.line_error("no such measurement: batches, spread or leader-loss")
+            self.line_error("no such measurement: see --help")
             return 2
         shutil.rmtree(self.option("folder"), ignore_errors=True)
         fleet = Fleet(deployments.BY_NAME[self.option("deployment")], self.option("folder"))
--- a/libs/rehearsal/src/rehearsal/measure.py
+++ b/libs/rehearsal/src/rehearsal/measure.py
@@ -11,6 +11,8 @@
 import tempfile
 import time
 
+import pycurl
+
 from fellows import circle as circles
 from logbook import follow, holder
 from rehearsal import deployments
@@ -18,7 +20,7 @@
 from waybill import messages as m
 from waybill.pipes import Pipes
 
-__all__ = ["batches", "spread", "leader_loss"]
+__all__ = ["batches", "spread", "leader_loss", "window", "comeback"]
 
 
 _RECORD = b'{"k":"measure","pad":"' + b"x" * 180 + b'"}'
@@ -189,3 +191,45 @@
     say(f"{len(gaps)} kills of the log node: next durable append after "
         f"{gaps[len(gaps) // 2]:.0f} ms (median), {gaps[-1]:.0f} ms (worst)")
     return gaps
+
+
+def window(fleet, runs, say=print):
+    """From the last check before an order to its first byte sent, in ms: what a
+    freeze would have to hit for a non-fencing engine to hear a late order."""
+    port = fleet.engine_port["e0"]
+    took = []
+    for _ in range(runs):
+        checkedS = time.monotonic()
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.URL, f"http://127.0.0.1:{port}/report")
+        curl.setopt(pycurl.WRITEFUNCTION, lambda data: None)
+        beforeS = time.monotonic() - checkedS
+        curl.perform()
+        took.append((beforeS + curl.getinfo(pycurl.PRETRANSFER_TIME)) * 1000)
+        curl.close()
+    took.sort()
+    say(f"{runs} calls: from check to first byte {took[runs // 2]:.2f} ms (median), "
+        f"{took[-1]:.2f} ms (worst)")
+    return took
+
+
+def comeback(fleet, runs, say=print):
+    """Every process of ours killed and started again on kept disks: until a
+    change is acknowledged and each counter has served a lookup, in ms."""
+    d, nodes, took = fleet.deployment, fleet.depots + fleet.counters, []
+    for number in range(runs):
+        for name in nodes:
+            fleet.kill(name)
+        startS = time.monotonic()
+        for name in nodes:
+            fleet.start(name)
+        fleet.until(lambda: fleet.call("c0", "POST", "/operator/zone", {
+            "zone": d.zones[0], "evacuated": number % 2 == 0}, timeoutMs=3000)[0] == 200)
+        for node in fleet.counters:
+            fleet.until(lambda n=node: fleet.call(
+                n, "GET", f"/v1/lookup/{d.plainService}/x", timeoutMs=2000)[0] == 200)
+        took.append((time.monotonic() - startS) * 1000)
+    took.sort()
+    say(f"{runs} returns of {len(nodes)} processes: service back after "
+        f"{took[runs // 2]:.0f} ms (median), {took[-1]:.0f} ms (worst)")
+    return took
--- a/libs/waybill/src/waybill/failures.py
+++ b/libs/waybill/src/waybill/failures.py
@@ -15,7 +15,8 @@
            "NotFound", "Overloaded", "NoRoom", "Stale", "NoHolder",
            "OutcomeUnknown", "EngineFailed", "DeadlinePassed", "StreamCut",
            "ConfigWrong", "FolderInUse", "FolderUnwritable", "DiskUntrusted",
-           "MajorityLost", "CoreBroke", "AddressTaken", "Unreachable", "TaskRepeated",
+           "MajorityLost", "CoreBroke", "RefusedBefore",
+           "AddressTaken", "Unreachable", "TaskRepeated",
            "as_json", "retry_after"]
 
 
@@ -159,6 +160,13 @@
     retryMs: int
 
 
+@dataclass(frozen=True)
+class RefusedBefore(Failure):
+    """The answer a change got when it was first refused, told again."""
+    status: int = 409
+    told: dict = dataclasses.field(default_factory=dict)
+
+
 @_kind("core-broke", 500)
 class CoreBroke(Failure):
     """A defect of ours: the process stops rather than go on half alive."""
@@ -182,6 +190,8 @@
 
 
 def as_json(failure):
+    if isinstance(failure, RefusedBefore):
+        return {**failure.told, "again": True}
     return {"failure": failure.tag, **dataclasses.asdict(failure)}
 
 
