Give every task an id of its own; dump the ring when a leader steps down

Cause: a caller's own id was used as the task's and as its place in line, so two callers with one id shared a hold, and one leaving the line sent the other away; found by reading. The caller's id is now only the beginning of the task's. Ruled out: answers crossing (each leg has its own pipe). A leader that loses its majority or its disk now writes its ring out. Unused pieces removed.

--- a/libs/dispatch/src/dispatch/floor.py
+++ b/libs/dispatch/src/dispatch/floor.py
@@ -11,7 +11,7 @@
 from logbook import book as books
 from manifest import registry as registries
 
-__all__ = ["Floor", "on_news", "ledger_of", "holder_of", "engines_with", "incarnation"]
+__all__ = ["Floor", "on_news", "ledger_of", "engines_with", "incarnation"]
 
 
 @dataclass
@@ -56,11 +56,6 @@
     return floor.ledgers.setdefault(shard, ledgers.Ledger())
 
 
-def holder_of(book, shard):
-    part = book.shards.get(shard)
-    return part.holder if part else ""
-
-
 def engines_with(floor, service, item):
     """Engines that may be given new work for an item (any, for a plain service)."""
     ledger = ledger_of(floor, world.shard_of(service, floor.shards))
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -22,7 +22,7 @@
     p.ledger = ledgers.load(p.held.checkpoint)
     for record in p.held.pages:
         ledgers.apply(p.ledger, record)
-    p.notBeforeMs = nowMs if p.calm else nowMs + terms.callMs
+    p.notBeforeMs = nowMs + terms.callMs
     p.holdsMs = {id_: nowMs for id_ in p.ledger.holds}
 
 
--- a/libs/dispatch/src/dispatch/state.py
+++ b/libs/dispatch/src/dispatch/state.py
@@ -42,7 +42,6 @@
     tokens: dict = field(default_factory=dict)
     holdsMs: dict = field(default_factory=dict)
     planned: dict = field(default_factory=dict)
-    calm: bool = False
     refusedMs: dict = field(default_factory=dict)
 
 
--- a/libs/fellows/src/fellows/circle.py
+++ b/libs/fellows/src/fellows/circle.py
@@ -14,7 +14,7 @@
 from waybill.effects import Note, Send
 from waybill.messages import Card, Greet, GroupCard
 
-__all__ = ["Circle", "tick", "on_greet", "learn_group", "watched", "leader_address",
+__all__ = ["Circle", "tick", "on_greet", "learn_group", "watched", "counters",
            "depot_addresses", "weight", "NO_GROUP", "live", "announce",
            "greeting"]
 
@@ -118,8 +118,9 @@
         circle.group = group
 
 
-def leader_address(circle):
-    return circle.group.leader
+def counters(circle, nowMs):
+    """How many counters there are to share an engine's slots with, us included."""
+    return 1 + sum(1 for n in live(circle, nowMs) if circle.cards[n].role == "counter")
 
 
 def depot_addresses(circle):
--- a/libs/junction/src/junction/callers.py
+++ b/libs/junction/src/junction/callers.py
@@ -61,7 +61,7 @@
     limitMs = told.setdefault("deadlineMs", deadlineMs)
     if not isinstance(limitMs, int) or isinstance(limitMs, bool) or not 1 <= limitMs <= 3_600_000:
         return failures.FieldWrong("deadlineMs", "not a whole number from 1 to 3600000")
-    told["id"] = told["id"] or secrets.token_hex(12)
+    told["id"] = ".".join(filter(None, (told["id"], secrets.token_hex(8))))
     told["repeatable"] = False
     return told
 
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -209,7 +209,7 @@
     task = r.tasks.get(token)
     if task is None:
         return []
-    if task.legs and proof != "waiting":
+    if task.legs:
         engine = task.legs[-1]
         r.busy[engine] = max(0, r.busy.get(engine, 0) - 1)
         if proof in ("no-pipe", "unknown"):
--- a/libs/logbook/src/logbook/election.py
+++ b/libs/logbook/src/logbook/election.py
@@ -11,7 +11,7 @@
 from logbook.group import (Other, last_index, last_term, leader_live, majority,
                            members, save_promise)
 from waybill.codec import to_bytes
-from waybill.effects import Note, Send
+from waybill.effects import Dump, Note, Send
 from waybill.messages import Ballot, Batch, Canvass, TakeOver
 
 __all__ = ["tick", "on_canvass", "on_ballot", "on_take_over", "hand_over",
@@ -61,9 +61,10 @@
     heard = 1 + sum(1 for i, o in g.others.items()
                     if i in voters and nowMs - o.heardMs < 1.5 * g.times.electMs)
     if heard < majority(g) and nowMs - g.ledFromMs > 1.5 * g.times.electMs:
-        return step_back(g, g.term, nowMs) + [Note("majority-silent", {"term": g.term})]
+        return step_back(g, g.term, nowMs) + [
+            Note("majority-silent", {"term": g.term}), Dump("majority-silent")]
     if _stalled(g, nowMs):
-        return [Note("disk-stalled", {"term": g.term})] + hand_over(g, nowMs)
+        return [Note("disk-stalled", {"term": g.term}), Dump("disk-stalled")] + hand_over(g, nowMs)
     effects = []
     for other in g.others.values():
         if nowMs - other.sentMs >= g.times.heartbeatMs:
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -68,11 +68,6 @@
     return node.circle.group.leader
 
 
-def counters_live(node, nowMs):
-    return 1 + sum(1 for n in circles.live(node.circle, nowMs)
-                   if node.circle.cards[n].role == "counter" and n != node.card.name)
-
-
 def handle(node, nowMs, event):
     if isinstance(event, e.Received):
         effects = _receive(node, nowMs, event.sender, event.message)
@@ -145,7 +140,7 @@
 
 def _wake(node, nowMs):
     return router.wake(node.router, nowMs, node.floor,
-                       follows.age(node.follow, nowMs), counters_live(node, nowMs))
+                       follows.age(node.follow, nowMs), circles.counters(node.circle, nowMs))
 
 
 def _news(node, nowMs, news):
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -54,10 +54,10 @@
     if verb == "ended":
         effects = router.ended(node.router, nowMs, node.floor,
                                follows.age(node.follow, nowMs),
-                               _counters(node, nowMs), event.token, body["proof"])
+                               circles.counters(node.circle, nowMs), event.token, body["proof"])
         return effects + router.wake(node.router, nowMs, node.floor,
                                      follows.age(node.follow, nowMs),
-                                     _counters(node, nowMs))
+                                     circles.counters(node.circle, nowMs))
     if verb == "believes":
         return [Reply(event.token, Answered(200, believing.all_of(node, nowMs)))]
     if verb == "read":
@@ -72,11 +72,6 @@
                  body.get("id") or f"{node.card.incarnation}.{_next(node)}")
 
 
-def _counters(node, nowMs):
-    return 1 + sum(1 for n in circles.live(node.circle, nowMs)
-                   if node.circle.cards[n].role == "counter")
-
-
 def _next(node):
     node.operator.count += 1
     return node.operator.count
@@ -96,7 +91,8 @@
                        told["adapter"], told["class"], told["prompt"][:64],
                        told["repeatable"], told["stream"], nowMs + told["deadlineMs"])
     return router.begin(node.router, nowMs, node.floor,
-                        follows.age(node.follow, nowMs), _counters(node, nowMs), task)
+                        follows.age(node.follow, nowMs),
+                        circles.counters(node.circle, nowMs), task)
 
 
 def _send(node, nowMs, token, shard, verb, body, id_):
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -19,7 +19,7 @@
 from pulleyhitch import node as nodes
 from waybill import events as e
 from waybill import failures
-from waybill.effects import Call, Dump, Install, Note, Reply, Save, Send, Stop, Wake, Write
+from waybill.effects import Call, Dump, Install, Note, Reply, Save, Send, Wake, Write
 from waybill.messages import Greet
 from waybill.pipes import Pipes
 from waybill.ring import Ring
@@ -167,8 +167,6 @@
             self.ring.note(effect.what, effect.facts)
         elif isinstance(effect, Dump):
             self.ring.note("dump", {}, why=effect.why)
-        elif isinstance(effect, Stop):
-            self._fail(effect.failure)
 
     def _write(self, effect):
         last = effect.entries[-1]
--- a/libs/rehearsal/src/rehearsal/sim/world.py
+++ b/libs/rehearsal/src/rehearsal/sim/world.py
@@ -14,7 +14,7 @@
 from rehearsal.sim import disk as disks
 from rehearsal.sim.network import NetworkTerms, cut, heal, latency, passes, reaches
 from waybill import events as e
-from waybill.effects import Call, Install, Note, Reply, Save, Send, Stop, Wake, Write
+from waybill.effects import Call, Install, Note, Reply, Save, Send, Wake, Write
 
 __all__ = ["World", "Host", "after", "boot", "kill", "freeze", "thaw", "post", "spin",
            "reaches", "passes", "latency", "cut", "heal", "NetworkTerms"]
@@ -180,9 +180,6 @@
                   if host.life == life else None)
         elif isinstance(effect, Note):
             host.notes.append((world.nowMs, effect.what, effect.facts))
-        elif isinstance(effect, Stop):
-            kill(world, host)
-            return
 
 
 def _sync(world, host, effect, rest, life):
--- a/libs/waybill/src/waybill/effects.py
+++ b/libs/waybill/src/waybill/effects.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 __all__ = ["Send", "Save", "Install", "Write", "Reply", "Call", "Wake", "Note",
-           "Dump", "Stop"]
+           "Dump"]
 
 
 @dataclass(frozen=True)
@@ -75,8 +75,3 @@
 class Dump:
     """Something went wrong: write the ring out."""
     why: str
-
-
-@dataclass(frozen=True)
-class Stop:
-    failure: object
--- a/libs/waybill/src/waybill/failures.py
+++ b/libs/waybill/src/waybill/failures.py
@@ -16,7 +16,7 @@
            "OutcomeUnknown", "EngineFailed", "DeadlinePassed", "StreamCut",
            "ConfigWrong", "FolderInUse", "FolderUnwritable", "DiskUntrusted",
            "MajorityLost", "CoreBroke", "RefusedBefore",
-           "AddressTaken", "Unreachable", "TaskRepeated",
+           "AddressTaken", "Unreachable",
            "as_json", "retry_after"]
 
 
@@ -184,11 +184,6 @@
     node: str
 
 
-@_kind("task-repeated", 409)
-class TaskRepeated(Failure):
-    task: str
-
-
 def as_json(failure):
     if isinstance(failure, RefusedBefore):
         return {**failure.told, "again": True}
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -11,6 +11,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from junction import callers
 from pulleyhitch import config
 from rehearsal import deployments
 from rehearsal.fleet import Fleet
@@ -56,6 +57,14 @@
                         Equals(config.times(config.check(GOOD)).electMs))
 
 
+class CallersIds(TestCase):
+    def test_two_callers_with_one_id_are_two_tasks(self):
+        body = {"service": "s", "prompt": "p", "id": "mine"}
+        first, second = (callers.read_task(dict(body), None, 1000)["id"] for _ in range(2))
+        self.assertNotEqual(first, second)
+        self.assertTrue(first.startswith("mine.") and second.startswith("mine."))
+
+
 class Program(TestCase):
     def test_exit_codes(self):
         folder = tempfile.mkdtemp()
