--- a/libs/rehearsal/src/rehearsal/sim/run.py
+++ b/libs/rehearsal/src/rehearsal/sim/run.py
@@ -129,6 +129,7 @@
     return Verdict(seed, checkers.check(run), run.backMs, {
         "fencing": fencing, "asked": run.history.asked, "begun": len(run.history.begun),
         "acked": len(run.history.acked), "orders": len(run.history.orders),
+        "fenced": sum(x.core.fenced for x in run.world.engines.values()),
         "virtualMs": round(run.world.nowMs), "steps": run.world.steps,
         "script": [(round(s.atMs), s.fault, s.target, round(s.forMs)) for s in steps]})
 
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -116,6 +116,21 @@
                     lambda: self.patch(keeping, "grant_end", lambda f, t: float("inf")),
                     fencing=False)
 
+    def test_a_fencing_engine_refuses_the_old_owner(self):
+        """The same freeze with a holder that never doubts its grant: the late
+        order is sent, and the engine's fence is what stops it."""
+        self.patch(keeping, "grant_end", lambda f, t: float("inf"))
+        shard, fenced = str(world.shard_of("guidance", 8)), 0
+        for seed in SEEDS:
+            found = self.simulate(seed, [
+                step(1000, "freeze-ordering", shard, 7000),
+                step(1100, "engine-restart", "e0", 200),
+                step(1100, "engine-restart", "e1", 200)], fencing=True)
+            fenced += found.facts["fenced"]
+            for _, facts in found.violations.get("one-owner", ()):
+                self.assertFalse(facts["obeyed"], facts)
+        self.assertTrue(fenced > 0)
+
     def test_room_and_store(self):
         def hasty(p, entry, seen, askedMs):
             return "forgotten" if seen is None else real(p, entry, seen, askedMs)
