Count the loads of an engine called gone while the weight store may serve them

Cause: dropping a gone engine's entries also dropped its loads from the count of those outstanding, so others were ordered while it was still loading. Ruled out: the rate (never passed) and takeovers (none near it).

--- a/libs/dispatch/src/dispatch/ledger.py
+++ b/libs/dispatch/src/dispatch/ledger.py
@@ -8,7 +8,7 @@
 import json
 from dataclasses import dataclass, field
 
-__all__ = ["Ledger", "apply", "dump", "load", "charged", "loads_out", "loaded",
+__all__ = ["Ledger", "apply", "dump", "load", "charged", "loads_out", "is_open_load", "loaded",
            "order_record", "state_record", "hold_record", "unhold_record",
            "unmet_record", "found_record", "dropped_record"]
 
@@ -120,8 +120,11 @@
 def loads_out(ledger, service):
     """Loads that may still be asking the weight store for something."""
     return sum(1 for items in ledger.engines.values() for i in items.values()
-               if i["service"] == service and i["verb"] == "load"
-               and i["state"] in _OPEN)
+               if i["service"] == service and is_open_load(i))
+
+
+def is_open_load(entry):
+    return entry["verb"] == "load" and entry["state"] in _OPEN
 
 
 def loaded(ledger, engine, item):
--- a/libs/dispatch/src/dispatch/orders.py
+++ b/libs/dispatch/src/dispatch/orders.py
@@ -113,7 +113,9 @@
 
 
 def _store_allows(p, nowMs, name, loads):
-    if ledgers.loads_out(p.ledger, name) >= loads["atOnce"]:
+    p.lingering = [x for x in p.lingering if nowMs < x[1]]
+    lingering = sum(1 for service, _ in p.lingering if service == name)
+    if ledgers.loads_out(p.ledger, name) + lingering >= loads["atOnce"]:
         return False
     burst = min(loads["atOnce"], loads["perMinute"] // 4)
     tokens, atMs = p.tokens.get(name, (burst if p.epoch == 1 else 0.0, nowMs))
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -31,7 +31,7 @@
     if not p.held.ready or p.held.lost or nowMs >= grantEndMs:
         return []
     effects = _poll(p, nowMs, registry, shards, terms)
-    _drop_gone(p, registry)
+    _drop_gone(p, nowMs, registry, terms)
     _expire_holds(p, nowMs)
     if nowMs >= p.notBeforeMs:
         for name, service in world.services_of(registry, p.shard, shards).items():
@@ -62,8 +62,13 @@
                 body, terms.callMs, notAfterMs)
 
 
-def _drop_gone(p, registry):
+def _drop_gone(p, nowMs, registry, terms):
+    """Forget engines the platform calls gone; what they were loading may still
+    ask the weight store for a while, and is counted that long."""
     for engine in [e for e in p.ledger.incarnations if e not in registry.engines]:
+        for entry in p.ledger.engines.get(engine, {}).values():
+            if ledgers.is_open_load(entry):
+                p.lingering.append((entry["service"], nowMs + terms.darkMs))
         log(p, ledgers.dropped_record(engine))
         p.reports.pop(engine, None)
         p.polls.pop(engine, None)
--- a/libs/dispatch/src/dispatch/state.py
+++ b/libs/dispatch/src/dispatch/state.py
@@ -43,6 +43,7 @@
     holdsMs: dict = field(default_factory=dict)
     planned: dict = field(default_factory=dict)
     refusedMs: dict = field(default_factory=dict)
+    lingering: list = field(default_factory=list)
 
 
 def log(p, record, then=None):
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -5,6 +5,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
+from dispatch import ledger, orders, placer, state
+from logbook import holder
+from manifest import registry
 from rehearsal import deployments
 from rehearsal.sim import floor, run
 from rehearsal.sim import world as worlds
@@ -80,3 +83,18 @@
             worlds.spin(made.world, 90000)
             self.assertThat(served, Equals({"m07", "m08"}))
             self.assertThat(len(told_back), Equals(1), "only one had room at first")
+
+
+class Store(TestCase):
+    def test_a_gone_engines_load_still_counts_for_a_while(self):
+        """Taken off the list while it loads: the store may still be serving it."""
+        terms = state.Terms(callMs=900.0, reportMs=400.0, darkMs=3000.0)
+        p = state.Placer(1, 1, holder.Held(1, 1, ready=True))
+        state.log(p, ledger.found_record("e0", "i", {}, "g"))
+        state.log(p, ledger.order_record("e0", "m", "load", "1.1.1", 5, 0, "g"))
+        loads = {"atOnce": 1, "perMinute": 60}
+        self.assertFalse(orders._store_allows(p, 0.0, "g", loads))
+        placer._drop_gone(p, 0.0, registry.Registry(), terms)
+        self.assertThat(p.ledger.engines, Equals({}))
+        self.assertFalse(orders._store_allows(p, 2900.0, "g", loads))
+        self.assertTrue(orders._store_allows(p, 3100.0, "g", loads))
