Keep the rendezvous weight in one place

Grants and the choice of engines each had the same hash; both now call waybill.rendezvous, with the same bytes, so every choice stays as it was. A field of the node that nothing read is gone. Checked: lint, and the tests of group, desk, frames and the whole path (which stops a holder without and with its orderly release).

--- a/libs/junction/src/junction/choice.py
+++ b/libs/junction/src/junction/choice.py
@@ -6,7 +6,7 @@
 Lower classes may fill only a part of an engine's slots.
 """
 
-import hashlib
+from waybill.rendezvous import weight
 
 __all__ = ["choose", "limit", "notice", "broke"]
 
@@ -14,10 +14,6 @@
 _BOUND = 1.25
 
 
-def _weight(key, name):
-    return hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
-
-
 def limit(r, nowMs, engine, counters, rank):
     """How many legs this node may have on an engine for a task of this rank."""
     age = nowMs - r.firstMs.get(engine["name"], (None, nowMs))[1]
@@ -48,7 +44,7 @@
     total = sum(r.busy.get(e["name"], 0) for e in engines) + 1
     bound = max(1, -(-int(total * _BOUND * 100) // (len(engines) * 100)))
     key = f"{task.model}|{task.adapter}|{task.opening}"
-    order = sorted(free, key=lambda e: _weight(key, e["name"]), reverse=True)
+    order = sorted(free, key=lambda e: weight(key, e["name"]), reverse=True)
     for engine in order:
         if r.busy.get(engine["name"], 0) < bound:
             return engine
--- a/libs/logbook/src/logbook/grants.py
+++ b/libs/logbook/src/logbook/grants.py
@@ -6,16 +6,16 @@
 in which this node itself did not run is nobody's silence.
 """
 
-import hashlib
 from dataclasses import dataclass, field
 
 from logbook import book as books
 from logbook import desk as desks
 from waybill.effects import Note, Send
 from waybill.messages import RecoverPage
+from waybill.rendezvous import weight
 
 __all__ = ["Nodes", "Seen", "heard", "grant_tick", "on_release", "on_recover",
-           "score", "excuse_freeze"]
+           "excuse_freeze"]
 
 
 @dataclass
@@ -36,11 +36,6 @@
     tickMs: float = -1.0
 
 
-def score(key, name):
-    """Rendezvous weight of a name for a key."""
-    return hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest()
-
-
 def heard(n, nowMs, ask):
     old = n.seen.get(ask.name)
     if old is None or old.incarnation != ask.incarnation:
@@ -91,7 +86,7 @@
     live = list(held)
     cap = -(-shards // len(live))
     roomy = [name for name in live if held[name] < cap] or live
-    return max(roomy, key=lambda name: score(shard, name))
+    return max(roomy, key=lambda name: weight(shard, name))
 
 
 def grant_tick(g, d, n, nowMs, shards):
@@ -128,7 +123,7 @@
     if not live:
         return []
     name = message.successor if message.successor in live else max(
-        live, key=lambda other: score(message.shard, other))
+        live, key=lambda other: weight(message.shard, other))
     return _grant(g, d, n, message.shard, name)
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from dispatch import floor as floors
 from fellows import circle as circles
@@ -41,7 +41,6 @@
     closing: bool = False
     askTurn: int = 0
     learnedMs: float = -1e12
-    counts: dict = field(default_factory=dict)
 
 
 def make(config, incarnation, seed, group=None):
