--- /dev/null
+++ b/libs/dispatch/src/dispatch/asked.py
@@ -0,0 +1,204 @@
+"""Placement by demand: what callers ask for comes up, what nobody asks for goes.
+
+For a service whose layout names no copies.  Counters tell how often each item
+was asked for; rates fade.  First come the items that somebody waits for, in the
+order of the line; then more copies of what is asked for most.  What gives way is
+what is worth least: seldom asked for, or up elsewhere too.  An engine carries
+out one order at a time, and one that makes room for an item is that item's
+until it is up, so that nothing is pushed out twice for the same wish.
+"""
+
+import math
+from dataclasses import dataclass
+
+from dispatch import ledger as ledgers
+from dispatch import line, orders, world
+from dispatch.demand import FADE_MS, rate
+from waybill.rendezvous import weight
+
+__all__ = ["plan"]
+
+_BUSY_PART = 0.3
+_RUN_S = 0.6
+_KEEP_MS = 1200.0
+_PAUSE_MS = 60.0
+_LET_GO = 1.5
+
+
+@dataclass
+class _View:
+    """What one pass looks at."""
+    p: object
+    nowMs: float
+    registry: object
+    name: str
+    service: dict
+    terms: object
+    engines: dict
+    copies: dict
+    waited: dict
+
+
+def plan(p, nowMs, registry, name, service, terms):
+    """Give the orders that are due now; at most one an engine."""
+    engines = {e.name: e for e in world.placement_engines(registry, name, p.reports)}
+    if not engines:
+        return
+    v = _View(p, nowMs, registry, name, service, terms, engines, _copies(p, engines),
+              line.waited_for(p, name))
+    _forget(p, nowMs, engines)
+    for item in sorted(v.waited, key=lambda i: (v.waited[i], i)):
+        if world.size_of(registry, item) is not None:
+            _bring(v, item)
+    _more_copies(v)
+
+
+def _forget(p, nowMs, engines):
+    p.demand.making = {i: m for i, m in p.demand.making.items()
+                       if m[0] in engines and nowMs - m[1] < 8 * _KEEP_MS}
+    if len(p.demand.rates) > 4096:
+        p.demand.rates = {i: r for i, r in p.demand.rates.items()
+                          if nowMs - r[1] < 8 * FADE_MS}
+
+
+def _copies(p, engines):
+    """item -> how many engines hold it or are loading it."""
+    found = {}
+    for name in engines:
+        for item, entry in p.ledger.engines.get(name, {}).items():
+            if entry["verb"] == "load":
+                found[item] = found.get(item, 0) + 1
+    return found
+
+
+def _idle(v, engine):
+    """Whether an order may be given to an engine now."""
+    items = v.p.ledger.engines.get(engine, {})
+    return v.p.demand.pauseMs.get(engine, 0.0) <= v.nowMs and not any(
+        e["state"] != "loaded" for e in items.values())
+
+
+def _bring(v, item):
+    """Have an item come up somewhere, if it isn't up or on its way."""
+    if v.copies.get(item):
+        v.p.demand.making.pop(item, None)
+        return
+    model, _, adapter = item.partition("/")
+    if adapter:
+        if v.copies.get(model):
+            _bring_adapter(v, item, model)
+        return
+    _bring_model(v, item, ())
+
+
+def _bring_adapter(v, item, model):
+    hosts = [n for n in v.engines if ledgers.loaded(v.p.ledger, n, model) and _idle(v, n)]
+    size = world.size_of(v.registry, item)
+
+    def pushed(name):
+        items = v.p.ledger.engines[name]
+        usedMb, places = ledgers.charged(v.p.ledger, name)
+        if places + size[1] <= v.engines[name].places and (
+                usedMb + size[0] <= v.engines[name].roomMb):
+            return ()
+        adapters = [i for i in items if "/" in i and i not in v.waited]
+        return tuple(sorted(adapters, key=lambda i: rate(v.p.demand, v.nowMs, i))[:1]) or None
+    found = [(sum(rate(v.p.demand, v.nowMs, i) for i in out), weight(item, n), n, out)
+             for n in hosts if (out := pushed(n)) is not None]
+    if found:
+        _, _, name, out = min(found)
+        _give(v, name, item, out)
+
+
+def _worth(v, model):
+    """What would be lost with one copy of a model, in askings a second."""
+    copies = v.copies.get(model, 1)
+    asked = rate(v.p.demand, v.nowMs, model) + 0.001
+    if copies <= 1:
+        return asked
+    return asked / copies * (1.0 if copies <= _wanted(v, model) else 0.05)
+
+
+def _wanted(v, model):
+    """How many copies a model's demand keeps busy to a part of their slots."""
+    asked = rate(v.p.demand, v.nowMs, model)
+    slots = max(1, v.service.get("slots") or 16)
+    least = 2 if asked > 2.0 else 1
+    return max(least, math.ceil(asked * _RUN_S / (_BUSY_PART * slots)))
+
+
+def _pushed(v, name, model, sizeMb):
+    """(cost, models to push out) to make room on an engine, or None."""
+    items = v.p.ledger.engines.get(name, {})
+    usedMb, _ = ledgers.charged(v.p.ledger, name)
+    freeMb = v.engines[name].roomMb - usedMb
+    if freeMb >= sizeMb:
+        return 0.0, ()
+    found = []
+    for other, entry in items.items():
+        if "/" in other or entry["verb"] != "load" or entry["state"] != "loaded":
+            continue
+        young = v.nowMs - v.p.demand.upMs.get((name, other), -1e12) < _KEEP_MS
+        if (other in v.waited and v.copies.get(other, 1) <= 1) or young:
+            continue
+        ownMb = sum(e["mb"] for i, e in items.items() if i.partition("/")[0] == other)
+        found.append((_worth(v, other), other, ownMb))
+    cost, out = 0.0, []
+    for worth, other, ownMb in sorted(found):
+        if freeMb >= sizeMb:
+            break
+        cost, freeMb = cost + worth, freeMb + ownMb
+        out.append(other)
+    return (cost, tuple(out)) if freeMb >= sizeMb else None
+
+
+def _bring_model(v, model, beside, most=float("inf")):
+    """Choose the engine where a model costs least, and take the next step there."""
+    sizeMb = world.size_of(v.registry, model)[0]
+    kept = v.p.demand.making.get(model)
+    names = [kept[0]] if kept else [n for n in v.engines if n not in beside]
+    taken = {m[0] for i, m in v.p.demand.making.items() if i != model}
+    found = []
+    for name in names:
+        if name in taken or not _idle(v, name) or model in v.p.ledger.engines.get(name, {}):
+            continue
+        pushed = _pushed(v, name, model, sizeMb)
+        if pushed is None or pushed[0] > most:
+            continue
+        known = model in v.p.demand.before.get(name, ())
+        zones = sum(1 for n in beside if v.engines[n].zone == v.engines[name].zone)
+        found.append((zones, pushed[0] * (0.6 if known else 1.0), not known,
+                      weight(model, name), name, pushed[1]))
+    if found:
+        name, out = min(found)[4:]
+        v.p.demand.making.setdefault(model, (name, v.nowMs))
+        _give(v, name, model, out)
+
+
+def _give(v, name, item, out):
+    """Push out what is in the way, or load if nothing is and the store bears it."""
+    items = v.p.ledger.engines.get(name, {})
+    if out:
+        entry = items[out[0]]
+        orders.give(v.p, name, out[0], "unload", entry["mb"], entry["places"], v.name)
+        v.copies[out[0]] = v.copies.get(out[0], 1) - 1
+        return
+    known = item in v.p.demand.before.get(name, ())
+    if "/" not in item and not known and not orders.store_allows(
+            v.p, v.nowMs, v.name, v.service["loads"]):
+        return
+    size = world.size_of(v.registry, item)
+    orders.give(v.p, name, item, "load", size[0], size[1], v.name)
+    v.copies[item] = v.copies.get(item, 0) + 1
+    v.p.demand.making.pop(item, None)
+
+
+def _more_copies(v):
+    """One more copy of what has fewer than its demand keeps busy, where that costs
+    less than it brings."""
+    for model in [i for i in v.copies if "/" not in i]:
+        if not v.copies[model] or v.copies[model] >= _wanted(v, model):
+            continue
+        beside = [n for n in v.engines if model in v.p.ledger.engines.get(n, {})]
+        asked = rate(v.p.demand, v.nowMs, model)
+        _bring_model(v, model, beside, most=asked / (1 + v.copies[model]) / _LET_GO)
--- a/libs/dispatch/src/dispatch/floor.py
+++ b/libs/dispatch/src/dispatch/floor.py
@@ -18,6 +18,7 @@
 class Floor:
     shards: int
     zones: tuple = ()
+    reader: object = None
     registry: registries.Registry = field(default_factory=registries.Registry)
     ledgers: dict = field(default_factory=dict)
 
@@ -39,11 +40,11 @@
 
 
 def _rebuild(floor, book):
-    floor.registry = registries.Registry(zonesKnown=floor.zones)
+    floor.registry = registries.Registry(zonesKnown=floor.zones, reader=floor.reader)
     floor.ledgers = {}
     for shard, part in book.shards.items():
         if shard == 0:
-            floor.registry = registries.load(part.checkpoint, floor.zones)
+            floor.registry = registries.load(part.checkpoint, floor.zones, floor.reader)
             for record in part.records:
                 registries.apply(floor.registry, record)
         else:
--- a/libs/dispatch/src/dispatch/ledger.py
+++ b/libs/dispatch/src/dispatch/ledger.py
@@ -129,10 +129,12 @@
     return sum(i["mb"] for i in items), sum(i["places"] for i in items)
 
 
-def loads_out(ledger, service):
-    """Loads that may still be asking the weight store for something."""
-    return sum(1 for items in ledger.engines.values() for i in items.values()
-               if i["service"] == service and is_open_load(i)) + sum(
+def loads_out(ledger, service, adapters=True):
+    """Loads that may still be asking the weight store for something; adapters too,
+    unless they come from elsewhere."""
+    return sum(1 for items in ledger.engines.values() for n, i in items.items()
+               if i["service"] == service and is_open_load(i)
+               and (adapters or "/" not in n)) + sum(
         1 for other in ledger.lingering.values() if other == service)
 
 
--- a/libs/dispatch/src/dispatch/line.py
+++ b/libs/dispatch/src/dispatch/line.py
@@ -11,26 +11,27 @@
 from dispatch import ledger as ledgers
 from dispatch import placement
 from dispatch.state import log
-from manifest.schema import RANK
+from manifest.schema import rank_of
 
-__all__ = ["queue", "estimate", "give_up", "learn", "drop_lost", "store_rate"]
+__all__ = ["queue", "estimate", "give_up", "learn", "drop_lost", "store_rate",
+           "waited_for"]
 
 _STEP_MS = 10000.0
 
 
 def store_rate(loads):
     """(loads that may come at once, loads a ms after that) within a service's part."""
-    burst = min(loads["atOnce"], loads["perMinute"] // 4)
+    burst = loads.get("burst", min(loads["atOnce"], loads["perMinute"] // 4))
     return burst, (loads["perMinute"] - burst) / 60000
 
 
-def _waited_for(p, name):
+def waited_for(p, name):
     """item -> since when, in effect, somebody waits for it."""
     found = {}
     for id_, hold in p.ledger.holds.items():
         if hold["service"] != name:
             continue
-        atMs = p.holdsMs.get(id_, 0.0) + RANK.get(hold["class"], 2) * _STEP_MS
+        atMs = p.holdsMs.get(id_, 0.0) + rank_of(hold["class"]) * _STEP_MS
         for item in {hold["model"], placement.item_name(hold["model"], hold["adapter"])}:
             found[item] = min(found.get(item, atMs), atMs)
     return found
@@ -38,7 +39,7 @@
 
 def queue(p, name, made, yields):
     """(engine, item) still to be loaded, next one first."""
-    waited = _waited_for(p, name)
+    waited = waited_for(p, name)
 
     def turn(place):
         engine, item = place
--- a/libs/dispatch/src/dispatch/orders.py
+++ b/libs/dispatch/src/dispatch/orders.py
@@ -10,7 +10,7 @@
 from dispatch import line, placement, world
 from dispatch.state import log
 
-__all__ = ["plan"]
+__all__ = ["plan", "give", "store_allows"]
 
 
 def plan(p, nowMs, registry, name, service, terms):
@@ -55,7 +55,8 @@
         log(p, ledgers.unmet_record(name, unmet))
 
 
-def _order(p, engine, item, verb, mb, places, service):
+def give(p, engine, item, verb, mb, places, service):
+    """Log an order; it is sent once the record is durable."""
     number = p.ledger.orderCount + 1
     order = f"{p.shard}.{p.epoch}.{number}"
     body = {"shard": p.shard, "epoch": p.epoch, "order": order, "number": number,
@@ -90,7 +91,7 @@
         if (engine.name, item) in p.refusedMs or _moving(
                 p, registry, engine.name, item, made, sizes):
             continue
-        _order(p, engine.name, item, "unload", entry["mb"], entry["places"], service)
+        give(p, engine.name, item, "unload", entry["mb"], entry["places"], service)
 
 
 def _fits(p, registry, engine, item):
@@ -109,15 +110,16 @@
 
 def _load(p, nowMs, registry, engine, item, name, service):
     """Order it, if the store bears it."""
-    if not _store_allows(p, nowMs, name, service["loads"]):
+    if not store_allows(p, nowMs, name, service["loads"]):
         return False
     size = world.size_of(registry, item)
-    _order(p, engine, item, "load", size[0], size[1], name)
+    give(p, engine, item, "load", size[0], size[1], name)
     return True
 
 
-def _store_allows(p, nowMs, name, loads):
-    if ledgers.loads_out(p.ledger, name) >= loads["atOnce"]:
+def store_allows(p, nowMs, name, loads):
+    """Whether one more load keeps within the service's part of the store; takes it."""
+    if ledgers.loads_out(p.ledger, name, loads.get("adapters", True)) >= loads["atOnce"]:
         return False
     burst, perMs = line.store_rate(loads)
     tokens, atMs = p.tokens.get(name, (burst if p.epoch == 1 else 0.0, nowMs))
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -7,12 +7,12 @@
 """
 
 from dispatch import ledger as ledgers
-from dispatch import line, orders, placement, settle, world
+from dispatch import again, asked, demand, line, orders, placement, settle, world
 from dispatch.state import log
 from logbook import holder
 from manifest import registry as registries
 from waybill import failures
-from waybill.effects import Call, Reply
+from waybill.effects import Reply
 
 __all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
 
@@ -22,7 +22,7 @@
     p.ledger = ledgers.load(p.held.checkpoint)
     for record in p.held.pages:
         ledgers.apply(p.ledger, record)
-    p.notBeforeMs = nowMs + terms.callMs
+    p.notBeforeMs = nowMs + max(terms.callMs, terms.turnMs)
     p.holdsMs = {id_: nowMs for id_ in p.ledger.holds}
 
 
@@ -36,7 +36,10 @@
     line.drop_lost(p, lost)
     if nowMs >= p.notBeforeMs:
         for name, service in world.services_of(registry, p.shard, shards).items():
-            if service["kind"] == "models":
+            if service.get("byDemand"):
+                asked.plan(p, nowMs, registry, name, service, terms)
+                effects += again.due(p, nowMs, registry, name, terms, grantEndMs)
+            elif service["kind"] == "models":
                 orders.plan(p, nowMs, registry, name, service, terms)
     return effects
 
@@ -52,17 +55,11 @@
                     nowMs - busy < 2 * terms.callMs):
                 continue
             p.polls[engine["name"]] = nowMs
-            effects.append(_call(p, nowMs, f"report:{engine['name']}", "report",
+            effects.append(again.call(p, nowMs, f"report:{engine['name']}", "report",
                                  engine, {}, terms, "", ""))
     return effects
 
 
-def _call(p, nowMs, id_, verb, engine, body, terms, item, order, notAfterMs=float("inf")):
-    p.calls[id_] = (verb, engine["name"], item, order, nowMs)
-    return Call(f"{p.shard}|{p.epoch}|{id_}", engine["name"], engine["url"], verb,
-                body, terms.callMs, notAfterMs)
-
-
 def _drop_gone(p, nowMs, registry, terms):
     """Forget engines the platform calls gone.  What they were loading is counted
     until it can no longer ask the store; a new holder counts it from its start."""
@@ -96,7 +93,7 @@
         if facts is None or nowMs >= lastMs or p.held.lost or not world.usable(registry, facts):
             log(p, ledgers.state_record(engine, item, order, "refused"))
             return []
-        return [_call(p, nowMs, order, verb, facts, body, terms, item, order, lastMs)]
+        return [again.call(p, nowMs, order, verb, facts, body, terms, item, order, lastMs)]
     return []
 
 
@@ -108,29 +105,20 @@
     verb, engine, item, order, askedMs = known
     if verb == "report":
         if called.code == 200:
-            settle.on_report(p, nowMs, engine, called.body, askedMs, registry)
+            settle.on_report(p, nowMs, engine, called.body, askedMs - terms.lagMs, registry)
         elif engine in p.reports and nowMs - p.reports[engine].askedMs > terms.darkMs:
             del p.reports[engine]
         return []
-    p.callEndMs[order] = nowMs
-    state = _answered(called)
-    if state == "refused":
-        p.refusedMs[engine, item] = nowMs
-    log(p, ledgers.state_record(engine, item, order, state))
+    again.on_answer(p, nowMs, id_, called, verb, engine, item, order, terms)
     return []
 
 
-def _answered(called):
-    """What an order's answer proves; no answer proves nothing."""
-    if called.code == 202:
-        return "taken"
-    if called.code in (400, 404, 409, 429, 503) or not called.begun:
-        return "refused"
-    return "unknown"
-
-
 def command(p, nowMs, token, verb, body, registry, terms):
     """A counter puts a task in line, or takes it out; answered once durable."""
+    if verb == "wanted":
+        for item, count in body["items"].items():
+            demand.tell(p.demand, nowMs, item, count)
+        return []
     if verb == "hold":
         return _hold(p, nowMs, token, body, registry, terms)
     id_ = str(body.get("id"))
@@ -158,6 +146,8 @@
         return [Reply(token, failures.NoRoom(int(30 * terms.callMs), body["model"],
                                              "no-loads"))]
     item = placement.item_name(body["model"], body["adapter"])
+    for asked_for in {body["model"], item}:
+        demand.tell(p.demand, nowMs, asked_for, 1)
     waitMs = line.estimate(p, nowMs, body["service"], loads, item, terms)
     if waitMs is not None and waitMs > body["waitMs"]:
         return [Reply(token, failures.NoRoom(int(waitMs), body["model"], "loads-queue"))]
--- /dev/null
+++ b/libs/dispatch/src/dispatch/roster.py
@@ -0,0 +1,78 @@
+"""Following the platform's list of engines: one node reads it for all.
+
+The holder of shard 0 asks for the list, page by page, and logs only what has
+changed.  An engine is gone only if a list that came whole doesn't name it; one
+that failed to come says nothing.  How long an engine is still slow is logged
+when it starts, and again only if the list says more than was expected.
+"""
+
+from dataclasses import dataclass, field
+
+from waybill.effects import Call
+
+__all__ = ["Roster", "tick", "on_called"]
+
+_PAGES = 200
+_SLACK_MS = 700
+
+
+@dataclass
+class Roster:
+    askedMs: float = -1e12
+    round: int = 0
+    token: str = ""
+    open: bool = False
+    found: dict = field(default_factory=dict)
+    warmUntilMs: dict = field(default_factory=dict)
+
+
+def tick(r, nowMs, terms, address, id_):
+    """Ask for the first page when it is time; `id_` makes a call's id."""
+    if not address or nowMs - r.askedMs < terms.listMs or (
+            r.open and nowMs - r.askedMs < 2 * terms.callMs):
+        return []
+    r.askedMs, r.round, r.open = nowMs, r.round + 1, True
+    r.found, r.token = {}, ""
+    return [_ask(r, terms, address, id_)]
+
+
+def _ask(r, terms, address, id_):
+    return Call(f"{id_}|list:{r.round}", "", address, "list", {"token": r.token},
+                terms.callMs)
+
+
+def on_called(r, nowMs, id_, called, registry, terms, address, prefix):
+    """(effects, changed engines): the next page is asked for, or the list is whole."""
+    if id_ != f"list:{r.round}" or not r.open:
+        return [], []
+    if called.code != 200 or not isinstance(called.body.get("engines"), list):
+        r.open = False
+        return [], []
+    for engine in called.body["engines"]:
+        r.found[engine["name"]] = engine
+    token = called.body.get("next")
+    if token and len(r.found) < _PAGES * 50:
+        r.token = token
+        return [_ask(r, terms, address, prefix)], []
+    r.open = False
+    return [], _changes(r, nowMs, registry)
+
+
+def _changes(r, nowMs, registry):
+    changed = []
+    for name, engine in r.found.items():
+        old = registry.engines.get(name)
+        plain = {k: v for k, v in engine.items() if k != "warmMs"}
+        warmMs = int(engine.get("warmMs", 0))
+        colder = warmMs > 0 and nowMs + warmMs > r.warmUntilMs.get(name, -1e12) + _SLACK_MS
+        if old is None or colder or any(old.get(k) != v for k, v in plain.items()):
+            if colder:
+                r.warmUntilMs[name] = nowMs + warmMs
+            leftMs = max(0, int(r.warmUntilMs.get(name, nowMs) - nowMs))
+            changed.append({**plain, **({"warmMs": leftMs} if leftMs else {})})
+    for name, old in registry.engines.items():
+        if name not in r.found:
+            r.warmUntilMs.pop(name, None)
+            changed.append({**{k: old[k] for k in (
+                "name", "service", "zone", "url")}, "state": "gone"})
+    return changed
--- a/libs/dispatch/src/dispatch/settle.py
+++ b/libs/dispatch/src/dispatch/settle.py
@@ -27,13 +27,19 @@
         return
     items = p.ledger.engines.get(engine, {})
     for item, entry in list(items.items()):
-        state = _settled(p, nowMs, entry, report.items.get(item), askedMs)
+        seen = report.items.get(item)
+        if body.get("busy") and entry["state"] != "loaded" and seen != "loaded":
+            continue
+        state = _settled(p, nowMs, entry, seen, askedMs)
         if state == "loaded" and entry["verb"] == "load":
             line.learn(p, nowMs, entry["service"], entry["order"])
         if state:
             p.doubtMs.pop(entry["order"], None)
             p.callEndMs.pop(entry["order"], None)
+            p.changedMs[engine] = nowMs
             log(p, ledgers.state_record(engine, item, entry["order"], state))
+    if askedMs < p.changedMs.get(engine, -1e12):
+        return
     held = p.ledger.engines.get(engine, {})
     told = _facts(registry, facts, report.items)
     strange = {i: told[i] for i, seen in report.items.items()
@@ -76,7 +82,7 @@
     found = {}
     for item, state in items.items():
         size = world.size_of(registry, item) or (
-            engine["roomMb"], engine["adapterPlaces"], "")
+            *world.room_of(registry, engine), "")
         found[item] = {"state": "loaded" if state == "loaded" else "taken",
                        "mb": size[0], "places": size[1]}
     return found
--- a/libs/dispatch/src/dispatch/state.py
+++ b/libs/dispatch/src/dispatch/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from dispatch import demand as demands
 from dispatch import ledger as ledgers
 from logbook import holder
 
@@ -14,6 +15,9 @@
     callMs: float
     reportMs: float
     darkMs: float
+    turnMs: float = 0.0
+    listMs: float = 1000.0
+    lagMs: float = 0.0
     checkpointRecords: int = 2000
     holdsMax: int = 2000
     holdsPerModel: int = 200
@@ -48,6 +52,9 @@
     loadMs: dict = field(default_factory=dict)
     refusedMs: dict = field(default_factory=dict)
     lingerMs: dict = field(default_factory=dict)
+    againMs: dict = field(default_factory=dict)
+    changedMs: dict = field(default_factory=dict)
+    demand: demands.Demand = field(default_factory=demands.Demand)
 
 
 def log(p, record, then=None):
--- a/libs/dispatch/src/dispatch/world.py
+++ b/libs/dispatch/src/dispatch/world.py
@@ -11,7 +11,7 @@
 from manifest import registry as registries
 
 __all__ = ["shard_of", "services_of", "usable", "wishes_of", "shares_of", "size_of",
-           "engines_of", "placement_engines"]
+           "engines_of", "placement_engines", "room_of"]
 
 
 @functools.lru_cache(4096)
@@ -44,7 +44,8 @@
         return found["roomMb"], 0, found["partner"]
     if adapter not in found["adapters"]:
         return None
-    return 0, found["adapters"][adapter]["places"], found["partner"]
+    facts = found["adapters"][adapter]
+    return facts.get("roomMb", 0), facts["places"], found["partner"]
 
 
 def shares_of(service):
@@ -98,7 +99,14 @@
     for engine in engines_of(registry, service):
         report = reports.get(engine["name"])
         if usable(registry, engine) and report is not None:
+            roomMb, places = room_of(registry, engine)
             found.append(Engine(engine["name"], engine["zone"],
-                                min(engine["roomMb"], report.roomMb),
-                                min(engine["adapterPlaces"], report.places)))
+                                min(roomMb, report.roomMb), min(places, report.places)))
     return found
+
+
+def room_of(registry, engine):
+    """(room, adapter places) of an engine, its own or as its service's layout says."""
+    service = registries.services(registry).get(engine["service"], {})
+    return (engine["roomMb"] or service.get("roomMb", 0),
+            engine["adapterPlaces"] or service.get("adapterPlaces", 0))
--- a/libs/junction/src/junction/choice.py
+++ b/libs/junction/src/junction/choice.py
@@ -15,7 +15,7 @@
 __all__ = ["Crew", "Budget", "choose", "limit", "notice", "broke", "ready_in",
            "asked", "may_retry"]
 
-_PART = {0: 1.0, 1: 0.85, 2: 0.6}
+_PARTS = (1.0, 0.85, 0.6)
 _BOUND = 1.25
 _FIRST = 0.1
 
@@ -45,16 +45,20 @@
     b.asked += 1
 
 
-def may_retry(b, nowMs, windowMs, ratio):
+def may_retry(b, nowMs, windowMs, ratio, allowance=1.0):
     """Whether one more leg tried again keeps within its share of the traffic of
     the last while; the one that does is counted."""
     _fade(b, nowMs, windowMs)
-    if b.again + 1 > 1 + ratio * b.asked:
+    if b.again + 1 > allowance + ratio * b.asked:
         return False
     b.again += 1
     return True
 
 
+def _part(rank):
+    return _PARTS[min(rank, 2)]
+
+
 def _ramp(r, nowMs, engine):
     ageMs = nowMs - r.firstMs.get(engine["name"], (None, nowMs))[1]
     return min(1.0, _FIRST + ageMs / r.terms.rampMs)
@@ -71,9 +75,9 @@
     """How many legs this node may have on an engine for a task of this rank."""
     part = _ramp(r, nowMs, engine)
     if part >= 1.0:
-        return max(1, int(engine["slots"] * _PART[rank]))
+        return max(1, int(engine["slots"] * _part(rank)))
     count = max(1, len(crew.names))
-    places = max(1, int(engine["slots"] * part * _PART[rank]))
+    places = max(1, int(engine["slots"] * part * _part(rank)))
     share = places // count + (_turn(r, engine, crew) < places % count)
     if engine["name"] not in r.brokeMs:
         return share
@@ -82,7 +86,7 @@
 
 def ready_in(r, nowMs, engines, crew, rank):
     """In how many ms this node will have a place on one of these at all."""
-    waits = [(_turn(r, e, crew) + 1) / _PART[rank] / e["slots"] - _ramp(r, nowMs, e)
+    waits = [(_turn(r, e, crew) + 1) / _part(rank) / e["slots"] - _ramp(r, nowMs, e)
              for e in engines]
     return max(0.0, min(waits, default=0.0)) * r.terms.rampMs
 
--- a/libs/junction/src/junction/engines.py
+++ b/libs/junction/src/junction/engines.py
@@ -24,6 +24,7 @@
     method: str
     url: str
     body: bytes
+    headers: tuple = ()
 
 
 def order_ask(url, verb, body):
--- /dev/null
+++ b/libs/junction/src/junction/pool.py
@@ -0,0 +1,78 @@
+"""Pipes to engines that are kept for the next leg, one leg on each at a time.
+
+A pipe goes back only after a whole answer that bound to its own task and left
+nothing behind; any doubt closes it.  One that has been idle for longer than the
+engine said it keeps it, or on which anything can be read, is not used again.
+A leg that must not run twice never takes a kept pipe, because a request lost
+on a pipe that the engine has just closed can't be told from one that ran.
+"""
+
+import select
+import threading
+import time
+
+import pycurl
+
+__all__ = ["Pool", "Pipe"]
+
+_UNTOLD_S = 0.8
+_MARGIN = 0.7
+_MOST = 32
+
+
+class Pipe:
+    """A curl handle and the multi handle whose cache holds its connection."""
+
+    def __init__(self):
+        self.curl, self.multi = pycurl.Curl(), pycurl.CurlMulti()
+        self.untilS = 0.0
+        self.fd = -1
+
+    def close(self):
+        self.multi.close()
+        self.curl.close()
+
+
+class Pool:
+    """`take` and `give` are the public methods."""
+
+    def __init__(self):
+        self._idle = {}
+        self._lock = threading.Lock()
+
+    def take(self, base, fresh):
+        """(pipe, whether it was kept) for an address."""
+        while not fresh:
+            with self._lock:
+                kept = self._idle.get(base)
+                pipe = kept.pop() if kept else None
+            if pipe is None:
+                break
+            if time.monotonic() < pipe.untilS and _silent(pipe.fd):
+                return pipe, True
+            pipe.close()
+        return Pipe(), False
+
+    def give(self, base, pipe, keepS):
+        """Keep a pipe for `keepS` as the engine told, or a little if it told nothing."""
+        pipe.untilS = time.monotonic() + (_UNTOLD_S if keepS is None else _MARGIN * keepS)
+        pipe.fd = pipe.curl.getinfo(pycurl.LASTSOCKET)
+        pipe.curl.reset()
+        with self._lock:
+            kept = self._idle.setdefault(base, [])
+            kept.append(pipe)
+            old = kept.pop(0) if len(kept) > _MOST else None
+        if old is not None:
+            old.close()
+
+
+def _silent(fd):
+    """Whether nothing can be read: neither an end nor bytes that belong to nobody."""
+    if fd < 0:
+        return False
+    try:
+        poll = select.poll()
+        poll.register(fd, select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+    except (OSError, ValueError):
+        return False
--- /dev/null
+++ b/libs/junction/src/junction/relaying.py
@@ -0,0 +1,169 @@
+"""One caller's request on its way through: legs until one answers, then its answer.
+
+Runs on the request's own thread, asks the node's owner what to do, does it, and
+tells how it ended.  An answer is passed on only if it is the engine's own to this
+very request.  Of a stream that another engine may go on with, only whole events
+are passed on, so that the rest joins where the first broke off.
+"""
+
+from werkzeug.wrappers import Response
+
+from junction import passing
+from junction.engines import Ask
+from junction.router import Leg
+from waybill import failures
+from waybill.pipes import hung_up
+
+__all__ = ["Relaying"]
+
+_WHOLE_BYTES = 1 << 20
+_HOP = frozenset(("connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
+                  "te", "trailer", "transfer-encoding", "upgrade"))
+
+
+class _CutOff(ConnectionError):
+    """Breaks the answer off, so that nothing cut looks complete."""
+
+
+class Relaying:
+    """`serve` is the one public method."""
+
+    def __init__(self, ask, pool, dialect, connectMs):
+        self._ask, self._pool = ask, pool
+        self._dialect, self._connectMs = dialect, connectMs
+
+    def serve(self, token, told, step, environ):
+        """The response to a caller, whose first step is `step`."""
+        sock = environ.get("werkzeug.socket")
+        gone = (lambda: sock is not None and hung_up(sock))
+        last = None
+        while isinstance(step, Leg):
+            source = self._leg(told, step, 0)
+            head, first, proof = self._begin(told, source, gone)
+            if head is not None and not (told["repeatable"] and head.code >= 500):
+                return self._answer(token, told, head, first, source, gone)
+            if head is not None:
+                last = self._response(head, [first])
+            source.close()
+            step = self._ask(token, "ended", {"proof": proof})
+        if last is not None:
+            return last
+        if isinstance(step, failures.Failure):
+            return self._refusal(step)
+        return self._refusal(failures.OutcomeUnknown("caller-left"))
+
+    def _refusal(self, failure):
+        status, headers, body = self._dialect.refusal(failure)
+        return Response(body, status, headers)
+
+    def _leg(self, told, leg, after):
+        ask = Ask(told["method"], leg.url + told["target"], told["body"],
+                  self._dialect.leg_headers(told, leg, after))
+        return passing.stream(self._pool, leg.url, ask, leg.timeoutMs, self._connectMs,
+                              not told["repeatable"])
+
+    def _begin(self, told, source, gone):
+        """(head, first data, proof): a head that is the engine's own answer, or None."""
+        for kind, value in source:
+            if kind == "head":
+                judged = self._dialect.judged(told, value)
+                if judged == "not-run":
+                    return None, b"", "not-run"
+                if judged != "ours":
+                    return None, b"", "unknown"
+                if told["kind"] == "stream":
+                    return value, b"", "unknown"
+                return self._whole(value, source, gone)
+            if kind == "idle" and gone():
+                return None, b"", "gone"
+            if kind == "end":
+                return None, b"", "unknown" if value.begun else "no-pipe"
+        return None, b"", "unknown"
+
+    def _whole(self, head, source, gone):
+        """An answer that isn't a stream: passed on only once it is all here."""
+        data, size = [], 0
+        for kind, value in source:
+            if kind == "data":
+                data.append(value)
+                size += len(value)
+            elif kind == "idle" and gone():
+                return None, b"", "gone"
+            elif kind == "end":
+                return (head, b"".join(data), "unknown") if value.code else (
+                    None, b"", "unknown")
+        return None, b"", "unknown"
+
+    def _response(self, head, body):
+        headers = [(n, v) for n, v in head.headers if n.lower() not in _HOP]
+        return Response(body, f"{head.code} {head.reason}", headers, direct_passthrough=True)
+
+    def _answer(self, token, told, head, first, source, gone):
+        if told["kind"] != "stream":
+            source.close()
+            self._ask(token, "ended", {"proof": "done"})
+            return self._response(head, [first])
+        return self._response(head, self._events(token, told, head, source, gone))
+
+    def _events(self, token, told, head, source, gone):
+        """The stream as it comes; when it breaks, go on elsewhere if that may be."""
+        proof, held, last = "gone", bytearray(), 0
+        whole = told["resumable"] and head.code == 200
+        try:
+            while True:
+                ended = None
+                for kind, value in source:
+                    if kind == "data":
+                        if not whole:
+                            yield value
+                            continue
+                        held += value
+                        out, last = self._whole_events(held, last)
+                        if out:
+                            yield out
+                    elif kind == "idle" and gone():
+                        return
+                    elif kind == "end":
+                        ended = value
+                if ended is not None and ended.code:
+                    proof = "done"
+                    if held:
+                        yield bytes(held)
+                    return
+                proof = "unknown"
+                source, head = self._go_on(token, told, whole, last, gone)
+                if source is None:
+                    proof = ""
+                    raise _CutOff("stream")
+                held.clear()
+                proof = "gone"
+        finally:
+            if source is not None:
+                source.close()
+            if proof:
+                self._ask(token, "ended", {"proof": proof})
+
+    def _whole_events(self, held, last):
+        """Take whole events off `held`; those already passed on are dropped."""
+        out = bytearray()
+        while (end := held.find(b"\n\n")) >= 0:
+            event = bytes(held[:end + 2])
+            del held[:end + 2]
+            number = self._dialect.event_id(event)
+            if number is not None and number <= last:
+                continue
+            last = number if number is not None else last
+            out += event
+        return bytes(out), last
+
+    def _go_on(self, token, told, whole, last, gone):
+        """(source, head) of a leg at another engine that goes on after `last`."""
+        step = self._ask(token, "ended", {"proof": "unknown" if whole else "cut"})
+        while isinstance(step, Leg):
+            source = self._leg(told, step, last)
+            head, _, proof = self._begin(told, source, gone)
+            if head is not None and head.code == 200:
+                return source, head
+            source.close()
+            step = self._ask(token, "ended", {"proof": proof})
+        return None, None
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -14,7 +14,6 @@
 from junction import choice
 from junction.tasks import Done, Hold, Leg, Task, Terms
 from manifest import registry as registries
-from manifest.schema import RANK
 from waybill import failures
 from waybill.effects import Reply
 
@@ -35,6 +34,7 @@
     served: int = 0
     retried: int = 0
     resumed: int = 0
+    wanted: dict = field(default_factory=dict)
 
 
 _FOR_A_PLACE = 0.4
@@ -76,42 +76,55 @@
     """Give the task a leg, or a place in line, or its final answer."""
     if nowMs >= task.endMs:
         return _fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
+    if len(task.legs) >= task.tries:
+        return _fail(r, task, _spent(task))
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
     found = [e for e in found if e["name"] not in task.legs]
-    best = choice.choose(r, nowMs, found, crew, task, RANK[task.cls])
+    best = choice.choose(r, nowMs, found, crew, task, task.rank)
     if best is not None:
         r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
         task.legs.append(best["name"])
-        leg = Leg(best["name"], best["url"], min(r.terms.legMs, task.endMs - nowMs))
+        leg = Leg(best["name"], best["url"], min(r.terms.legMs, task.endMs - nowMs),
+                  task.rank, len(task.legs) > 1)
+        if item and not leg.again:
+            for wanted in {task.model, item}:
+                key = task.service, wanted
+                r.wanted[key] = r.wanted.get(key, 0) + 1
         return [Reply(task.token, leg)] + _unhold(r, task, "served")
     if found or not item or task.legs:
         if task.waiting:
             if not task.up and not task.short:
                 task.up, task.giveUpMs = True, nowMs + _FOR_A_PLACE * (task.endMs - nowMs)
             return []
-        readyMs = choice.ready_in(r, nowMs, found, crew, RANK[task.cls])
+        readyMs = choice.ready_in(r, nowMs, found, crew, task.rank)
         if 0 < readyMs < task.endMs - nowMs and not task.legs and _line_open(r, task):
             task.waiting = task.short = True
             task.giveUpMs = min(task.endMs, nowMs + readyMs + 2 * r.terms.pauseMs)
             return []
-        retryMs = int(max(readyMs, 1000 * (1 + RANK[task.cls])))
+        retryMs = int(max(readyMs, 1000 * (1 + task.rank)))
         return _fail(r, task, failures.Overloaded(
             retryMs, "all-busy" if found else "no-engine"))
     return _line_up(r, nowMs, floor, task)
 
 
+def _spent(task):
+    """What is told of a task whose legs have all ended without an answer."""
+    return failures.OutcomeUnknown("leg-broken") if task.mayHaveRun else (
+        failures.Overloaded(1000, "all-busy"))
+
+
 def _line_open(r, task):
     """Whether one more may wait here; the lowest class is shut out first."""
     waiting = sum(t.waiting for t in r.tasks.values())
-    return waiting < r.terms.waitingMax * (1 - 0.25 * RANK[task.cls])
+    return waiting < r.terms.waitingMax * (1 - 0.25 * task.rank)
 
 
 def _line_up(r, nowMs, floor, task):
     if task.waiting:
         return []
     if not _line_open(r, task):
-        return _fail(r, task, failures.Overloaded(3000 * (1 + RANK[task.cls]), "line-full"))
+        return _fail(r, task, failures.Overloaded(3000 * (1 + task.rank), "line-full"))
     if not any(world.usable(floor.registry, e)
                for e in world.engines_of(floor.registry, task.service)):
         return _fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
@@ -135,7 +148,7 @@
     return []
 
 
-def resume(r, nowMs, floor, token, incarnation):
+def resume(r, nowMs, floor, crew, token, incarnation):
     """The pipe of a stream broke, and its engine offered to go on with that very
     run: one more leg to it, if it is still the same incarnation, within the
     budget of retries."""
@@ -143,7 +156,7 @@
     engine = floor.registry.engines.get(task.legs[-1]) if task and task.legs else None
     if engine is None or floors.incarnation(floor, engine) != incarnation or (
             nowMs >= task.endMs) or not choice.may_retry(
-            r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio):
+            r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew)):
         return [Reply(token, failures.StreamCut("not-resumed", 0))]
     r.resumed += 1
     return [Reply(token, Leg(engine["name"], engine["url"],
@@ -158,7 +171,7 @@
         return []
     effects = []
     line = sorted((t for t in r.tasks.values() if t.waiting),
-                  key=lambda t: (RANK[t.cls], t.turn or 1 << 60, t.sinceMs))
+                  key=lambda t: (t.rank, t.turn or 1 << 60, t.sinceMs))
     for task in line:
         told = _dropped(floor, task)
         if told:
@@ -189,6 +202,11 @@
     return effects
 
 
+def _part_of(r, crew):
+    """Our part of the retries that all counters together may make beside the ratio."""
+    return max(1.0, r.terms.retryAllowance / max(1, len(crew.names)))
+
+
 def ended(r, nowMs, floor, ageMs, crew, token, proof):
     """A leg ended.  `proof`: "done", "not-run" (the engine's refusal), "no-pipe"
     (nothing was sent), "unknown", or "gone" (the caller left)."""
@@ -200,17 +218,18 @@
         r.busy[engine] = max(0, r.busy.get(engine, 0) - 1)
         if proof in ("no-pipe", "unknown"):
             choice.broke(r, nowMs, engine)
-    if proof in ("done", "gone"):
+    if proof in ("done", "gone", "cut"):
         r.tasks.pop(token, None)
         r.served += proof == "done"
         return [Reply(token, Done())] + _unhold(r, task, proof)
+    task.mayHaveRun = task.mayHaveRun or proof == "unknown"
     again = proof in ("not-run", "no-pipe") or task.repeatable
     if not again:
         r.tasks.pop(token, None)
         return [Reply(token, failures.OutcomeUnknown("leg-broken"))]
     if ageMs > r.terms.staleMs or not choice.may_retry(
-            r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio):
-        if proof == "unknown" and not task.repeatable:
+            r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew)):
+        if task.mayHaveRun:
             return _fail(r, task, failures.OutcomeUnknown("leg-broken"))
         return _fail(r, task, failures.Overloaded(2000, "no-retry-left"))
     r.retried += 1
--- a/libs/junction/src/junction/tasks.py
+++ b/libs/junction/src/junction/tasks.py
@@ -15,6 +15,7 @@
     retryWindowMs: float
     legMs: float
     waitingMax: int = 500
+    retryAllowance: float = 1.0
 
 
 @dataclass
@@ -37,6 +38,11 @@
     lined: bool = False
     short: bool = False
     up: bool = False
+    rank: int = 0
+    aimMs: float = 0.0
+    tries: int = 1 << 30
+    mayHaveRun: bool = False
+    tokens: tuple = ()
 
 
 @dataclass(frozen=True)
@@ -44,6 +50,8 @@
     engine: str
     url: str
     timeoutMs: float
+    rank: int = 0
+    again: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/logbook/src/logbook/founding.py
+++ b/libs/logbook/src/logbook/founding.py
@@ -49,6 +49,8 @@
     was heard of, if any."""
     if g.group and (last_index(g) or not g.founders or g.leader):
         return []
+    if not g.group and not g.times.founds:
+        return []
     if not g.group:
         empties = _empties(g, cards)[:g.times.depots]
         if len(empties) < g.times.depots or empties[0].identity != g.identity:
@@ -68,7 +70,7 @@
     if g.identity not in {m.identity for m in ask.members}:
         return []
     effects = []
-    if not g.group and known in ("", ask.group) and (
+    if not g.group and g.times.founds and known in ("", ask.group) and (
             len(ask.members) == g.times.depots):
         effects = _adopt(g, nowMs, ask.group, ask.members)
     agreed = g.group == ask.group
--- a/libs/logbook/src/logbook/grants.py
+++ b/libs/logbook/src/logbook/grants.py
@@ -61,7 +61,7 @@
 
 def _live(g, n, nowMs):
     return [name for name, s in sorted(n.seen.items())
-            if s.role == "counter" and nowMs - s.heardMs < 2.5 * g.times.pingMs
+            if s.role == g.times.placers and nowMs - s.heardMs < 2.5 * g.times.pingMs
             and nowMs - s.tookMs < 5 * g.times.pingMs]
 
 
--- a/libs/logbook/src/logbook/group.py
+++ b/libs/logbook/src/logbook/group.py
@@ -33,6 +33,8 @@
     inFlight: int = 2
     groupWait: bool = True
     depots: int = 3
+    placers: str = "counter"
+    founds: bool = True
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/libs/manifest/src/manifest/engine_list.py
@@ -0,0 +1,57 @@
+"""The platform's engine list as it changes: what an entry must hold, what is news.
+
+An entry names an engine, its state, its service, zone and address; `warmMs` is
+how long, from when this was logged, a freshly started one is still slow.
+"""
+
+from waybill.failures import FieldWrong, StampStale
+
+__all__ = ["judged"]
+
+_ENGINE = {"name": str, "state": str, "service": str, "zone": str, "url": str}
+_SIZES = {"roomMb": 0, "adapterPlaces": 0, "slots": 1, "warmMs": 0}
+_STATES = ("join", "leaving", "gone")
+
+
+def _engine_wrong(at, engine):
+    if not isinstance(engine, dict):
+        return FieldWrong(at, "not an object")
+    for key in engine:
+        if key not in _ENGINE and key not in _SIZES:
+            return FieldWrong(f"{at}.{key}", "unknown key")
+    for key, kind in _ENGINE.items():
+        if not isinstance(engine.get(key), kind) or not engine[key]:
+            return FieldWrong(f"{at}.{key}", "missing or not a text")
+    for key, low in _SIZES.items():
+        value = engine.get(key, low)
+        if not isinstance(value, int) or isinstance(value, bool) or value < low:
+            return FieldWrong(f"{at}.{key}", f"not a whole number from {low}")
+    if engine["state"] not in _STATES:
+        return FieldWrong(f"{at}.state", "not one of " + ", ".join(_STATES))
+    if not engine["url"].startswith("http://"):
+        return FieldWrong(f"{at}.url", "not an http address")
+    return None
+
+
+def judged(registry, body, expected):
+    """(what to log, None) or (None, failure) for a change of the engine list."""
+    given = body.get("engines")
+    if not isinstance(given, list) or not given or len(given) > 2000:
+        return None, FieldWrong("engines", "not a list of 1 to 2000 engines")
+    changed = []
+    for number, engine in enumerate(given):
+        wrong = _engine_wrong(f"engines.{number}", engine)
+        if wrong:
+            return None, wrong
+        full = {**_SIZES, **engine}
+        if not full["warmMs"]:
+            del full["warmMs"]
+        old = registry.engines.get(full["name"])
+        if full["state"] == "gone" and old is None or full == old:
+            continue
+        changed.append(full)
+    if not changed:
+        return None, None
+    if expected is not None and expected != registry.stamp:
+        return None, StampStale(expected, registry.stamp)
+    return {"k": "engines", "engines": changed}, None
--- a/libs/manifest/src/manifest/registry.py
+++ b/libs/manifest/src/manifest/registry.py
@@ -9,16 +9,15 @@
 import json
 from dataclasses import dataclass, field
 
-from manifest import merging
+from manifest import engine_list, merging, passages, written
 from waybill.failures import (FieldWrong, LayoutWrong, NotFound, RefusedBefore,
                               StampStale, WrongPartner, as_json)
 
 __all__ = ["Registry", "apply", "decide", "dump", "load", "services", "models",
            "zone_names", "VERBS"]
 
-VERBS = ("layout", "zone", "engine", "engines")
+VERBS = ("layout", "zone", "engine", "engines", "written")
 _KEPT_CHANGES = 4096
-_STATES = ("join", "leaving", "gone")
 
 
 @dataclass
@@ -27,9 +26,12 @@
     sections: dict = field(default_factory=dict)
     stamps: dict = field(default_factory=dict)
     zones: dict = field(default_factory=dict)
+    zoneStamps: dict = field(default_factory=dict)
     engines: dict = field(default_factory=dict)
     changes: dict = field(default_factory=dict)
+    document: dict = field(default_factory=lambda: written.EMPTY)
     zonesKnown: tuple = ()
+    reader: object = field(default=None, repr=False, compare=False)
     memo: dict = field(default_factory=dict, repr=False, compare=False)
 
 
@@ -63,14 +65,19 @@
         kind = told["k"]
     except (ValueError, KeyError, TypeError):
         return
-    if kind not in ("layout", "zone", "engines", "same", "refused"):
+    if kind not in ("layout", "zone", "engines", "same", "refused", "written"):
         return
     registry.stamp = told["stamp"]
-    registry.memo.clear()
+    if kind in ("layout", "written"):
+        registry.memo.clear()
     if kind == "layout":
         registry.sections[told["partner"]] = told["section"]
         registry.stamps[told["partner"]] = told["stamp"]
+    elif kind == "written":
+        registry.document = written.merged(registry.document, told)
+        _reread(registry)
     elif kind == "zone":
+        registry.zoneStamps[told["zone"]] = told["stamp"]
         if told["evacuated"]:
             registry.zones[told["zone"]] = told["stamp"]
         else:
@@ -86,6 +93,13 @@
             del registry.changes[next(iter(registry.changes))]
 
 
+def _reread(registry):
+    """The written layout as a section beside the partners' own."""
+    if registry.reader is not None and registry.document["edition"]:
+        registry.sections[passages.OWNER] = written.read(registry.reader, registry.document)
+        registry.stamps[passages.OWNER] = registry.stamp
+
+
 def decide(registry, verb, body):
     """Return (record or None, answer dict or None, Failure or None).
 
@@ -132,12 +146,18 @@
     expected = body.get("expect")
     if expected is not None and (not isinstance(expected, int) or isinstance(expected, bool)):
         return None, FieldWrong("expect", "not a whole number")
-    rule = {"layout": _layout, "zone": _zone, "engines": _engines}.get(verb)
-    if rule is None:
+    rule = {"layout": _layout, "zone": _zone, "engines": engine_list.judged,
+            "written": _written}.get(verb)
+    if rule is None or (verb == "written" and registry.reader is None):
         return None, NotFound(verb)
     return rule(registry, body, expected)
 
 
+def _written(registry, body, expected):
+    told, failure = written.judged(registry.reader, registry.document, body)
+    return (None, failure) if failure else ({"k": "written", **told}, None)
+
+
 def _layout(registry, body, expected):
     partner, section = body.get("partner"), body.get("section")
     if not isinstance(partner, str) or not partner:
@@ -163,61 +183,28 @@
         return None, FieldWrong("evacuated", "not true or false")
     if zone not in zone_names(registry):
         return None, FieldWrong("zone", f"unknown zone {zone}")
-    if expected is not None and expected != registry.stamp:
-        return None, StampStale(expected, registry.stamp)
-    return {"k": "zone", "zone": zone, "evacuated": evacuated}, None
-
-
-_ENGINE = {"name": str, "state": str, "service": str, "zone": str, "url": str}
-_SIZES = {"roomMb": 0, "adapterPlaces": 0, "slots": 1}
-
-
-def _engine_wrong(at, engine):
-    if not isinstance(engine, dict):
-        return FieldWrong(at, "not an object")
-    for key in engine:
-        if key not in _ENGINE and key not in _SIZES:
-            return FieldWrong(f"{at}.{key}", "unknown key")
-    for key, kind in _ENGINE.items():
-        if not isinstance(engine.get(key), kind) or not engine[key]:
-            return FieldWrong(f"{at}.{key}", "missing or not a text")
-    for key, low in _SIZES.items():
-        value = engine.get(key, low)
-        if not isinstance(value, int) or isinstance(value, bool) or value < low:
-            return FieldWrong(f"{at}.{key}", f"not a whole number from {low}")
-    if engine["state"] not in _STATES:
-        return FieldWrong(f"{at}.state", "not one of " + ", ".join(_STATES))
-    if not engine["url"].startswith("http://"):
-        return FieldWrong(f"{at}.url", "not an http address")
-    return None
-
-
-def _engines(registry, body, expected):
-    given = body.get("engines")
-    if not isinstance(given, list) or not given or len(given) > 2000:
-        return None, FieldWrong("engines", "not a list of 1 to 2000 engines")
-    changed = []
-    for number, engine in enumerate(given):
-        wrong = _engine_wrong(f"engines.{number}", engine)
-        if wrong:
-            return None, wrong
-        full = {**_SIZES, **engine}
-        old = registry.engines.get(full["name"])
-        if full["state"] == "gone" and old is None or full == old:
-            continue
-        changed.append(full)
-    if not changed:
+    if (zone in registry.zones) == evacuated:
         return None, None
     if expected is not None and expected != registry.stamp:
         return None, StampStale(expected, registry.stamp)
-    return {"k": "engines", "engines": changed}, None
+    if body.get("since", registry.zoneStamps.get(zone, 0)) != registry.zoneStamps.get(zone, 0):
+        return None, StampStale(body["since"], registry.zoneStamps.get(zone, 0))
+    return {"k": "zone", "zone": zone, "evacuated": evacuated}, None
 
 
 def dump(registry):
-    fields = {k: v for k, v in vars(registry).items() if k not in ("zonesKnown", "memo")}
+    """The registry as a checkpoint; a written layout is kept as its document only."""
+    fields = {k: v for k, v in vars(registry).items()
+              if k not in ("zonesKnown", "memo", "reader")}
+    if registry.document["edition"]:
+        fields["sections"] = {k: v for k, v in registry.sections.items()
+                              if k != passages.OWNER}
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
-def load(body, zonesKnown=()):
-    return Registry(**json.loads(body), zonesKnown=zonesKnown) if body else Registry(
-        zonesKnown=zonesKnown)
+def load(body, zonesKnown=(), reader=None):
+    if not body:
+        return Registry(zonesKnown=zonesKnown, reader=reader)
+    registry = Registry(**json.loads(body), zonesKnown=zonesKnown, reader=reader)
+    _reread(registry)
+    return registry
--- a/libs/manifest/src/manifest/schema.py
+++ b/libs/manifest/src/manifest/schema.py
@@ -11,11 +11,18 @@
 
 from waybill.failures import FieldWrong
 
-__all__ = ["check", "CLASSES", "RANK"]
+__all__ = ["check", "CLASSES", "RANK", "rank_of"]
 
 RANK = {"lookup": 0, "reroute": 0, "counter": 0, "update": 1, "draft": 1, "plan": 2,
         "review": 2}
 CLASSES = tuple(RANK)
+
+
+def rank_of(cls):
+    """The rank of a class, or of a route's own "rank" and number; 0 goes first."""
+    return RANK[cls] if cls in RANK else int(cls[4:] or 2) if cls[:4] == "rank" else 2
+
+
 _NAME = validate.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$"),
                         error="not a name: small letters, digits, . _ -")
 
--- /dev/null
+++ b/libs/manifest/src/manifest/written.py
@@ -0,0 +1,166 @@
+"""A layout as its operators wrote it, kept so that it can be read back as sent.
+
+`document` is {"edition", "parts": {"routes": {name: item}, ...}, "rest": {...}}:
+lists of named items become mappings in the order they were written, the rest
+stays.  A change is logged as what it changes only.  Reading (items to facts) is
+the adapter's `Reader`; judging is done here: editions rise, a change builds on
+the present one, the same change again gets the same answer.
+"""
+
+import json
+from dataclasses import dataclass
+from typing import Callable
+
+from manifest import passages
+from waybill.failures import FieldWrong, LayoutWrong, StampStale
+
+__all__ = ["Reader", "EMPTY", "judged", "merged", "as_sent", "read"]
+
+EMPTY = {"edition": 0, "parts": {}, "rest": {}}
+
+
+@dataclass(frozen=True)
+class Reader:
+    """What the adapter knows of the form: names of the listed parts, and item readers.
+
+    `route(item)` and `service(item)` return facts as in `passages`, raising KeyError,
+    TypeError or ValueError on what can't be read."""
+    edition: str
+    routes: str
+    services: str
+    upsert: str
+    remove: str
+    route: Callable
+    service: Callable
+
+
+class _Unreadable(Exception):
+    def __init__(self, field, cause):
+        super().__init__(field)
+        self.wrong = FieldWrong(field, cause)
+
+
+def _named(part, items):
+    if not isinstance(items, list):
+        raise _Unreadable(part, "not a list")
+    found = {}
+    for number, item in enumerate(items):
+        name = item.get("name") if isinstance(item, dict) else None
+        if not isinstance(name, str) or not name:
+            raise _Unreadable(f"{part}.{number}.name", "missing")
+        if name in found:
+            raise _Unreadable(f"{part}.{number}.name", f"twice: {name}")
+        found[name] = item
+    return found
+
+
+def _whole(reader, body):
+    """A document of a whole layout."""
+    for part in (reader.routes, reader.services):
+        if part not in body:
+            raise _Unreadable(part, "missing")
+    parts = {part: _named(part, body[part]) for part in (reader.routes, reader.services)}
+    rest = {k: v for k, v in body.items() if k not in parts and k != reader.edition}
+    return {"edition": body[reader.edition], "parts": parts, "rest": rest}
+
+
+def _patched(reader, document, body):
+    """A document with named items replaced, added and removed."""
+    parts = {part: dict(items) for part, items in document["parts"].items()}
+    upsert, remove = body.get(reader.upsert, {}), body.get(reader.remove, {})
+    if not isinstance(upsert, dict) or not isinstance(remove, dict):
+        raise _Unreadable(reader.upsert, "not an object")
+    for part, names in remove.items():
+        if part not in parts or not isinstance(names, list):
+            raise _Unreadable(f"{reader.remove}.{part}", "no such list")
+        for name in names:
+            if not isinstance(name, str):
+                raise _Unreadable(f"{reader.remove}.{part}", "not a name")
+            parts[part].pop(name, None)
+    for part, items in upsert.items():
+        if part not in parts:
+            raise _Unreadable(f"{reader.upsert}.{part}", "no such list")
+        parts[part].update(_named(part, items))
+    return {"edition": body[reader.edition], "parts": parts, "rest": document["rest"]}
+
+
+def _facts(reader, document):
+    found = []
+    for part, read_item in ((reader.routes, reader.route), (reader.services, reader.service)):
+        facts = {}
+        for name, item in document["parts"].get(part, {}).items():
+            try:
+                facts[name] = read_item(item)
+            except (KeyError, TypeError, ValueError, AttributeError) as failed:
+                raise _Unreadable(f"{part}.{name}", repr(failed)) from failed
+        found.append(facts)
+    return found
+
+
+def read(reader, document):
+    """The section that a good document spells."""
+    return passages.section(*_facts(reader, document)) if document["edition"] else None
+
+
+def judged(reader, document, body):
+    """(what changes, None) or (None, failure) for a change to `document`.
+
+    `body`: {"expect": the edition built on, "written": the change, "partial"}."""
+    told, expect = body.get("written"), body.get("expect")
+    if not isinstance(told, dict):
+        return None, LayoutWrong((FieldWrong("(whole)", "not an object"),))
+    edition = told.get(reader.edition)
+    if not isinstance(edition, int) or isinstance(edition, bool) or edition < 1:
+        return None, LayoutWrong((FieldWrong(reader.edition, "not a whole number from 1"),))
+    if expect != document["edition"]:
+        return None, StampStale(expect if isinstance(expect, int) else -1,
+                                document["edition"])
+    if edition <= document["edition"]:
+        return None, LayoutWrong((FieldWrong(reader.edition, "not above the current one"),))
+    try:
+        made = (_patched(reader, document, told) if body.get("partial")
+                else _whole(reader, told))
+        routes, services = _facts(reader, made)
+    except _Unreadable as unreadable:
+        return None, LayoutWrong((unreadable.wrong,))
+    wrong = passages.check(routes, services)
+    if wrong:
+        return None, LayoutWrong(tuple(wrong[:100]))
+    return _difference(document, made), None
+
+
+def _difference(old, new):
+    """{"edition", "set", "gone", "order", "rest"}: what makes `new` of `old`."""
+    told = {"edition": new["edition"], "set": {}, "gone": {}, "order": {}}
+    for part, items in new["parts"].items():
+        before = old["parts"].get(part, {})
+        told["set"][part] = {n: i for n, i in items.items() if before.get(n) != i}
+        told["gone"][part] = [n for n in before if n not in items]
+        like = [n for n in before if n in items] + [n for n in items if n not in before]
+        if like != list(items):
+            told["order"][part] = list(items)
+    if new["rest"] != old["rest"]:
+        told["rest"] = new["rest"]
+    return told
+
+
+def merged(document, told):
+    """A document with a difference laid over it."""
+    parts = {part: dict(items) for part, items in document["parts"].items()}
+    for part, items in told["set"].items():
+        kept = parts.setdefault(part, {})
+        for name in told["gone"].get(part, ()):
+            kept.pop(name, None)
+        kept.update(items)
+        if part in told["order"]:
+            parts[part] = {name: kept[name] for name in told["order"][part]}
+    return {"edition": told["edition"], "parts": parts,
+            "rest": told.get("rest", document["rest"])}
+
+
+def as_sent(reader, document):
+    """The whole document in its operators' form."""
+    return json.dumps({reader.edition: document["edition"],
+                       **{part: list(items.values())
+                          for part, items in document["parts"].items()},
+                       **document["rest"]})
--- a/libs/pulleyhitch/src/pulleyhitch/believing.py
+++ b/libs/pulleyhitch/src/pulleyhitch/believing.py
@@ -24,6 +24,8 @@
                 "known": sorted(registries.zone_names(reg))}
     if what == "engines":
         return {**head, "engines": _engines(node, name)}
+    if what == "written":
+        return {**head, "document": reg.document}
     if what == "why":
         return {**head, "unmet": _unmet(node, name)}
     return {**head, "holds": {
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -6,7 +6,7 @@
 """
 
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from marshmallow import RAISE, Schema, ValidationError, fields, validate, validates_schema
 
@@ -28,6 +28,9 @@
     leavingMs: int = 3000
     evacuateMs: int = 5000
     serviceBackMs: int = 12000
+    acknowledgeMs: int = 9000
+    turnMs: int = 0
+    graceMs: int = 0
 
 
 @dataclass(frozen=True)
@@ -49,6 +52,15 @@
     listen: str = ""
     groupWait: bool = True
     retryRatio: float = 0.1
+    retryAllowance: float = 1.0
+    retryWindowMs: int = 0
+    placers: str = "counter"
+    founds: bool = True
+    worksUnheard: bool = False
+    doors: dict = field(default_factory=dict)
+    provider: str = ""
+    providerLagMs: int = 0
+    providerPerS: float = 1.0
 
 
 class _Strict(Schema):
@@ -62,6 +74,10 @@
     evacuateMs = fields.Integer(strict=True, load_default=5000, validate=validate.Range(min=100))
     serviceBackMs = fields.Integer(strict=True, load_default=12000,
                                    validate=validate.Range(min=500))
+    acknowledgeMs = fields.Integer(strict=True, load_default=9000,
+                                   validate=validate.Range(min=100))
+    turnMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
+    graceMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
 
 
 class _ConfigSchema(_Strict):
@@ -87,6 +103,19 @@
                          load_default=dict)
     groupWait = fields.Boolean(load_default=True)
     retryRatio = fields.Float(load_default=0.1, validate=validate.Range(min=0, max=1))
+    retryAllowance = fields.Float(load_default=1.0, validate=validate.Range(min=0))
+    retryWindowMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
+    placers = fields.String(load_default="counter",
+                            validate=validate.OneOf(["counter", "depot"]))
+    founds = fields.Boolean(load_default=True)
+    worksUnheard = fields.Boolean(load_default=False)
+    doors = fields.Dict(keys=fields.String(validate=validate.OneOf(
+        ["callers", "status", "operators"])), values=fields.String(validate=_ADDRESS),
+        load_default=dict)
+    provider = fields.String(load_default="")
+    providerLagMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
+    providerPerS = fields.Float(load_default=1.0,
+                                validate=validate.Range(min=0, min_inclusive=False))
 
     @validates_schema
     def _depot_needs_folder(self, data, **_):
@@ -134,19 +163,26 @@
     backMs = config.bounds.serviceBackMs
     return Times(electMs=0.04 * backMs, heartbeatMs=0.01 * backMs,
                  pingMs=0.02 * backMs, revokeMs=0.25 * backMs,
-                 groupWait=config.groupWait, depots=config.depots)
+                 groupWait=config.groupWait, depots=config.depots,
+                 placers=config.placers, founds=config.founds)
 
 
 def terms(config):
     backMs = config.bounds.serviceBackMs
     return dispatching.Terms(callMs=0.08 * backMs, reportMs=0.15 * config.bounds.leavingMs,
-                             darkMs=config.bounds.leavingMs)
+                             darkMs=config.bounds.leavingMs, turnMs=config.bounds.turnMs,
+                             listMs=max(1000.0 / config.providerPerS,
+                                        0.25 * config.bounds.leavingMs),
+                             lagMs=config.providerLagMs)
 
 
 def routing(config):
     backMs = config.bounds.serviceBackMs
     return router.Terms(
-        staleMs=0.9 * min(vars(config.bounds).values()),
+        staleMs=float("inf") if config.worksUnheard else 0.9 * min(
+            config.bounds.layoutMs, config.bounds.leavingMs, config.bounds.evacuateMs,
+            config.bounds.serviceBackMs),
         rampMs=0.5 * backMs, pauseMs=0.04 * backMs,
         retryRatio=config.retryRatio,
-        retryWindowMs=0.8 * backMs, legMs=10 * backMs)
+        retryAllowance=config.retryAllowance,
+        retryWindowMs=config.retryWindowMs or 0.8 * backMs, legMs=10 * backMs)
--- a/libs/pulleyhitch/src/pulleyhitch/door.py
+++ b/libs/pulleyhitch/src/pulleyhitch/door.py
@@ -47,8 +47,9 @@
     waits: `finish` gets a thread once the future is there, `left` is called if
     the caller leaves before."""
 
-    def __init__(self, host, port, threads, begin, rank_of, arriveS):
-        self._begin, self._rank_of, self._arriveS = begin, rank_of, arriveS
+    def __init__(self, host, port, threads, begin, kind_of, arriveS, idleS=None):
+        self._begin, self._kind_of, self._arriveS = begin, kind_of, arriveS
+        self._idleS = idleS or arriveS
         self._listener = socket.create_server((host, port), backlog=1024)
         self._listener.setblocking(False)
         self._parts = knocking.parts(threads)
@@ -65,14 +66,16 @@
         self._selector = selectors.DefaultSelector()
         self._selector.register(self._listener, selectors.EVENT_READ)
         self._selector.register(self._bell, selectors.EVENT_READ)
-        self._stopping = False
+        self._stopping, self._listening = False, True
 
     def stop(self):
         self._stopping = True
         self._say(lambda: None)
 
     def run(self):
-        while not self._stopping:
+        while not (self._stopping and self.empty()):
+            if self._stopping and self._listening:
+                self._shut_out()
             for key, _ in self._selector.select(0.1 if self._line else 0.5):
                 if key.fileobj is self._listener:
                     self._let_in()
@@ -83,6 +86,17 @@
             while not self._told.empty():
                 self._told.get()()
             self._tidy(time.monotonic())
+
+    def empty(self):
+        """Whether nobody who was let in still waits for an answer."""
+        return self._stopping and not self._listening and not any(
+            c.kind or c.data for c in list(self._open.values()))
+
+    def _shut_out(self):
+        """Let in who has come already, then nobody any more."""
+        self._let_in()
+        self._listening = False
+        self._selector.unregister(self._listener)
         self._listener.close()
 
     def _say(self, action):
@@ -103,6 +117,7 @@
                 sock.close()
                 continue
             sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             caller = Caller(sock, address, time.monotonic())
             self._open[sock] = caller
             self._watch(caller)
@@ -154,7 +169,7 @@
     def _admit(self, caller):
         """A whole request gets a thread, or waits a moment for one."""
         self._unwatch(caller)
-        caller.kind, caller.sinceS = knocking.kind(caller.data, self._rank_of), time.monotonic()
+        caller.kind, caller.sinceS = self._kind_of(caller.data), time.monotonic()
         if not self._start(caller):
             self._line.append(caller)
             self._line.sort(key=lambda c: (knocking.ORDER[c.kind], c.sinceS))
@@ -211,7 +226,8 @@
             self._line.remove(caller)
             self._refuse(caller, "threads", knocking.PATIENCE_S[caller.kind])
         for caller in [c for c in self._open.values()
-                       if not c.kind and nowS - c.sinceS > self._arriveS]:
+                       if not c.kind and nowS - c.sinceS > (
+                           self._arriveS if c.data else self._idleS)]:
             if caller.data:
                 failure = failures.BodyMalformed("not whole in time")
                 knocking.answer(caller.sock, 408, json.dumps(failures.as_json(failure)))
--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -0,0 +1,158 @@
+"""The doors that a platform's callers and operators knock at, in its own dialect.
+
+`Gateway` lets callers' requests through to engines; `Desk` takes operators' words.
+Both stand behind the same door as the product's own interface, which goes on
+beside them.  `Status` answers whether callers may be sent here.
+"""
+
+import secrets
+import threading
+
+from werkzeug.serving import WSGIRequestHandler, make_server
+from werkzeug.wrappers import Request, Response
+
+from junction.relaying import Relaying
+from pulleyhitch.door import Door
+from pulleyhitch.handling import Front, Handler
+from pulleyhitch.operating import Answered
+from waybill import failures
+
+__all__ = ["Gateway", "Desk", "Status"]
+
+_STEP = "pulleyhitch.step"
+
+
+def _split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _front(process, address, app):
+    return Front(_split(address), app, lambda *what: process.ring.note(
+        "http", {"what": str(what)[:2000]}, why="http"))
+
+
+class Gateway:
+    """Callers' requests; `run` serves until `stop`."""
+
+    def __init__(self, process):
+        config = process.config
+        self._process, self._dialect = process, process.dialect
+        self._relaying = Relaying(process.ask, process.pool, process.dialect, 500)
+        self._front = _front(process, config.doors["callers"], self._app)
+        backS = config.bounds.serviceBackMs / 1000
+        self._door = Door(*_split(config.doors["callers"]), config.httpThreads, self._begin,
+                          lambda data: "rank0", 0.4 * backS, 1.5 * backS)
+
+    def run(self):
+        self._door.run()
+
+    def stop(self):
+        self._door.stop()
+
+    def empty(self):
+        return self._door.empty()
+
+    def _begin(self, caller):
+        """First look at a request: answer it, or find that its task must wait."""
+        handler = Handler(caller, caller.address, self._front)
+        if not handler.whole:
+            return None
+        request = Request(handler.told)
+        told = self._dialect.read_caller(request, handler.path)
+        if isinstance(told, failures.Failure):
+            handler.told[_STEP] = ("", {}, told)
+            handler.run_wsgi()
+            return None
+        token = secrets.token_hex(8)
+        future = self._process.post(token, "passage", told)
+        try:
+            future.exception(0.005)
+        except TimeoutError:
+            pass
+
+        def finish(step):
+            handler.told[_STEP] = (token, told, step)
+            handler.run_wsgi()
+
+        def left():
+            self._process.tell(token, "ended", {"proof": "gone"})
+        if future.done():
+            finish(future.result())
+            return None
+        return future, finish, left
+
+    def _app(self, environ, start_response):
+        token, told, step = environ[_STEP]
+        if isinstance(step, failures.Failure):
+            status, headers, body = self._dialect.refusal(step)
+            response = Response(body, status, headers)
+        else:
+            response = self._relaying.serve(token, told, step, environ)
+        return response(environ, start_response)
+
+
+class Desk:
+    """Operators' changes and reads; `run` serves until the process stops."""
+
+    def __init__(self, process):
+        config = process.config
+        self._process, self._dialect = process, process.dialect
+        self._front = _front(process, config.doors["operators"], self._app)
+        backS = config.bounds.serviceBackMs / 1000
+        self._door = Door(*_split(config.doors["operators"]), config.httpThreads,
+                          self._begin, lambda data: "operator", 0.4 * backS)
+
+    def run(self):
+        self._door.run()
+
+    def _begin(self, caller):
+        handler = Handler(caller, caller.address, self._front)
+        if handler.whole:
+            handler.run_wsgi()
+
+    def _app(self, environ, start_response):
+        told = self._dialect.read_operator(Request(environ))
+        verb = ""
+        if isinstance(told, failures.Failure):
+            outcome = told
+        else:
+            verb, body = told
+            outcome = self._asked(verb, body)
+        status, headers, body = self._dialect.operator_answer(verb, outcome)
+        return Response(body, status, headers)(environ, start_response)
+
+    def _asked(self, verb, body):
+        if verb == "zone":
+            known = self._process.ask(secrets.token_hex(8), "since", {"zone": body["zone"]})
+            body = {**body, "since": known.body["since"], "change": secrets.token_hex(8)}
+        waitS = self._process.config.bounds.acknowledgeMs / 1000
+        outcome = self._process.ask(secrets.token_hex(8), verb, body, waitS)
+        return outcome if isinstance(outcome, (Answered, failures.Failure)) else (
+            Answered(200, outcome))
+
+
+class Status:
+    """Answers 200 while callers may come; `run` serves until the process stops."""
+
+    def __init__(self, process):
+        self._process = process
+        host, port = _split(process.config.doors["status"])
+        self._http = make_server(host, port, self._app, threaded=False,
+                                 request_handler=_Quiet)
+
+    def run(self):
+        threading.current_thread().name = "status"
+        self._http.serve_forever(poll_interval=1.0)
+
+    def _app(self, environ, start_response):
+        found = self._process.ask(secrets.token_hex(8), "ready", {}, 0.5)
+        code = found.status if isinstance(found, Answered) else 503
+        return Response(b"", code)(environ, start_response)
+
+
+class _Quiet(WSGIRequestHandler):
+    """Says nothing of each request."""
+
+    def log(self, type, message, *args):
+        """Nothing."""
--- a/libs/pulleyhitch/src/pulleyhitch/keeping.py
+++ b/libs/pulleyhitch/src/pulleyhitch/keeping.py
@@ -9,6 +9,7 @@
 
 from dispatch import ledger as ledgers
 from dispatch import placer
+from dispatch import roster as rosters
 from dispatch.state import Placer
 from logbook import holder
 from manifest import registry as registries
@@ -29,12 +30,15 @@
     epoch: int
     held: holder.Held
     registry: registries.Registry
+    roster: rosters.Roster = field(default_factory=rosters.Roster)
 
 
 @dataclass
 class Keeping:
     shards: int
     zones: tuple
+    reader: object = None
+    provider: str = ""
     keepers: dict = field(default_factory=dict)
 
 
@@ -51,7 +55,7 @@
         if mine and (kept is None or kept.epoch < part.epoch):
             held = holder.Held(shard, part.epoch)
             k.keepers[shard] = (
-                Office(shard, part.epoch, held, registries.Registry(zonesKnown=k.zones))
+                Office(shard, part.epoch, held, registries.Registry(zonesKnown=k.zones, reader=k.reader))
                 if shard == 0 else Placer(shard, part.epoch, held))
             effects.append(Note("holds", {"shard": shard, "epoch": part.epoch}))
         elif kept and not mine and part.epoch > kept.epoch:
@@ -70,7 +74,11 @@
                 effects += holder.recover(held, nowMs, card, leader)
             continue
         holder.resend(held, nowMs, follow.term, 2 * times.pingMs)
-        if kept.shard != 0:
+        if kept.shard == 0:
+            if nowMs < endMs and not held.lost:
+                effects += rosters.tick(kept.roster, nowMs, terms, k.provider,
+                                       f"0|{kept.epoch}")
+        else:
             effects += placer.tick(kept, nowMs, floor.registry, k.shards, terms, endMs,
                                    lost)
         effects += _checkpoint(kept, card, terms, leader)
@@ -101,7 +109,7 @@
     if kept is None or not holder.on_page(kept.held, page):
         return []
     if kept.shard == 0:
-        kept.registry = registries.load(kept.held.checkpoint, k.zones)
+        kept.registry = registries.load(kept.held.checkpoint, k.zones, k.reader)
         for record in kept.held.pages:
             registries.apply(kept.registry, record)
     else:
@@ -138,9 +146,25 @@
     kept = k.keepers.get(int(shard))
     if kept is None or kept.epoch != int(epoch):
         return []
+    if kept.shard == 0:
+        return _listed(k, nowMs, kept, id_, called, terms)
     return placer.on_called(kept, nowMs, id_, called, floor.registry, k.shards, terms)
 
 
+def _listed(k, nowMs, kept, id_, called, terms):
+    """A page of the platform's list came: what has changed is logged for all."""
+    effects, changed = rosters.on_called(kept.roster, nowMs, id_, called, kept.registry,
+                                        terms, k.provider, f"0|{kept.epoch}")
+    if changed and not kept.held.lost:
+        record, _, failure = registries.decide(kept.registry, "engines", {"engines": changed})
+        if record is not None:
+            registries.apply(kept.registry, record)
+            holder.append(kept.held, record)
+        elif failure is not None:
+            effects.append(Note("list-wrong", failures.as_json(failure)))
+    return effects
+
+
 def command(k, nowMs, token, shard, verb, body, follow, floor, times, terms):
     """A command for a shard that this node is thought to hold."""
     kept = k.keepers.get(shard)
--- a/libs/pulleyhitch/src/pulleyhitch/knocking.py
+++ b/libs/pulleyhitch/src/pulleyhitch/knocking.py
@@ -11,7 +11,6 @@
 
 _HEAD_BYTES = 32 << 10
 _BODY_BYTES = {"operator": 8 << 20}
-_MOST_BODY = 1 << 20
 _SHARES = {"operator": 0.0625, "lookup": 0.25, "rank0": 0.375, "rank1": 0.1875,
            "rank2": 0.125}
 MAY_USE = {"operator": ("operator",), "lookup": ("lookup", "rank2", "rank1"),
@@ -20,6 +19,7 @@
 ORDER = {"operator": 0, "lookup": 1, "rank0": 1, "rank1": 2, "rank2": 3}
 PATIENCE_S = {"operator": 1, "lookup": 1, "rank0": 1, "rank1": 2, "rank2": 5}
 _LENGTH = re.compile(rb"\r\ncontent-length:\s*(\d{1,12})\s*\r\n", re.I)
+_CHUNKED = re.compile(rb"\r\ntransfer-encoding:\s*chunked\s*\r\n", re.I)
 _CLASS = re.compile(rb'"class"\s*:\s*"([a-z]{1,16})"')
 _ROUTE = re.compile(rb"^POST /v1/route/([^ /?]{1,80})")
 
@@ -33,12 +33,32 @@
     end = data.find(b"\r\n\r\n", 0, _HEAD_BYTES + 4)
     if end < 0:
         return len(data) > _HEAD_BYTES
+    most = _BODY_BYTES["operator"]
+    if _CHUNKED.search(data, 0, end + 2):
+        return len(data) > most or _chunks_end(data, end + 4)
     told = _LENGTH.search(data, 0, end + 2)
     length = int(told[1]) if told else 0
-    most = _BODY_BYTES["operator"] if b" /operator/" in data[:200] else _MOST_BODY
     return length > most or len(data) - end - 4 >= length
 
 
+def _chunks_end(data, at):
+    """Whether a chunked body that begins at `at` has its last chunk here; one that
+    can't be read is taken as whole, and refused by whoever reads it."""
+    while True:
+        end = data.find(b"\r\n", at, at + 64)
+        if end < 0:
+            return len(data) - at >= 64
+        try:
+            size = int(bytes(data[at:end]).partition(b";")[0], 16)
+        except ValueError:
+            return True
+        if size == 0:
+            return data.find(b"\r\n\r\n", end) >= 0
+        at = end + 2 + size + 2
+        if at > len(data):
+            return False
+
+
 def kind(data, rank_of):
     """operator, lookup or the rank of a task's class; `rank_of` knows routes."""
     line = bytes(data[:200])
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -39,12 +39,15 @@
     times: object = None
     terms: object = None
     closing: bool = False
+    leaving: bool = False
     askTurn: int = 0
     learnedMs: float = -1e12
 
 
-def make(config, incarnation, seed, group=None):
-    """A fresh node; `group` is a depot's opened replication group."""
+def make(config, incarnation, seed, group=None, dialect=None):
+    """A fresh node; `group` is a depot's opened replication group, `dialect` the
+    platform's shapes, if it has its own."""
+    reader = dialect.reader if dialect else None
     identity = group.identity if group else ""
     card = m.Card(config.name, config.role, config.zone, config.address, config.http,
                   incarnation, identity, bool(group) and not group.group)
@@ -53,11 +56,12 @@
     node = Node(
         card, config,
         circles.Circle(card, config.seeds, rng, times.pingMs * 1.5, times.revokeMs),
-        follows.Follow(), floors.Floor(config.shards, config.zones),
-        keeping.Keeping(config.shards, config.zones),
+        follows.Follow(), floors.Floor(config.shards, config.zones, reader),
+        keeping.Keeping(config.shards, config.zones, reader, config.provider),
         router.Router(configs.routing(config)), operating.Operating(),
         times=times, terms=configs.terms(config))
     node.floor.registry.zonesKnown = config.zones
+    node.floor.registry.reader = reader
     if group is not None:
         node.depot = depots.Depot(group, config.shards, card)
     return node
@@ -187,5 +191,5 @@
     """Orderly stop: no new work, grants back with a successor named."""
     node.closing = True
     names = [n for n in circles.live(node.circle, nowMs)
-             if node.circle.cards[n].role == "counter"]
+             if node.circle.cards[n].role == node.config.placers]
     return keeping.release_all(node.keepers, node.card, leader_of(node), sorted(names))
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -12,7 +12,8 @@
 from fellows import circle as circles
 from junction import choice, router
 from logbook import follow as follows
-from pulleyhitch import believing, keeping
+from manifest.schema import RANK
+from pulleyhitch import believing, keeping, passages
 from waybill import failures
 from waybill.effects import Reply, Send
 from waybill.messages import Command, CommandAnswer
@@ -45,6 +46,7 @@
     pending: dict = field(default_factory=dict)
     reads: list = field(default_factory=list)
     count: int = 0
+    toldMs: float = -1e12
 
 
 def asked(node, nowMs, event):
@@ -59,8 +61,8 @@
                                      follows.age(node.follow, nowMs),
                                      crew(node, nowMs))
     if verb == "resume":
-        return router.resume(node.router, nowMs, node.floor, event.token,
-                             body["incarnation"])
+        return router.resume(node.router, nowMs, node.floor, crew(node, nowMs),
+                             event.token, body["incarnation"])
     if verb == "believes":
         return [Reply(event.token, Answered(200, believing.all_of(node, nowMs)))]
     if verb == "read":
@@ -68,6 +70,19 @@
                                      nowMs + 0.5 * node.config.bounds.serviceBackMs))
         return [follows.ask(node.follow, nowMs, node.card, node.circle.group.leader)] \
             if node.circle.group.leader else []
+    if verb == "passage":
+        return passages.begin(node, nowMs, event.token, body, crew(node, nowMs))
+    if verb == "ready":
+        return [Reply(event.token, Answered(200 if passages.ready(node, nowMs) else 503, {}))]
+    if verb == "leave":
+        node.leaving = True
+        return []
+    if verb == "seeds":
+        node.circle.seeds = tuple(body["seeds"])
+        return []
+    if verb == "since":
+        since = node.floor.registry.zoneStamps.get(body["zone"], 0)
+        return [Reply(event.token, Answered(200, {"since": since}))]
     if verb == "route":
         return [Reply(event.token, _route(node, body["name"]))]
     shard = _LOG_SHARD if verb == "fleet" else 0
@@ -96,7 +111,8 @@
         return [Reply(token, failures.Overloaded(1000, "closing"))]
     task = router.Task(token, told["id"], told["service"], told["model"],
                        told["adapter"], told["class"], told["prompt"][:64],
-                       told["repeatable"], told["stream"], nowMs + told["deadlineMs"])
+                       told["repeatable"], told["stream"], nowMs + told["deadlineMs"],
+                       rank=RANK[told["class"]])
     return router.begin(node.router, nowMs, node.floor,
                         follows.age(node.follow, nowMs),
                         crew(node, nowMs), task)
@@ -104,9 +120,10 @@
 
 def _send(node, nowMs, token, shard, verb, body, id_):
     """Offer a command to its holder, until it answers or time is up."""
-    if verb in ("layout", "zone", "engines") and not body.get("change"):
+    if verb in ("layout", "zone", "engines", "written") and not body.get("change"):
         body = {**body, "change": id_}
-    endMs = nowMs + 0.75 * node.config.bounds.serviceBackMs
+    endMs = nowMs + min(0.75 * node.config.bounds.serviceBackMs,
+                        node.config.bounds.acknowledgeMs)
     node.operator.pending[id_] = _Pending(token, shard, verb, body, endMs)
     return _offer(node, nowMs, id_)
 
@@ -146,7 +163,20 @@
         if nowMs >= read[3]:
             node.operator.reads.remove(read)
             effects.append(Reply(read[0], failures.MajorityLost(1000)))
-    return effects + current(node, nowMs)
+    return effects + current(node, nowMs) + _tell_wanted(node, nowMs)
+
+
+def _tell_wanted(node, nowMs):
+    """Tell the placers, in few bytes, what callers have been asking for."""
+    if not node.router.wanted or nowMs - node.operator.toldMs < 2 * node.times.pingMs:
+        return []
+    node.operator.toldMs = nowMs
+    by = {}
+    for (service, item), count in node.router.wanted.items():
+        by.setdefault(world.shard_of(service, node.config.shards), {})[item] = count
+    node.router.wanted = {}
+    return [Send(to, Command("", shard, "", "wanted", json.dumps({"items": items}).encode()))
+            for shard, items in by.items() if (to := _holder_address(node, shard))]
 
 
 def current(node, nowMs):
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -12,7 +12,8 @@
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from junction import engines, legs
+from junction import engines, legs, passing
+from junction.pool import Pool
 from logbook import disk as disks
 from logbook import group as groups
 from pulleyhitch import config as configs
@@ -38,8 +39,10 @@
 class Process:
     """`post` and `ask` put an event to the owner and get its word, later or now."""
 
-    def __init__(self, config):
+    def __init__(self, config, dialect=None):
         self.config = config
+        self.dialect = dialect
+        self.pool = Pool()
         self.ring = Ring(config.name)
         self._queue = queue.SimpleQueue()
         self._waiting = {}
@@ -49,7 +52,8 @@
         self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
         self._disk, group = self._open_disk(config)
-        self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group)
+        self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group,
+                                dialect)
         try:
             self._pipes = Pipes(
                 config.listen, lambda: Greet(self._node.card, False, (), self._node.circle.group),
@@ -186,9 +190,15 @@
             self._fail(failures.DiskUntrusted("log", str(failed.strerror)))
 
     def _call(self, effect):
-        ask = engines.order_ask(effect.url, effect.verb, effect.body)
-        ended = legs.call(ask, effect.timeoutMs, effect.timeoutMs / 2, effect.notAfterMs)
-        body = engines.read_json(ended.data) if ended.code else {}
+        told = {**effect.body, "engine": effect.engine, "holder": self.config.name}
+        if self.dialect is None:
+            ask = engines.order_ask(effect.url, effect.verb, effect.body)
+            ended = legs.call(ask, effect.timeoutMs, effect.timeoutMs / 2, effect.notAfterMs)
+            body = engines.read_json(ended.data) if ended.code else {}
+        else:
+            ask = self.dialect.call_ask(effect.url, effect.verb, told)
+            ended = passing.call(self.pool, ask, effect.timeoutMs, effect.notAfterMs)
+            body = self.dialect.read_call(effect.verb, told, ended.code, ended.data)
         self._queue.put(e.Called(effect.id, ended.code, body or {}, ended.begun))
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/running.py
+++ b/libs/pulleyhitch/src/pulleyhitch/running.py
@@ -4,18 +4,11 @@
 an address can't be used, 4 stopped by a failure while running.
 """
 
-import json
-import os
-import signal
-import sys
-import threading
-
 from cleo.commands.command import Command
 from cleo.helpers import option
 
 from pulleyhitch import config as configs
-from pulleyhitch.process import CannotStart, Process
-from pulleyhitch.server import Server
+from pulleyhitch import lifetime
 from waybill import failures
 
 __all__ = ["COMMANDS"]
@@ -36,42 +29,6 @@
     return flags
 
 
-def _say(failure):
-    print(json.dumps(failures.as_json(failure)), file=sys.stderr, flush=True)
-
-
-def _run(config):
-    try:
-        process = Process(config)
-    except CannotStart as failed:
-        _say(failed.failure)
-        return 3
-    try:
-        server = Server(process)
-    except OSError:
-        _say(failures.AddressTaken(config.http))
-        return 3
-    asked = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: asked.set())
-    signal.signal(signal.SIGUSR1, lambda *_: process.ring.note("asked", {}, why="asked"))
-    process.start()
-    threading.Thread(target=server.run, name="http", daemon=True).start()
-    print(json.dumps({"up": config.name, "role": config.role, "address": config.address,
-                      "http": config.http}), flush=True)
-    if not config.tokens:
-        _say(failures.NoTokens("whoever says they are a partner is believed; see [tokens]"))
-    code = 0
-    while not asked.wait(0.1):
-        if process.stopped():
-            code = 4
-            break
-    process.close()
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
-
-
 class _Role(Command):
     options = [
         option("config", "c", "A TOML file of config", flag=False),
@@ -85,9 +42,9 @@
     def handle(self):
         config = configs.read(self.option("config"), _flags(self, self.name))
         if isinstance(config, failures.Failure):
-            _say(config)
+            lifetime.say(config)
             return 2
-        return _run(config)
+        return lifetime.run(config)
 
 
 class Depot(_Role):
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -12,18 +12,18 @@
 """
 
 import hmac
-import io
 import secrets
 
 from werkzeug.exceptions import HTTPException
 from werkzeug.routing import Map, Rule
-from werkzeug.serving import WSGIRequestHandler
 from werkzeug.wrappers import Request
 
 from junction import callers, serving
 from junction.router import Done
 from manifest.schema import RANK
+from pulleyhitch import knocking
 from pulleyhitch.door import Door
+from pulleyhitch.handling import Front, Handler
 from pulleyhitch.operating import Answered
 from waybill import failures
 
@@ -44,56 +44,6 @@
 _TASKS = ("task", "route", "lookup")
 
 
-class _Out(io.RawIOBase):
-    """What werkzeug writes to: the socket, whole or with an error."""
-
-    def __init__(self, sock):
-        self._sock = sock
-
-    def writable(self):
-        return True
-
-    def write(self, data):
-        self._sock.sendall(data)
-        return len(data)
-
-
-class _Handler(WSGIRequestHandler):
-    """A request that the door has read already, answered when its time comes."""
-
-    protocol_version = "HTTP/1.1"
-
-    def setup(self):
-        self.connection, self.wfile = self.request.sock, _Out(self.request.sock)
-        self.rfile = io.BytesIO(bytes(self.request.data))
-
-    def handle(self):
-        self.told = None
-        self.raw_requestline = self.rfile.readline(65537)
-        self.whole = len(self.raw_requestline) <= 65536 and self.parse_request()
-        if self.whole:
-            self.told = super().make_environ()
-
-    def finish(self):
-        """The door closes the socket."""
-
-    def make_environ(self):
-        return self.told
-
-    def log(self, type, message, *args):
-        """Requests are not logged line by line; the ring has what matters."""
-
-
-class _Front:
-    """The few facts that werkzeug's handler asks of a server."""
-
-    ssl_context, passthrough_errors = None, False
-    multithread, multiprocess = True, False
-
-    def __init__(self, address, app, log):
-        self.server_address, self.app, self.log = address, app, log
-
-
 class Server:
     """`run` serves until the process stops."""
 
@@ -103,11 +53,11 @@
         self._serving = serving.Serving(process.ask, 500)
         self._classes = {}
         host, _, port = self._config.http.rpartition(":")
-        self._front = _Front((host, int(port)), self._app, lambda *what: process.ring.note(
+        self._front = Front((host, int(port)), self._app, lambda *what: process.ring.note(
             "http", {"what": str(what)[:2000]}, why="http"))
         try:
             self._door = Door(host.strip("[]"), int(port), self._config.httpThreads,
-                              self._begin, self._rank_of,
+                              self._begin, lambda data: knocking.kind(data, self._rank_of),
                               0.4 * self._config.bounds.serviceBackMs / 1000)
         except OSError as failed:
             raise OSError(self._config.http) from failed
@@ -123,7 +73,7 @@
 
     def _begin(self, caller):
         """First look at a request: answer it, or find that its task must wait."""
-        handler = _Handler(caller, caller.address, self._front)
+        handler = Handler(caller, caller.address, self._front)
         if not handler.whole:
             return None
         task = self._first_step(handler)
--- a/libs/rehearsal/src/rehearsal/mutants.py
+++ b/libs/rehearsal/src/rehearsal/mutants.py
@@ -132,7 +132,7 @@
                       for i, k in enumerate("cdcdcdcdcd")] + _ordering(d),
            lambda: [(worlds, "local", worlds.wall)], more={"fencing": False}),
     Mutant("loads not counted", "room-and-store", _silent,
-           lambda: [(orders, "_store_allows", lambda *a: True)]),
+           lambda: [(orders, "store_allows", lambda *a: True)]),
     Mutant("loads of engines called gone forgotten", "room-and-store",
            lambda d: [_s(100, "engines-all", "", 300)]
            + [_s(700 + 400 * i, "engine-struck-off", f"e{i % d.engines}", 1500)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -119,12 +119,12 @@
         state.log(p, ledger.found_record("e0", "i", {}, "g"))
         state.log(p, ledger.order_record("e0", "m", "load", "1.1.1", 5, 0, "g"))
         loads = {"atOnce": 1, "perMinute": 60}
-        self.assertFalse(orders._store_allows(p, 0.0, "g", loads))
+        self.assertFalse(orders.store_allows(p, 0.0, "g", loads))
         placer._drop_gone(p, 0.0, registry.Registry(), terms)
         self.assertThat(p.ledger.engines, Equals({}))
-        self.assertFalse(orders._store_allows(p, 2900.0, "g", loads))
+        self.assertFalse(orders.store_allows(p, 2900.0, "g", loads))
         again = state.Placer(1, 2, holder.Held(1, 2, ready=True),
                              ledger=ledger.load(ledger.dump(p.ledger)))
-        self.assertFalse(orders._store_allows(again, 9e6, "g", loads), "a takeover counts it")
+        self.assertFalse(orders.store_allows(again, 9e6, "g", loads), "a takeover counts it")
         placer._drop_gone(p, 3100.0, registry.Registry(), terms)
-        self.assertTrue(orders._store_allows(p, 3100.0, "g", loads))
+        self.assertTrue(orders.store_allows(p, 3100.0, "g", loads))
