Ramp as the layout tells, plain engines balanced, pipes kept, gossip by digest

Cause: plain engines were never reported, so the ramp held them at a tenth; all counters hashed plain tasks to one engine; pipes were asked for their socket after it was gone, so none was kept; greetings carried all cards to all, the largest part of bytes between zones.

--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -46,10 +46,12 @@
 
 def _poll(p, nowMs, registry, shards, terms):
     effects = []
-    for name in world.services_of(registry, p.shard, shards):
+    for name, service in world.services_of(registry, p.shard, shards).items():
+        if service.get("byDemand") and service["kind"] == "plain":
+            continue
         for engine in world.engines_of(registry, name):
             busy = p.polls.get(engine["name"])
-            if busy is not None and nowMs - busy < terms.reportMs:
+            if busy is not None and nowMs - busy < _pause(p, engine, service, terms):
                 continue
             if busy is not None and f"report:{engine['name']}" in p.calls and (
                     nowMs - busy < 2 * terms.callMs):
@@ -60,6 +62,16 @@
     return effects
 
 
+def _pause(p, engine, service, terms):
+    """How long to wait between reports; where orders tell their own end, reports are
+    only for what was left in doubt."""
+    if not service.get("byDemand") or any(
+            e["state"] == "unknown" or (e["state"] == "intended" and e["order"] not in p.calls)
+            for e in p.ledger.engines.get(engine["name"], {}).values()):
+        return terms.reportMs
+    return 5 * terms.reportMs
+
+
 def _drop_gone(p, nowMs, registry, terms):
     """Forget engines the platform calls gone.  What they were loading is counted
     until it can no longer ask the store; a new holder counts it from its start."""
--- a/libs/fellows/src/fellows/circle.py
+++ b/libs/fellows/src/fellows/circle.py
@@ -9,6 +9,7 @@
 
 import hashlib
 import random
+import zlib
 from dataclasses import dataclass, field
 
 from waybill.effects import Note, Send
@@ -20,6 +21,8 @@
 
 NO_GROUP = GroupCard("", 0, 0, "", ())
 _KNOWN = 4
+_SETTLED = 5
+_CALM = 2.0
 
 
 @dataclass
@@ -35,6 +38,8 @@
     group: GroupCard = NO_GROUP
     nextMs: float = 0.0
     turn: int = 0
+    digests: dict = field(default_factory=dict)
+    settledTurns: int = 0
 
 
 def weight(watcher, name):
@@ -60,12 +65,28 @@
         nowMs - circle.aliveMs.get(name, nowMs) > 2 * circle.lostMs)
 
 
-def greeting(circle, answer, nowMs=None):
-    """With `nowMs`, also how lately each fellow has been heard of."""
-    cards = tuple(circle.cards.values())
-    silent = () if nowMs is None else tuple(
-        int(min(1e9, max(0.0, nowMs - circle.aliveMs.get(c.name, -1e9)))) for c in cards)
-    return Greet(circle.card, answer, cards, circle.group, silent)
+def digest(circle):
+    """What cards we know, our own included, in a few bytes."""
+    known = sorted((c.name, c.incarnation, c.address, c.identity, c.empty)
+                   for c in (circle.card, *circle.cards.values()))
+    return zlib.crc32(repr(known).encode())
+
+
+def greeting(circle, answer, nowMs=None, to=None):
+    """With `nowMs`, also how lately each fellow has been heard of; one who is known
+    to hold the same cards gets none."""
+    told = digest(circle)
+    same = to is not None and circle.digests.get(to) == told
+    names = sorted([*circle.cards, circle.card.name]) if same else list(circle.cards)
+    silent = () if nowMs is None else tuple(_silence(circle, nowMs, n) for n in names)
+    cards = () if same else tuple(circle.cards.values())
+    return Greet(circle.card, answer, cards, circle.group, silent, told)
+
+
+def _silence(circle, nowMs, name):
+    if name == circle.card.name:
+        return 0
+    return int(min(1e9, max(0.0, nowMs - circle.aliveMs.get(name, -1e9))))
 
 
 def tick(circle, nowMs):
@@ -83,7 +104,12 @@
     if depots:
         targets.add(depots[circle.turn % len(depots)])
     targets.discard(circle.card.address)
-    return [Send(to, greeting(circle, True, nowMs)) for to in sorted(targets)]
+    told = digest(circle)
+    known = all(circle.digests.get(circle.cards[n].address) == told for n in watched(circle))
+    circle.settledTurns = circle.settledTurns + 1 if known and circle.group.group else 0
+    if circle.settledTurns > _SETTLED:
+        circle.nextMs += _CALM * circle.gossipMs
+    return [Send(to, greeting(circle, True, nowMs, to)) for to in sorted(targets)]
 
 
 def on_greet(circle, nowMs, sender, message):
@@ -91,6 +117,13 @@
     effects = []
     if message.card.name and message.card.name != circle.card.name:
         effects += _meet(circle, nowMs, message.card, True)
+    circle.digests[message.card.address] = message.digest
+    if not message.cards and message.silentMs and message.digest == digest(circle):
+        for name, silentMs in zip(sorted([*circle.cards, circle.card.name]),
+                                  message.silentMs):
+            if name != circle.card.name:
+                atMs = nowMs - silentMs - circle.gossipMs / 10
+                circle.aliveMs[name] = max(atMs, circle.aliveMs.get(name, -1e12))
     for number, card in enumerate(message.cards):
         if card.name != circle.card.name:
             effects += _meet(circle, nowMs, card, False)
@@ -99,7 +132,7 @@
                 circle.aliveMs[card.name] = max(atMs, circle.aliveMs.get(card.name, -1e12))
     learn_group(circle, message.group, message.card.address)
     if message.answer:
-        effects.append(Send(sender, greeting(circle, False, nowMs)))
+        effects.append(Send(sender, greeting(circle, False, nowMs, sender)))
     return effects
 
 
--- a/libs/junction/src/junction/choice.py
+++ b/libs/junction/src/junction/choice.py
@@ -10,6 +10,7 @@
 import math
 from dataclasses import dataclass
 
+from junction import cold
 from waybill.rendezvous import weight
 
 __all__ = ["Crew", "Budget", "choose", "limit", "notice", "broke", "ready_in",
@@ -25,6 +26,7 @@
     """The counters that share the engines, as this one knows them."""
     me: str
     names: tuple
+    zone: str = ""
 
 
 @dataclass
@@ -71,8 +73,10 @@
     return sum(1 for name in crew.names if name != crew.me and weight(key, name) > mine)
 
 
-def limit(r, nowMs, engine, crew, rank):
+def limit(r, nowMs, engine, crew, rank, service=None):
     """How many legs this node may have on an engine for a task of this rank."""
+    if service is not None and "warmPerS" in service:
+        return _limit_told(r, nowMs, engine, crew, rank, service)
     part = _ramp(r, nowMs, engine)
     if part >= 1.0:
         return max(1, int(engine["slots"] * _part(rank)))
@@ -84,8 +88,21 @@
     return max(share, 1) if nowMs - r.brokeMs[engine["name"]] > r.terms.pauseMs else 0
 
 
-def ready_in(r, nowMs, engines, crew, rank):
+def _limit_told(r, nowMs, engine, crew, rank, service):
+    """As many as our part of its slots and as much again, since callers don't come
+    to all counters alike; none for a while after it broke a leg of ours."""
+    if nowMs - r.brokeMs.get(engine["name"], -1e12) < r.terms.pauseMs:
+        return 0
+    if cold.is_cold(r, nowMs, engine) and not cold.take(r, nowMs, engine, service, crew, True):
+        return 0
+    return max(2, math.ceil(2 * engine["slots"] * _part(rank) / max(1, len(crew.names))))
+
+
+def ready_in(r, nowMs, engines, crew, rank, service=None):
     """In how many ms this node will have a place on one of these at all."""
+    if service is not None and "warmPerS" in service:
+        return min((cold.ready_in(r, nowMs, e, service, crew) for e in engines
+                    if cold.is_cold(r, nowMs, e)), default=r.terms.pauseMs / 2)
     waits = [(_turn(r, e, crew) + 1) / _part(rank) / e["slots"] - _ramp(r, nowMs, e)
              for e in engines]
     return max(0.0, min(waits, default=0.0)) * r.terms.rampMs
@@ -107,11 +124,22 @@
     r.brokeMs[engine] = nowMs
 
 
-def choose(r, nowMs, engines, crew, task, rank):
+def choose(r, nowMs, engines, crew, task, rank, service=None):
+    """The engine for a task's next leg, or None if none has a place for it."""
     free = [e for e in engines
-            if r.busy.get(e["name"], 0) < limit(r, nowMs, e, crew, rank)]
+            if r.busy.get(e["name"], 0) < limit(r, nowMs, e, crew, rank, service)]
     if not free:
         return None
+    best = _liked(r, free, engines, crew, task)
+    if service is not None and "warmPerS" in service and cold.is_cold(r, nowMs, best):
+        cold.take(r, nowMs, best, service, crew)
+    return best
+
+
+def _liked(r, free, engines, crew, task):
+    if not task.model:
+        return min(free, key=lambda e: (r.busy.get(e["name"], 0) - (e["zone"] == crew.zone),
+                                        weight(task.id, e["name"])))
     total = sum(r.busy.get(e["name"], 0) for e in engines) + 1
     bound = max(1, -(-int(total * _BOUND * 100) // (len(engines) * 100)))
     key = f"{task.model}|{task.adapter}|{task.opening}"
--- a/libs/junction/src/junction/passing.py
+++ b/libs/junction/src/junction/passing.py
@@ -105,11 +105,12 @@
             elif active:
                 multi.select(_WAIT_S)
                 yield "idle", None
+        fd = curl.getinfo(pycurl.LASTSOCKET)
         multi.remove_handle(curl)
-        yield "end", ended
         if head is not None and ended.code and _keeps(head):
-            pool.give(base, pipe, _keep_s(head))
+            pool.give(base, pipe, fd, _keep_s(head))
             pipe = None
+        yield "end", ended
     finally:
         if pipe is not None:
             if ended is None:
--- a/libs/junction/src/junction/pool.py
+++ b/libs/junction/src/junction/pool.py
@@ -53,10 +53,10 @@
             pipe.close()
         return Pipe(), False
 
-    def give(self, base, pipe, keepS):
+    def give(self, base, pipe, fd, keepS):
         """Keep a pipe for `keepS` as the engine told, or a little if it told nothing."""
         pipe.untilS = time.monotonic() + (_UNTOLD_S if keepS is None else _MARGIN * keepS)
-        pipe.fd = pipe.curl.getinfo(pycurl.LASTSOCKET)
+        pipe.fd = fd
         pipe.curl.reset()
         with self._lock:
             kept = self._idle.setdefault(base, [])
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -11,7 +11,7 @@
 from dispatch import floor as floors
 from dispatch import world
 from dispatch.placement import item_name
-from junction import choice
+from junction import choice, cold
 from junction.tasks import Done, Hold, Leg, Task, Terms
 from manifest import registry as registries
 from waybill import failures
@@ -35,6 +35,9 @@
     retried: int = 0
     resumed: int = 0
     wanted: dict = field(default_factory=dict)
+    seenEngines: dict = field(default_factory=dict)
+    coldUntilMs: dict = field(default_factory=dict)
+    coldTokens: dict = field(default_factory=dict)
 
 
 _FOR_A_PLACE = 0.4
@@ -81,7 +84,8 @@
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
     found = [e for e in found if e["name"] not in task.legs]
-    best = choice.choose(r, nowMs, found, crew, task, task.rank)
+    service = registries.services(floor.registry).get(task.service)
+    best = choice.choose(r, nowMs, found, crew, task, task.rank, service)
     if best is not None:
         r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
         task.legs.append(best["name"])
@@ -97,7 +101,7 @@
             if not task.up and not task.short:
                 task.up, task.giveUpMs = True, nowMs + _FOR_A_PLACE * (task.endMs - nowMs)
             return []
-        readyMs = choice.ready_in(r, nowMs, found, crew, task.rank)
+        readyMs = choice.ready_in(r, nowMs, found, crew, task.rank, service)
         if 0 < readyMs < task.endMs - nowMs and not task.legs and _line_open(r, task):
             task.waiting = task.short = True
             task.giveUpMs = min(task.endMs, nowMs + readyMs + 2 * r.terms.pauseMs)
@@ -167,6 +171,8 @@
     """The floor changed, or a leg ended: those in line try again, in order."""
     for engine in floors.servable(floor):
         choice.notice(r, nowMs, engine["name"], floors.incarnation(floor, engine))
+    cold.notice(r, nowMs, floor.registry, registries.services(floor.registry),
+                lambda engine: world.usable(floor.registry, engine))
     if ageMs > r.terms.staleMs:
         return []
     effects = []
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -91,7 +91,7 @@
 
 
 def crew(node, nowMs):
-    return choice.Crew(node.card.name, circles.counters(node.circle, nowMs))
+    return choice.Crew(node.card.name, circles.counters(node.circle, nowMs), node.card.zone)
 
 
 def _next(node):
--- a/libs/waybill/src/waybill/messages.py
+++ b/libs/waybill/src/waybill/messages.py
@@ -37,12 +37,15 @@
 
 @dataclass(frozen=True)
 class Greet:
-    """`silentMs`: how long each of `cards` has not been heard of, by anyone."""
+    """`silentMs`: how long each of `cards` has not been heard of, by anyone; in the
+    order of their names where `cards` is left out, as it is to one who knows them
+    all already: `digest` tells what cards the sender knows, its own included."""
     card: Card
     answer: bool
     cards: tuple[Card, ...]
     group: GroupCard
     silentMs: tuple[int, ...] = ()
+    digest: int = 0
 
 
 @dataclass(frozen=True)
