Don't push out a busy model for a rare one; let patience grow with who waits

Cause: any wish that was waited for pushed out whatever an idle engine could spare, the busiest models too (seen: 16.9 askings a second pushed out for 0.1), and whole windows waited for their reload. Change: a cost limit that grows with the waiters and their time.

--- a/libs/dispatch/src/dispatch/asked.py
+++ b/libs/dispatch/src/dispatch/asked.py
@@ -23,6 +23,9 @@
 _KEEP_MS = 1200.0
 _PAUSE_MS = 60.0
 _LET_GO = 1.5
+_LEAST = 0.4
+_EACH = 0.4
+_BESIDE = 0.2
 
 
 @dataclass
@@ -49,10 +52,19 @@
     _forget(p, nowMs, engines)
     for item in sorted(v.waited, key=lambda i: (v.waited[i], i)):
         if world.size_of(registry, item) is not None:
-            _bring(v, item)
+            _bring(v, item, _patience(v, item))
     _more_copies(v)
 
 
+def _patience(v, item):
+    """How much may be lost, in askings a second, for an item that is waited for: the
+    more so the more wait for it and the longer they have."""
+    since = [v.p.holdsMs.get(id_, v.nowMs) for id_, hold in v.p.ledger.holds.items()
+             if item in (hold["model"], f"{hold['model']}/{hold['adapter']}")]
+    waitS = (v.nowMs - min(since, default=v.nowMs)) / 1000
+    return _LEAST + _EACH * len(since) * (1 + waitS)
+
+
 def _forget(p, nowMs, engines):
     p.demand.making = {i: m for i, m in p.demand.making.items()
                        if m[0] in engines and nowMs - m[1] < 8 * _KEEP_MS}
@@ -78,7 +90,7 @@
         e["state"] != "loaded" for e in items.values())
 
 
-def _bring(v, item):
+def _bring(v, item, most):
     """Have an item come up somewhere, if it isn't up or on its way."""
     if v.copies.get(item):
         v.p.demand.making.pop(item, None)
@@ -88,7 +100,7 @@
         if v.copies.get(model):
             _bring_adapter(v, item, model)
         return
-    _bring_model(v, item, ())
+    _bring_model(v, item, (), most)
 
 
 def _bring_adapter(v, item, model):
@@ -152,7 +164,7 @@
     return (cost, tuple(out)) if freeMb >= sizeMb else None
 
 
-def _bring_model(v, model, beside, most=float("inf")):
+def _bring_model(v, model, beside, most):
     """Choose the engine where a model costs least, and take the next step there."""
     sizeMb = world.size_of(v.registry, model)[0]
     kept = v.p.demand.making.get(model)
@@ -167,10 +179,10 @@
             continue
         known = model in v.p.demand.before.get(name, ())
         zones = sum(1 for n in beside if v.engines[n].zone == v.engines[name].zone)
-        found.append((zones, pushed[0] * (0.6 if known else 1.0), not known,
+        found.append((pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones, not known,
                       weight(model, name), name, pushed[1]))
     if found:
-        name, out = min(found)[4:]
+        name, out = min(found)[3:]
         v.p.demand.making.setdefault(model, (name, v.nowMs))
         _give(v, name, model, out)
 
