A newcomer of another name takes the place of the member silent longest

Change: newcomers are brought up to date at once, and take the place of the voter that has been silent for 4 elections. Test red before.

--- a/libs/logbook/src/logbook/founding.py
+++ b/libs/logbook/src/logbook/founding.py
@@ -4,7 +4,9 @@
 agree on one list and save it; each agrees once in its life.  An empty depot
 alone never founds.  Later, a new identity under a lost member's name is
 brought up to date as a learner, then the old member is removed and the new
-one added: two records, one change at a time, so majorities always overlap.
+one added: two records, one change at a time, so majorities always overlap.  A
+newcomer of another name is brought up to date too, and takes the place of the
+member that has been silent longest, once that is silent for long enough.
 """
 
 import hashlib
@@ -20,6 +22,9 @@
 __all__ = ["Founding", "tick", "on_ask", "on_agree", "replace_tick"]
 
 
+_GONE = 4
+
+
 @dataclass
 class Founding:
     group: str = ""
@@ -103,17 +108,19 @@
         if card.role != "depot" or not card.identity or card.identity in voters:
             continue
         old = by_name.get(card.name)
-        if old is None and len(voters) >= g.times.depots:
-            continue
+        full = old is None and len(voters) >= g.times.depots
         other = g.others.get(card.identity)
         if other is None:
             return copying.add_learner(g, nowMs, card.identity, card.name, card.address)
         if other.match < g.commit or nowMs - other.heardMs > g.times.electMs:
             continue
+        old = _silent(g, nowMs, voters) if full else old
+        if full and old is None:
+            continue
         if old is not None:
             seen = g.others.get(old.identity)
             if old.identity == g.identity or (
-                    seen and nowMs - seen.heardMs < 4 * g.times.electMs):
+                    seen and nowMs - seen.heardMs < _GONE * g.times.electMs):
                 continue
             rest = {i: m for i, m in voters.items() if i != old.identity}
             return _change(g, nowMs, rest, "removes", old.name)
@@ -123,6 +130,13 @@
     return _move_addresses(g, nowMs, cards)
 
 
+def _silent(g, nowMs, voters):
+    """The member whose place one of another name may take: the longest silent."""
+    silent = [(g.others[i].heardMs, i) for i in voters if i in g.others
+              and nowMs - g.others[i].heardMs >= _GONE * g.times.electMs]
+    return voters[min(silent)[1]] if silent else None
+
+
 def _move_addresses(g, nowMs, cards):
     """A member that came back with its disk at another address is recorded."""
     for card in cards.values():
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -1,6 +1,7 @@
 """Losses of power after a kill, and elections between logs that differ: two faults
 that the platform's days brought about."""
 
+import dataclasses
 import os
 import random
 import tempfile
@@ -12,6 +13,10 @@
 from logbook import disk as disks
 from logbook import election
 from logbook import group as groups
+from rehearsal import deployments
+from rehearsal.sim import disk as sim_disks
+from rehearsal.sim import run
+from rehearsal.sim import world as worlds
 from waybill.effects import Send, Write
 from waybill.messages import Ballot, Canvass, Entry, Member
 
@@ -124,3 +129,25 @@
                     self.deliver(nodes, nowMs, election.tick(node, nowMs), name)
                 nowMs += 20
             self.assertThat(nodes["b"].role, Equals("leader"), f"{ahead} terms ahead")
+
+
+class Replacing(TestCase):
+    def test_a_newcomer_of_another_name_takes_the_silent_members_place(self):
+        for seed in range(3):
+            made = run._build(seed, deployments.SMALL, True)
+            worlds.spin(made.world, 8000)
+            lead = made.leader()
+            gone = made.world.hosts[next(n for n in ("d0", "d1", "d2") if n != lead)]
+            identity = gone.node.depot.group.identity
+            worlds.kill(made.world, gone)
+            made.world.by_address.pop(gone.config.address)
+            config = dataclasses.replace(gone.config, name="d9", address="10.9.9.9:1",
+                                         listen="10.9.9.9:1", founds=False)
+            fresh = worlds.Host("d9", config, sim_disks.SimDisk())
+            made.world.hosts["d9"] = fresh
+            worlds.boot(made.world, fresh)
+            worlds.spin(made.world, made.world.nowMs + 4000)
+            members = groups.members(made.world.hosts[made.leader()].node.depot.group)
+            self.assertThat(len(members), Equals(3), f"seed {seed}")
+            self.assertNotIn(identity, members)
+            self.assertIn(fresh.node.depot.group.identity, members)
