--- a/libs/dispatch/src/dispatch/asked.py
+++ b/libs/dispatch/src/dispatch/asked.py
@@ -13,7 +13,7 @@
 
 from dispatch import ledger as ledgers
 from dispatch import line, orders, world
-from dispatch.demand import FADE_MS, rate
+from dispatch.demand import FADE_MS, rate, tell
 from waybill.rendezvous import weight
 
 __all__ = ["plan"]
@@ -23,6 +23,8 @@
 _KEEP_MS = 1200.0
 _PAUSE_MS = 60.0
 _LET_GO = 1.5
+_SEED = 16.0
+_HOT = 4.0
 _LEAST = 0.4
 _EACH = 0.4
 _BESIDE = 0.2
@@ -50,10 +52,21 @@
     v = _View(p, nowMs, registry, name, service, terms, engines, _copies(p, engines),
               line.waited_for(p, name))
     _forget(p, nowMs, engines)
+    if not p.demand.seeded:
+        _seed(v)
+    _more_copies(v, _HOT)
     for item in sorted(v.waited, key=lambda i: (v.waited[i], i)):
         if world.size_of(registry, item) is not None:
             _bring(v, item, _patience(v, item))
-    _more_copies(v)
+    _more_copies(v, 0.0)
+
+
+def _seed(v):
+    """Before anybody has told what is asked for, many copies speak of much demand."""
+    v.p.demand.seeded = True
+    for model, copies in v.copies.items():
+        if "/" not in model:
+            tell(v.p.demand, v.nowMs, model, _SEED * (0.1 + copies - 1))
 
 
 def _patience(v, item):
@@ -205,12 +218,14 @@
     v.p.demand.making.pop(item, None)
 
 
-def _more_copies(v):
+def _more_copies(v, least):
     """One more copy of what has fewer than its demand keeps busy, where that costs
-    less than it brings."""
-    for model in [i for i in v.copies if "/" not in i]:
-        if not v.copies[model] or v.copies[model] >= _wanted(v, model):
+    less than it brings; of those asked for at least so often, most asked first."""
+    found = [(-rate(v.p.demand, v.nowMs, i), i) for i in v.copies
+             if "/" not in i and 0 < v.copies[i] < _wanted(v, i)]
+    for asked, model in sorted(found):
+        asked = -asked
+        if asked < least:
             continue
         beside = [n for n in v.engines if model in v.p.ledger.engines.get(n, {})]
-        asked = rate(v.p.demand, v.nowMs, model)
         _bring_model(v, model, beside, most=asked / (1 + v.copies[model]) / _LET_GO)
--- a/libs/dispatch/src/dispatch/demand.py
+++ b/libs/dispatch/src/dispatch/demand.py
@@ -16,6 +16,7 @@
     upMs: dict = field(default_factory=dict)
     pauseMs: dict = field(default_factory=dict)
     before: dict = field(default_factory=dict)
+    seeded: bool = False
 
 
 def tell(d, nowMs, item, count):
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -16,13 +16,21 @@
 
 __all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
 
+_OWN = 0.25
+
 
 def taken_over(p, nowMs, terms):
-    """The shard is recovered: read reports, but order nothing yet."""
+    """The shard is recovered: read reports, but order nothing yet.  A life of ours
+    that held it before is over, so only what it sent last may still be on its way."""
     p.ledger = ledgers.load(p.held.checkpoint)
     for record in p.held.pages:
         ledgers.apply(p.ledger, record)
-    p.notBeforeMs = nowMs + max(terms.callMs, terms.turnMs)
+    p.notBeforeMs = nowMs + (_OWN * terms.callMs if p.own and terms.turnMs
+                             else max(terms.callMs, terms.turnMs))
+    for items in p.ledger.engines.values():
+        for entry in items.values():
+            if entry["state"] == "taken":
+                p.callEndMs[entry["order"]] = nowMs
     p.holdsMs = {id_: nowMs for id_ in p.ledger.holds}
 
 
--- a/libs/dispatch/src/dispatch/state.py
+++ b/libs/dispatch/src/dispatch/state.py
@@ -37,6 +37,7 @@
     shard: int
     epoch: int
     held: holder.Held
+    own: bool = False
     ledger: ledgers.Ledger = field(default_factory=ledgers.Ledger)
     notBeforeMs: float = float("inf")
     reports: dict = field(default_factory=dict)
--- a/libs/junction/src/junction/passing.py
+++ b/libs/junction/src/junction/passing.py
@@ -64,8 +64,9 @@
     curl.setopt(pycurl.HTTPHEADER, headers)
 
 
-def stream(pool, base, ask, timeoutMs, connectMs, fresh):
-    """The events of one leg; closing the generator breaks the leg off."""
+def stream(pool, base, ask, timeoutMs, connectMs, fresh, silentMs=None):
+    """The events of one leg; closing the generator breaks the leg off.  After
+    `silentMs` without a head comes ("silent", None), once."""
     lines, chunks, ends = [], [], []
 
     def on_header(line):
@@ -86,6 +87,7 @@
     curl.setopt(pycurl.WRITEFUNCTION, chunks.append)
     multi.add_handle(curl)
     head, ended = None, None
+    silentS = time.monotonic() + (silentMs if silentMs else 1e9) / 1000
     try:
         while ended is None:
             _, active = multi.perform()
@@ -103,7 +105,12 @@
             elif bad:
                 ended = Ended(0, b"", _begun(curl), str(bad[0][1]))
             elif active:
-                multi.select(_WAIT_S)
+                nowS = time.monotonic()
+                if head is None and nowS >= silentS:
+                    silentS = float("inf")
+                    yield "silent", None
+                multi.select(min(_WAIT_S, max(0.001, silentS - nowS)) if head is None
+                             else _WAIT_S)
                 yield "idle", None
         fd = curl.getinfo(pycurl.LASTSOCKET)
         multi.remove_handle(curl)
--- a/libs/junction/src/junction/relaying.py
+++ b/libs/junction/src/junction/relaying.py
@@ -10,13 +10,14 @@
 
 from junction import passing
 from junction.engines import Ask
-from junction.router import Leg
+from junction.router import Leg, Stay
 from waybill import failures
 from waybill.pipes import hung_up
 
 __all__ = ["Relaying"]
 
-_WHOLE_BYTES = 1 << 20
+_SILENT = 0.5
+_LEAST_SILENT_MS = 250.0
 _HOP = frozenset(("connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
                   "te", "trailer", "transfer-encoding", "upgrade"))
 
@@ -39,7 +40,11 @@
         last = None
         while isinstance(step, Leg):
             source = self._leg(told, step, 0)
-            head, first, proof = self._begin(told, source, gone)
+            head, first, proof = self._begin(token, told, source, gone)
+            if isinstance(proof, (Leg, failures.Failure)):
+                source.close()
+                step = proof
+                continue
             if head is not None and not (told["repeatable"] and head.code >= 500):
                 return self._answer(token, told, head, first, source, gone)
             if head is not None:
@@ -59,12 +64,19 @@
     def _leg(self, told, leg, after):
         ask = Ask(told["method"], leg.url + told["target"], told["body"],
                   self._dialect.leg_headers(told, leg, after))
-        return passing.stream(self._pool, leg.url, ask, leg.timeoutMs, self._connectMs,
-                              not told["repeatable"])
-
-    def _begin(self, told, source, gone):
-        """(head, first data, proof): a head that is the engine's own answer, or None."""
+        silentMs = max(_LEAST_SILENT_MS, _SILENT * told["aimMs"]) if told["repeatable"] else None
+        connectMs = min(self._connectMs, max(100.0, 0.4 * told["aimMs"]))
+        return passing.stream(self._pool, leg.url, ask, leg.timeoutMs, connectMs,
+                              not told["repeatable"], silentMs)
+
+    def _begin(self, token, told, source, gone):
+        """(head, first data, proof): a head that is the engine's own answer, or None;
+        the proof is the next step itself if silence has led to one already."""
         for kind, value in source:
+            if kind == "silent":
+                step = self._ask(token, "silent", {})
+                if not isinstance(step, Stay):
+                    return None, b"", step
             if kind == "head":
                 judged = self._dialect.judged(told, value)
                 if judged == "not-run":
@@ -161,7 +173,11 @@
         step = self._ask(token, "ended", {"proof": "unknown" if whole else "cut"})
         while isinstance(step, Leg):
             source = self._leg(told, step, last)
-            head, _, proof = self._begin(told, source, gone)
+            head, _, proof = self._begin(token, told, source, gone)
+            if isinstance(proof, (Leg, failures.Failure)):
+                source.close()
+                step = proof
+                continue
             if head is not None and head.code == 200:
                 return source, head
             source.close()
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -12,13 +12,13 @@
 from dispatch import world
 from dispatch.placement import item_name
 from junction import choice, cold
-from junction.tasks import Done, Hold, Leg, Task, Terms
+from junction.tasks import Done, Hold, Leg, Stay, Task, Terms
 from manifest import registry as registries
 from waybill import failures
 from waybill.effects import Reply
 
-__all__ = ["Router", "Terms", "Task", "Leg", "Done", "begin", "ended", "wake",
-           "tick", "held", "resume"]
+__all__ = ["Router", "Terms", "Task", "Leg", "Done", "Stay", "begin", "ended", "wake",
+           "tick", "held", "resume", "silent"]
 
 
 
@@ -41,6 +41,8 @@
 
 
 _FOR_A_PLACE = 0.4
+_IN_LINE = 0.45
+_AVOID_MS = {"not-run": 100.0, "no-pipe": 1000.0, "unknown": 1e12}
 
 
 def _fail(r, task, failure):
@@ -79,24 +81,25 @@
     """Give the task a leg, or a place in line, or its final answer."""
     if nowMs >= task.endMs:
         return _fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
-    if len(task.legs) >= task.tries:
+    if task.sent >= task.tries:
         return _fail(r, task, _spent(task))
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
-    found = [e for e in found if e["name"] not in task.legs]
+    found = [e for e in found if task.avoid.get(e["name"], 0.0) <= nowMs]
     service = registries.services(floor.registry).get(task.service)
     best = choice.choose(r, nowMs, found, crew, task, task.rank, service)
     if best is not None:
         r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
         task.legs.append(best["name"])
+        task.sent += 1
         leg = Leg(best["name"], best["url"], min(r.terms.legMs, task.endMs - nowMs),
-                  task.rank, len(task.legs) > 1)
+                  task.rank, task.sent > 1)
         if item and not leg.again:
             for wanted in {task.model, item}:
                 key = task.service, wanted
                 r.wanted[key] = r.wanted.get(key, 0) + 1
         return [Reply(task.token, leg)] + _unhold(r, task, "served")
-    if found or not item or task.legs:
+    if found or not item or (task.legs and not task.told):
         if task.waiting:
             if not task.up and not task.short:
                 task.up, task.giveUpMs = True, nowMs + _FOR_A_PLACE * (task.endMs - nowMs)
@@ -134,6 +137,8 @@
         return _fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
     task.waiting = True
     task.giveUpMs = task.endMs
+    if task.told:
+        task.giveUpMs = max(nowMs, task.sinceMs + _IN_LINE * (task.endMs - task.sinceMs))
     shard = world.shard_of(task.service, floor.shards)
     return [Hold("hold", shard, {
         "id": task.id, "service": task.service, "model": task.model,
@@ -167,6 +172,23 @@
                              min(r.terms.legMs, task.endMs - nowMs)))]
 
 
+def silent(r, nowMs, floor, ageMs, crew, token):
+    """No answer has begun on a task's leg for long: another leg elsewhere, if the task
+    may run twice and there is a place for it, else the one that is out goes on."""
+    task = r.tasks.get(token)
+    if task is None or not task.repeatable or not task.legs or task.sent >= task.tries:
+        return [Reply(token, Stay())]
+    engine, item = task.legs[-1], item_name(task.model, task.adapter) if task.model else ""
+    others = [e for e in floors.engines_with(floor, task.service, item)
+              if e["name"] != engine and task.avoid.get(e["name"], 0.0) <= nowMs
+              and r.busy.get(e["name"], 0) < choice.limit(
+                  r, nowMs, e, crew, task.rank,
+                  registries.services(floor.registry).get(task.service))]
+    if not others:
+        return [Reply(token, Stay())]
+    return ended(r, nowMs, floor, ageMs, crew, token, "unknown")
+
+
 def wake(r, nowMs, floor, ageMs, crew):
     """The floor changed, or a leg ended: those in line try again, in order."""
     for engine in floors.servable(floor):
@@ -229,6 +251,12 @@
         r.served += proof == "done"
         return [Reply(token, Done())] + _unhold(r, task, proof)
     task.mayHaveRun = task.mayHaveRun or proof == "unknown"
+    if task.legs:
+        task.avoid[task.legs[-1]] = nowMs + (
+            _AVOID_MS.get(proof, 1e12) if task.told else 1e12)
+        if proof == "no-pipe" and task.told:
+            task.sent -= 1
+            return _go(r, nowMs, floor, crew, task)
     again = proof in ("not-run", "no-pipe") or task.repeatable
     if not again:
         r.tasks.pop(token, None)
--- a/libs/junction/src/junction/tasks.py
+++ b/libs/junction/src/junction/tasks.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Terms", "Task", "Leg", "Done", "Hold"]
+__all__ = ["Terms", "Task", "Leg", "Done", "Stay", "Hold"]
 
 
 @dataclass(frozen=True)
@@ -42,6 +42,9 @@
     aimMs: float = 0.0
     tries: int = 1 << 30
     mayHaveRun: bool = False
+    sent: int = 0
+    avoid: dict = field(default_factory=dict)
+    told: bool = False
     tokens: tuple = ()
 
 
@@ -59,6 +62,11 @@
     """The task is over, and nothing more to do."""
 
 
+@dataclass(frozen=True)
+class Stay:
+    """There is nothing better than to wait for the leg that is out."""
+
+
 @dataclass(frozen=True)
 class Hold:
     """Ask the shard's holder for a place in line (or to give one back)."""
--- a/libs/logbook/src/logbook/book.py
+++ b/libs/logbook/src/logbook/book.py
@@ -25,6 +25,7 @@
     epoch: int = 0
     holder: str = ""
     incarnation: str = ""
+    before: str = ""
     next: int = 1
     checkpointAt: int = 0
     checkpoint: bytes = b""
@@ -44,6 +45,7 @@
     epoch: int
     holder: str
     incarnation: str
+    before: str
     next: int
     checkpointAt: int
     checkpoint: bytes
@@ -75,7 +77,7 @@
         if section.epoch != part.epoch + 1:
             return False
         given = json.loads(section.records[0])
-        part.epoch = section.epoch
+        part.epoch, part.before = section.epoch, part.holder
         part.holder, part.incarnation = given["holder"], given["incarnation"]
         return True
     if section.epoch != part.epoch:
@@ -100,7 +102,7 @@
 
 def view(book):
     return to_bytes(_BookView(
-        tuple(_ShardView(n, s.epoch, s.holder, s.incarnation, s.next,
+        tuple(_ShardView(n, s.epoch, s.holder, s.incarnation, s.before, s.next,
                          s.checkpointAt, s.checkpoint, tuple(s.records))
               for n, s in sorted(book.shards.items())),
         tuple(book.members[i] for i in sorted(book.members)),
@@ -109,7 +111,7 @@
 
 def open_view(body):
     seen = from_bytes(_BookView, body)
-    return Book({s.shard: ShardBook(s.epoch, s.holder, s.incarnation, s.next,
+    return Book({s.shard: ShardBook(s.epoch, s.holder, s.incarnation, s.before, s.next,
                                     s.checkpointAt, s.checkpoint, list(s.records))
                  for s in seen.shards},
                 {m.identity: m for m in seen.members}, seen.membersStamp)
--- a/libs/logbook/src/logbook/grants.py
+++ b/libs/logbook/src/logbook/grants.py
@@ -103,7 +103,7 @@
         part = books.shard_of(g.book, shard)
         if d.epochs.get(shard, 0) != part.epoch or not _vacant(g, n, nowMs, part):
             continue
-        name = _choose(held, shard, shards)
+        name = part.holder if part.holder in held else _choose(held, shard, shards)
         if name is not None:
             held[name] += 1
             effects += _grant(g, d, n, shard, name)
--- a/libs/pulleyhitch/src/pulleyhitch/keeping.py
+++ b/libs/pulleyhitch/src/pulleyhitch/keeping.py
@@ -56,7 +56,7 @@
             held = holder.Held(shard, part.epoch)
             k.keepers[shard] = (
                 Office(shard, part.epoch, held, registries.Registry(zonesKnown=k.zones, reader=k.reader))
-                if shard == 0 else Placer(shard, part.epoch, held))
+                if shard == 0 else Placer(shard, part.epoch, held, own=part.before == card.name))
             effects.append(Note("holds", {"shard": shard, "epoch": part.epoch}))
         elif kept and not mine and part.epoch > kept.epoch:
             del k.keepers[shard]
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -60,6 +60,9 @@
         return effects + router.wake(node.router, nowMs, node.floor,
                                      follows.age(node.follow, nowMs),
                                      crew(node, nowMs))
+    if verb == "silent":
+        return router.silent(node.router, nowMs, node.floor, follows.age(node.follow, nowMs),
+                             crew(node, nowMs), event.token)
     if verb == "resume":
         return router.resume(node.router, nowMs, node.floor, crew(node, nowMs),
                              event.token, body["incarnation"])
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -27,7 +27,7 @@
     if node.closing and not told.get("accepted"):
         return [Reply(token, failures.Overloaded(200, "closing"))]
     if node.follow.currentMs <= -1e11 or not registries.services(node.floor.registry):
-        return [Reply(token, failures.Stale(300, 0))]
+        return [Reply(token, failures.Stale(int(2 * node.times.electMs), 0))]
     found = routes.match(node.floor.registry, told["host"], told["path"])
     if found is None:
         return [Reply(token, failures.NotFound("route"))]
@@ -48,4 +48,4 @@
                        routes.service_for(route, told["id"]), told["model"],
                        told["adapter"], f"rank{rank}", "|".join(told["opening"][:_OPENING]),
                        repeatable, stream, nowMs + holdMs, rank=rank, aimMs=route["aimMs"],
-                       tries=route.get("tries", 1), tokens=told["tokens"])
+                       tries=route.get("tries", 1), tokens=told["tokens"], told=True)
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -28,6 +28,7 @@
 __all__ = ["Process", "CannotStart"]
 
 _TICKS_PER_PING = 6
+_FIRST_ELECT = 0.3
 
 
 class CannotStart(Exception):
@@ -77,7 +78,7 @@
         group = groups.Group(config.name, identity.decode(), config.address,
                              configs.times(config), random.Random(secrets.randbits(64)))
         groups.open_group(group, disk.loaded.files, disk.loaded.entries)
-        group.electAtMs = _now() + group.times.electMs * (1 + random.random())
+        group.electAtMs = _now() + _FIRST_ELECT * group.times.electMs * (1 + random.random())
         return disk, group
 
     def _note(self, what, facts):
