Refuse configurations that no number or text of ours can hold; keep kinds apart

Cause: a huge whole number, an infinite product of the store's rate or a lone surrogate raised in the holder or in every follower instead of being refused; 1, 1.0 and true counted as the same item, so a change between them was lost when read back; a checkpoint gave the written layout a newer stamp than it had. Change: such numbers and texts are refused with their field, items are compared as they read back, the stamp is set when the layout is written.

--- a/libs/manifest/src/manifest/passages.py
+++ b/libs/manifest/src/manifest/passages.py
@@ -16,6 +16,7 @@
 __all__ = ["check", "section", "OWNER"]
 
 OWNER = "floor"
+_MOST = 1e12
 
 
 class _Loose(Schema):
@@ -31,8 +32,8 @@
     return fields.Integer(strict=True, validate=validate.Range(min=low, max=high))
 
 
-def _number(low=0.0):
-    return fields.Float(validate=validate.Range(min=low), allow_nan=False)
+def _number(low=0.0, **more):
+    return fields.Float(validate=validate.Range(min=low, max=_MOST), allow_nan=False, **more)
 
 
 class _Share(_Loose):
@@ -46,13 +47,13 @@
         validate.Length(min=1, max=1000), validate.Regexp(r"^/(.*/)?$")])
     kind = fields.String(required=True, validate=validate.OneOf(["safe", "unsafe", "stream"]))
     holdMs = fields.Float(required=True, allow_nan=False,
-                          validate=validate.Range(min=0, min_inclusive=False))
-    aimMs = fields.Float(load_default=0.0, allow_nan=False)
+                          validate=validate.Range(min=0, max=_MOST, min_inclusive=False))
+    aimMs = _number(load_default=0.0)
     rank = _count(0, 9)
     split = fields.List(fields.Nested(_Share), required=True, validate=validate.Length(min=1))
     tries = _count(1, 1000)
     resumable = fields.Boolean(load_default=False)
-    pauseMs = fields.Float(load_default=0.0, allow_nan=False)
+    pauseMs = _number(load_default=0.0)
 
 
 class _Model(_Loose):
--- a/libs/manifest/src/manifest/registry.py
+++ b/libs/manifest/src/manifest/registry.py
@@ -75,6 +75,7 @@
         registry.stamps[told["partner"]] = told["stamp"]
     elif kind == "written":
         registry.document = written.merged(registry.document, told)
+        registry.stamps[passages.OWNER] = told["stamp"]
         _reread(registry)
     elif kind == "zone":
         registry.zoneStamps[told["zone"]] = told["stamp"]
@@ -97,7 +98,6 @@
     """The written layout as a section beside the partners' own."""
     if registry.reader is not None and registry.document["edition"]:
         registry.sections[passages.OWNER] = written.read(registry.reader, registry.document)
-        registry.stamps[passages.OWNER] = registry.stamp
 
 
 def decide(registry, verb, body):
--- a/libs/manifest/src/manifest/written.py
+++ b/libs/manifest/src/manifest/written.py
@@ -24,7 +24,7 @@
     """What the adapter knows of the form: names of the listed parts, and item readers.
 
     `route(item)` and `service(item)` return facts as in `passages`, raising KeyError,
-    TypeError or ValueError on what can't be read."""
+    TypeError, ValueError or an ArithmeticError on what can't be read."""
     edition: str
     routes: str
     services: str
@@ -91,7 +91,7 @@
         for name, item in document["parts"].get(part, {}).items():
             try:
                 facts[name] = read_item(item)
-            except (KeyError, TypeError, ValueError, AttributeError) as failed:
+            except (KeyError, TypeError, ValueError, AttributeError, ArithmeticError) as failed:
                 raise _Unreadable(f"{part}.{name}", repr(failed)) from failed
         found.append(facts)
     return found
@@ -129,17 +129,22 @@
     return _difference(document, made), None
 
 
+def _same(old, new):
+    """Whether both read back alike: 1, 1.0 and true are equal and don't."""
+    return old == new and json.dumps(old) == json.dumps(new)
+
+
 def _difference(old, new):
     """{"edition", "set", "gone", "order", "rest"}: what makes `new` of `old`."""
     told = {"edition": new["edition"], "set": {}, "gone": {}, "order": {}}
     for part, items in new["parts"].items():
         before = old["parts"].get(part, {})
-        told["set"][part] = {n: i for n, i in items.items() if before.get(n) != i}
+        told["set"][part] = {n: i for n, i in items.items() if not _same(before.get(n), i)}
         told["gone"][part] = [n for n in before if n not in items]
         like = [n for n in before if n in items] + [n for n in items if n not in before]
         if like != list(items):
             told["order"][part] = list(items)
-    if new["rest"] != old["rest"]:
+    if not _same(new["rest"], old["rest"]):
         told["rest"] = new["rest"]
     return told
 
