Tests of what answers and reports prove of an order

Orders taken, given again and settled by 200, refused, unanswered, and reports that are busy or older than the order, driven without processes.

--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/placing.py
@@ -0,0 +1,132 @@
+"""A placer driven without processes, against plain engines that carry out one order
+at a time; time is simulated."""
+
+from dataclasses import dataclass, field
+
+from dispatch import placer, state, world
+from logbook.holder import Held
+from waybill.effects import Call, Reply
+from waybill.events import Called
+
+__all__ = ["TERMS", "PlainEngine", "Scene", "engine_facts"]
+
+TERMS = state.Terms(callMs=960.0, reportMs=450.0, darkMs=3000.0, turnMs=0.0, lagMs=300.0)
+SHARDS = 4
+_TICK_MS = 40.0
+
+
+@dataclass
+class PlainEngine:
+    """`broken`: what an engine would fall over, or a rule be broken, by."""
+    name: str
+    sizes: dict
+    roomMb: float
+    places: int
+    loadMs: float
+    items: set = field(default_factory=set)
+    known: set = field(default_factory=set)
+    order: tuple = ()
+    doneMs: float = 0.0
+    reports: list = field(default_factory=list)
+    storeMs: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
+    broken: list = field(default_factory=list)
+
+
+def engine_facts(name, service, **facts):
+    return {"name": name, "service": service, "state": "join", "zone": "z", "slots": 8,
+            "url": f"http://{name}", "roomMb": 0, "adapterPlaces": 0, **facts}
+
+
+def _advance(e, nowMs):
+    """Finish what is due; keep what reports with lag may still say."""
+    if e.order and nowMs >= e.doneMs:
+        verb, item = e.order
+        e.order = ()
+        if verb == "load":
+            e.items.add(item)
+            e.known.add(item)
+    kept = [r for r in e.reports if r[0] <= nowMs - TERMS.lagMs]
+    e.reports = [r for r in e.reports if r[0] > nowMs - 2000] or kept[-1:]
+    e.reports.append((nowMs, tuple(sorted(e.items)), bool(e.order)))
+
+
+def _told(e, nowMs):
+    """A report as things stood some while ago."""
+    old = [r for r in e.reports if r[0] <= nowMs - TERMS.lagMs] or e.reports[:1]
+    _, items, busy = old[-1]
+    return {"incarnation": e.name, "roomMb": 1 << 40, "adapterPlaces": 1 << 20,
+            "items": {i: "loaded" for i in items}, "busy": busy}
+
+
+def _ordered(e, nowMs, verb, item):
+    """An order's answer; what it breaks is kept."""
+    e.orders.append((nowMs, verb, item))
+    if (verb == "load") == (item in e.items):
+        return 200
+    if e.order:
+        return 202 if e.order == (verb, item) else 409
+    if verb == "unload":
+        e.items = {i for i in e.items if i.partition("/")[0] != item and i != item}
+        return 202
+    if "/" in item and item.partition("/")[0] not in e.items:
+        return 400
+    there = e.items | {item}
+    if sum(e.sizes[i][0] for i in there) > e.roomMb or (
+            sum(e.sizes[i][1] for i in there) > e.places):
+        e.broken.append((nowMs, item, "room"))
+    if "/" not in item and item not in e.known:
+        e.storeMs.append(nowMs)
+    tookMs = 15.0 if "/" in item else e.loadMs * (0.3 if item in e.known else 1.0)
+    e.order, e.doneMs = (verb, item), nowMs + tookMs
+    return 202
+
+
+class Scene:
+    """`step` lets a tick's time pass; `answers(call)` may lose or change an answer."""
+
+    def __init__(self, registry, service, engines, answers=None):
+        self.registry, self.service, self.nowMs = registry, service, 10000.0
+        self.shard = world.shard_of(service, SHARDS)
+        self.p = state.Placer(self.shard, 1, Held(self.shard, 1, ready=True))
+        self.p.notBeforeMs = 0.0
+        self.engines = {e.name: e for e in engines}
+        self.calls, self.told, self._answers = [], [], answers or (lambda call: None)
+
+    def step(self):
+        self.nowMs += _TICK_MS
+        for engine in self.engines.values():
+            _advance(engine, self.nowMs)
+        self._do(placer.tick(self.p, self.nowMs, self.registry, SHARDS, TERMS,
+                             self.nowMs + 10000, lambda name, life: False))
+        self.durable()
+
+    def command(self, verb, body):
+        self._do(placer.command(self.p, self.nowMs, "t", verb, body, self.registry, TERMS))
+        self.durable()
+
+    def durable(self):
+        """Everything logged so far is safe."""
+        while self.p.held.waiting:
+            waiting, self.p.held.waiting = self.p.held.waiting, []
+            for _, then in waiting:
+                self._do(placer.on_durable(self.p, self.nowMs, then, self.registry, TERMS,
+                                           self.nowMs + 10000))
+        self.p.held.unacked.clear()
+
+    def _do(self, effects):
+        for effect in effects:
+            if isinstance(effect, Reply):
+                self.told.append(effect)
+            elif isinstance(effect, Call):
+                self._call(effect)
+
+    def _call(self, call):
+        self.calls.append((self.nowMs, call))
+        engine, id_ = self.engines[call.engine], call.id.split("|", 2)[2]
+        told = self._answers(call)
+        if told is None and call.verb == "report":
+            told = Called(call.id, 200, _told(engine, self.nowMs))
+        elif told is None:
+            told = Called(call.id, _ordered(engine, self.nowMs, call.verb, call.body["item"]))
+        placer.on_called(self.p, self.nowMs, id_, told, self.registry, SHARDS, TERMS)
--- /dev/null
+++ b/tests/test_platform_again.py
@@ -0,0 +1,174 @@
+"""What answers and reports prove of an order: what is charged, until what."""
+
+import random
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, GreaterThan, Not
+
+from dispatch import again, ledger, orders, placer, settle, state
+from interchange import configuration
+from logbook.holder import Held
+from manifest import registry as registries
+from rehearsal import platform_made as made
+from rehearsal.placing import SHARDS, TERMS, engine_facts
+from waybill.events import Called
+
+ENDS_MS = 1e9
+
+
+class Orders(TestCase):
+    def setUp(self):
+        super().setUp()
+        whole = made.configuration(random.Random(2), 1)
+        self.service = whole["services"][0]["name"]
+        self.registry = registries.Registry(reader=configuration.READER)
+        record, _, failure = registries.decide(self.registry, "written", {
+            "expect": 0, "written": whole, "partial": False})
+        self.assertThat(failure, Equals(None))
+        registries.apply(self.registry, record)
+        self.registry.engines["e0"] = self.facts = engine_facts("e0", self.service)
+        self.model = whole["services"][0]["engine"]["parcels"][0]["name"]
+        self.p = state.Placer(1, 1, Held(1, 1, ready=True))
+        self.p.notBeforeMs, self.nowMs = 0.0, 1000.0
+        self.report(["other"], at=900.0)
+
+    def report(self, items, at, busy=False):
+        """A report asked for at a time, its lag taken off, and answered now."""
+        settle.on_report(self.p, self.nowMs, "e0", {
+            "incarnation": "i", "roomMb": 1 << 40, "adapterPlaces": 1 << 20,
+            "items": {i: "loaded" for i in items}, "busy": busy}, at, self.registry)
+
+    def give(self, verb="load"):
+        """An order given and sent; its id."""
+        orders.give(self.p, "e0", self.model, verb, 100.0, 0, self.service)
+        self.p.held.waiting, waiting = [], self.p.held.waiting
+        call, = placer.on_durable(self.p, self.nowMs, waiting[-1][1], self.registry, TERMS, ENDS_MS)
+        self.assertThat(call.verb, Equals(verb))
+        return call.id.split("|", 2)[2]
+
+    def answer(self, id_, code, begun=True):
+        self.nowMs += 5
+        placer.on_called(self.p, self.nowMs, id_, Called("", code, {}, begun), self.registry,
+                         SHARDS, TERMS)
+
+    def state(self):
+        entry = self.p.ledger.engines["e0"].get(self.model)
+        return entry and entry["state"]
+
+    def due(self):
+        return again.due(self.p, self.nowMs, self.registry, self.service, TERMS, ENDS_MS)
+
+    def test_taken_then_settled_by_giving_it_again(self):
+        order = self.give()
+        self.assertThat((self.state(), self.due()), Equals(("intended", [])))
+        self.answer(order, 202)
+        self.assertThat((self.state(), self.due()), Equals(("taken", [])))
+        asked = []
+        for _ in range(200):
+            self.nowMs += 10
+            for call in self.due():
+                asked.append(self.nowMs)
+                id_ = call.id.split("|", 2)[2]
+                self.assertThat((call.body["item"], call.body["order"], call.verb),
+                                Equals((self.model, order, "load")))
+                self.answer(id_, {0: 409, 1: 202, 2: 0, 3: 503}.get(len(asked) - 1, 200))
+                if len(asked) <= 4:
+                    self.assertThat(self.state(), Equals("taken"))
+        self.assertThat((self.state(), len(asked)), Equals(("loaded", 5)))
+
+    def test_unloads_settle_alike(self):
+        id_ = self.give()
+        self.answer(id_, 200)
+        self.assertThat(self.state(), Equals("loaded"))
+        self.answer(self.give("unload"), 202)
+        self.assertThat(self.state(), Equals("taken"))
+        self.nowMs += 1000
+        call, = self.due()
+        self.assertThat(call.verb, Equals("unload"))
+        self.answer(call.id.split("|", 2)[2], 200)
+        self.assertThat(self.state(), Equals(None))
+
+    def test_refused_frees_the_charge(self):
+        before = ledger.charged(self.p.ledger, "e0")
+        for code in (409, 412, 421, 400, 503):
+            self.answer(self.give(), code)
+            self.assertThat(self.state(), Equals(None), str(code))
+            self.assertThat(ledger.charged(self.p.ledger, "e0"), Equals(before))
+            self.assertThat(self.p.demand.pauseMs["e0"], GreaterThan(self.nowMs))
+        self.answer(self.give(), 0, begun=False)
+        self.assertThat(self.state(), Equals(None))
+
+    def test_refused_unload_is_still_there(self):
+        self.answer(self.give(), 200)
+        for code in (409, 412, 421):
+            self.answer(self.give("unload"), code)
+            self.assertThat(self.state(), Equals("loaded"))
+
+    def test_no_answer_stays_charged_until_later_reports(self):
+        usedMb, _ = ledger.charged(self.p.ledger, "e0")
+        self.answer(self.give(), 0)
+        self.assertThat(self.state(), Equals("unknown"))
+        self.nowMs += 500
+        self.report(["other"], at=self.nowMs - 510)
+        self.assertThat(self.state(), Equals("unknown"))
+        self.report(["other"], at=self.nowMs - 10)
+        self.assertThat(self.state(), Equals("unknown"))
+        self.assertThat(ledger.charged(self.p.ledger, "e0")[0], Equals(usedMb + 100.0))
+        self.nowMs += 500
+        self.report(["other"], at=self.nowMs - 10)
+        self.assertThat((self.state(), ledger.charged(self.p.ledger, "e0")[0]),
+                        Equals((None, usedMb)))
+
+    def test_no_answer_and_a_report_that_has_it(self):
+        self.answer(self.give(), 0)
+        self.nowMs += 100
+        self.report(["other", self.model], at=self.nowMs - 10)
+        self.assertThat(self.state(), Equals("loaded"))
+
+    def test_a_report_older_than_the_order_proves_nothing(self):
+        self.answer(self.give(), 200)
+        self.answer(self.give("unload"), 202)
+        self.nowMs += 300
+        self.report(["other"], at=self.nowMs - 320)
+        self.assertThat(self.state(), Equals("taken"))
+        self.report(["other"], at=self.nowMs - 10)
+        self.assertThat(self.state(), Equals(None))
+        self.answer(self.give(), 200)
+        self.report(["other"], at=self.nowMs - 20)
+        self.assertThat(self.state(), Equals("loaded"))
+
+    def test_an_item_that_came_up_is_not_found_twice_by_an_old_report(self):
+        """A report from before an unload was done doesn't bring the item back."""
+        self.answer(self.give(), 200)
+        self.answer(self.give("unload"), 200)
+        self.report(["other", self.model], at=self.nowMs - 50)
+        self.assertThat(list(self.p.ledger.engines["e0"]), Not(Contains(self.model)))
+
+    def test_busy_reports_leave_open_orders_open(self):
+        for code in (202, 0):
+            id_ = self.give()
+            self.answer(id_, code)
+            before = self.state()
+            for _ in range(3):
+                self.nowMs += 500
+                self.report(["other"], at=self.nowMs - 10, busy=True)
+                self.assertThat(self.state(), Equals(before))
+            self.nowMs += 500
+            self.report(["other"], at=self.nowMs - 10)
+            self.nowMs += 500
+            self.report(["other"], at=self.nowMs - 10)
+            self.assertThat(self.state(), Equals(None))
+
+    def test_nothing_is_given_again_near_the_grants_end(self):
+        self.answer(self.give(), 202)
+        self.nowMs += 5000
+        self.assertThat(again.due(self.p, self.nowMs, self.registry, self.service, TERMS,
+                                  self.nowMs + TERMS.callMs - 1), Equals([]))
+
+    def test_a_new_life_forgets(self):
+        self.answer(self.give(), 200)
+        self.nowMs += 100
+        settle.on_report(self.p, self.nowMs, "e0", {
+            "incarnation": "j", "roomMb": 1 << 40, "adapterPlaces": 1 << 20, "items": {}},
+            self.nowMs - 10, self.registry)
+        self.assertThat(self.p.ledger.engines["e0"], Equals({}))
