Give no order again to an engine that is leaving or evacuated

Cause: an order that was taken was given again until it was done, also after its engine began to leave or its zone was evacuated. Change: such engines are passed over; reports settle the order.

--- a/libs/dispatch/src/dispatch/again.py
+++ b/libs/dispatch/src/dispatch/again.py
@@ -72,6 +72,8 @@
         return []
     effects = []
     for engine in world.engines_of(registry, name):
+        if not world.usable(registry, engine):
+            continue
         for item, entry in p.ledger.engines.get(engine["name"], {}).items():
             order, endMs = entry["order"], p.callEndMs.get(entry["order"])
             if entry["state"] != "taken" or endMs is None or f"again:{order}" in p.calls:
