Tell a failure of a resumable stream's engine whole; read odd Keep-Alive words

Cause: where every leg of a resumable stream failed, the last engine's failure was told with its length and without its body; a superscript digit in Keep-Alive raised in the thread that serves the caller. Change: only successes are passed on as they come, failures are whole or not told. Tests: made-up legs joined at every byte, foreign answers, pipes with bytes to read or past their time.

--- a/libs/junction/src/junction/passing.py
+++ b/libs/junction/src/junction/passing.py
@@ -18,6 +18,7 @@
 
 _WAIT_S = 0.25
 _LIMIT_BYTES = 8 << 20
+_DIGITS = 9
 
 
 @dataclass(frozen=True)
@@ -132,8 +133,8 @@
     """The seconds for which the engine keeps an idle pipe, None if it didn't say."""
     for word in head.get("keep-alive", "").split(","):
         name, _, value = word.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return int(value)
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return int(value[:_DIGITS])
     return None
 
 
--- a/libs/junction/src/junction/relaying.py
+++ b/libs/junction/src/junction/relaying.py
@@ -21,6 +21,11 @@
                   "te", "trailer", "transfer-encoding", "upgrade"))
 
 
+def _streamed(told, head):
+    """Whether an answer is passed on as it comes; failures are whole or not at all."""
+    return told["kind"] == "stream" and head.code < 300
+
+
 class _CutOff(ConnectionError):
     """Breaks the answer off, so that nothing cut looks complete."""
 
@@ -71,7 +76,7 @@
                     return None, b"", "not-run"
                 if judged != "ours":
                     return None, b"", "unknown"
-                if told["kind"] == "stream":
+                if _streamed(told, value):
                     return value, b"", "unknown"
                 return self._whole(value, source, gone)
             if kind == "idle" and gone():
@@ -99,7 +104,7 @@
         return Response(body, f"{head.code} {head.reason}", headers, direct_passthrough=True)
 
     def _answer(self, token, told, head, first, source, gone):
-        if told["kind"] != "stream":
+        if not _streamed(told, head):
             source.close()
             self._ask(token, "ended", {"proof": "done"})
             return self._response(head, [first])
--- /dev/null
+++ b/tests/test_platform_pool.py
@@ -0,0 +1,174 @@
+"""Pipes to engines: kept for the next leg only while nothing is in doubt."""
+
+import socket
+import threading
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from junction import passing, pool
+from junction.engines import Ask
+from junction.passing import Head
+from junction.pool import Pool
+
+
+class Clock:
+    def __init__(self):
+        self.nowS = 100.0
+
+    def monotonic(self):
+        return self.nowS
+
+
+class Kept(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.patch(pool, "time", self.clock)
+        self.pool = Pool()
+        self.ours, self.theirs = socket.socketpair()
+        for sock in (self.ours, self.theirs):
+            self.addCleanup(sock.close)
+
+    def give(self, keepS, fd=None):
+        pipe, _ = self.pool.take("http://e", True)
+        self.pool.give("http://e", pipe, self.ours.fileno() if fd is None else fd, keepS)
+        return pipe
+
+    def kept(self, base="http://e", fresh=False):
+        pipe, kept = self.pool.take(base, fresh)
+        self.addCleanup(pipe.close)
+        return pipe if kept else None
+
+    def test_kept_once_for_its_own_address(self):
+        pipe = self.give(10)
+        self.assertThat(self.kept("http://f"), Equals(None))
+        self.assertThat(self.kept(), Equals(pipe))
+        self.assertThat(self.kept(), Equals(None))
+
+    def test_a_leg_that_must_not_run_twice_takes_none(self):
+        pipe = self.give(10)
+        self.assertThat(self.kept(fresh=True), Equals(None))
+        self.assertThat(self.kept(), Equals(pipe))
+
+    def test_not_with_bytes_to_read(self):
+        self.give(10)
+        self.theirs.send(b"H")
+        self.assertThat(self.kept(), Equals(None))
+
+    def test_not_after_the_other_end_closed(self):
+        self.give(10)
+        self.theirs.close()
+        self.assertThat(self.kept(), Equals(None))
+
+    def test_not_past_its_time(self):
+        for keepS, passedS, good in ((10, 5.0, True), (10, 9.0, False), (1, 0.5, True),
+                                     (1, 0.9, False), (0, 0.0, False), (None, 0.3, True),
+                                     (None, 1.0, False)):
+            self.give(keepS)
+            self.clock.nowS += passedS
+            self.assertThat(self.kept() is not None, Equals(good), f"{keepS} {passedS}")
+
+    def test_not_without_a_socket(self):
+        self.give(10, fd=-1)
+        self.assertThat(self.kept(), Equals(None))
+
+    def test_the_newest_is_used_and_the_rest_bounded(self):
+        given = [self.give(10) for _ in range(50)]
+        found = []
+        while (pipe := self.kept()) is not None:
+            found.append(pipe)
+        self.assertThat(found, Equals(given[-1:-33:-1]))
+
+
+class Told(TestCase):
+    def test_how_long_an_engine_keeps_a_pipe(self):
+        for value, seconds in (("timeout=5", 5), ("timeout=5, max=100", 5), ("max=9, Timeout=7", 7),
+                               ("", None), ("x", None), ("timeout=", None), ("timeout=-1", None),
+                               ("timeout=\xb2", None), ("timeout=" + "9" * 5000, 999999999)):
+            head = Head(200, "", (("Keep-Alive", value),) if value else ())
+            self.assertThat(passing._keep_s(head), Equals(seconds), value[:20])
+
+
+class Engine:
+    """Answers each request on a connection with the next of `answers`; counts both."""
+
+    def __init__(self, *answers):
+        self._answers, self.connections, self.requests = list(answers), 0, []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = "http://127.0.0.1:%d" % self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self):
+        self._listener.close()
+
+    def _run(self):
+        while self._answers:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        got = b""
+        with sock:
+            while self._answers:
+                while b"\r\n\r\n" not in got:
+                    part = sock.recv(65536)
+                    if not part:
+                        return
+                    got += part
+                self.requests.append(got)
+                got, answer = b"", self._answers.pop(0)
+                sock.sendall(answer)
+
+
+def answer(body, *headers, length=None):
+    lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body) if length is None else length}",
+             *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Served(TestCase):
+    def get(self, engine, kept, fresh=False):
+        source = passing.stream(kept, engine.url, Ask("GET", engine.url + "/a/../b?x", b""),
+                                10000, 5000, fresh)
+        events = list(source)
+        return b"".join(v for k, v in events if k == "data"), events[-1][1].code
+
+    def connections(self, first, fresh=False):
+        """How many connections two requests take, the first answered so."""
+        engine, kept = Engine(first, answer(b"two"), answer(b"three")), Pool()
+        self.addCleanup(engine.close)
+        self.get(engine, kept)
+        self.assertThat(self.get(engine, kept, fresh), Equals((b"two", 200)))
+        return engine.connections
+
+    def test_reused_after_a_whole_answer(self):
+        self.assertThat(self.connections(answer(b"one", "Keep-Alive: timeout=60")), Equals(1))
+
+    def test_not_reused(self):
+        for first in (answer(b"one", "Connection: close"),
+                      answer(b"one", "Keep-Alive: timeout=0"),
+                      answer(b"one", "Keep-Alive: timeout=60") + b"HTTP/1.1 200 OK\r\n",
+                      b"no answer at all\r\n\r\n"):
+            self.assertThat(self.connections(first), Equals(2), first)
+        self.assertThat(self.connections(answer(b"one", "Keep-Alive: timeout=60"), True),
+                        Equals(2))
+
+    def test_bytes_after_an_answer_belong_to_none(self):
+        engine = Engine(answer(b"one", "Keep-Alive: timeout=60") + answer(b"stray"),
+                        answer(b"two"))
+        self.addCleanup(engine.close)
+        kept = Pool()
+        self.assertThat([self.get(engine, kept)[0], self.get(engine, kept)[0]],
+                        Equals([b"one", b"two"]))
+
+    def test_sent_as_it_came(self):
+        engine = Engine(answer(b"one"))
+        self.addCleanup(engine.close)
+        self.get(engine, Pool())
+        self.assertThat(engine.requests[0].split(b"\r\n")[0], Equals(b"GET /a/../b?x HTTP/1.1"))
--- /dev/null
+++ b/tests/test_platform_relaying.py
@@ -0,0 +1,208 @@
+"""A caller's answer from made-up legs: the engine's own, whole, and joined exactly."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from interchange.dialect import DIALECT
+from junction import passing
+from junction.legs import Ended
+from junction.passing import Head
+from junction.relaying import Relaying
+from junction.router import Leg
+from junction.tasks import Done
+from waybill import failures
+
+OWN = (("X-Try-Id", "t1"), ("X-Postmark", "p"), ("Content-Type", "text/event-stream"))
+STREAM = {"kind": "stream", "resumable": True, "repeatable": True}
+PLAIN = {"kind": "safe", "resumable": False, "repeatable": True}
+CUT, WHOLE = Ended(0, b"", True, "cut"), Ended(200, b"", True)
+
+
+def head(code=200, headers=OWN, reason="Fine"):
+    return "head", Head(code, reason, headers)
+
+
+def event(number, text="x"):
+    return f"id: {number}\ndata: {text}{number}\n\n".encode()
+
+
+def data(*parts):
+    return [("data", part) for part in parts]
+
+
+class Relayed(TestCase):
+    """`legs`: what comes of each leg in turn; `spent`: what is said when none is left."""
+
+    def relay(self, legs, facts, spent=None, **told):
+        sources, self.asked, self.proofs, self.closed = list(legs), [], [], []
+        spent = spent or failures.OutcomeUnknown("leg-broken")
+
+        def stream(pool, base, ask, timeoutMs, connectMs, fresh):
+            self.asked.append(ask)
+            try:
+                yield from sources.pop(0)
+            finally:
+                self.closed.append(base)
+
+        def next_leg():
+            number = len(self.asked)
+            return Leg(f"e{number}", f"http://e{number}", 1000.0) if sources else spent
+
+        def ask(token, verb, body):
+            self.proofs.append(body["proof"])
+            return Done() if body["proof"] in ("done", "gone", "cut") else next_leg()
+        self.patch(passing, "stream", stream)
+        self.told = {"id": "t1", "method": "POST", "target": "/a/b?c", "body": b"q",
+                     "headers": ("X-Try-Id: t1",), **facts, **told}
+        return Relaying(ask, None, DIALECT, 100).serve("k", self.told, next_leg(), {})
+
+    def body(self, response):
+        """(bytes, whether they ended in order)."""
+        got = b""
+        try:
+            for part in response.iter_encoded():
+                got += part
+        except ConnectionError:
+            return got, False
+        finally:
+            response.close()
+        return got, True
+
+
+class Whole(Relayed):
+    def test_unchanged(self):
+        for code in (200, 404, 500):
+            response = self.relay([[head(code), *data(b"ab", b"\x00\xff"), ("end", Ended(
+                code, b"", True))]], {**PLAIN, "repeatable": False})
+            self.assertThat(response.status, Equals(f"{code} Fine"))
+            self.assertThat(self.body(response), Equals((b"ab\x00\xff", True)))
+            self.assertThat(response.headers["X-Postmark"], Equals("p"))
+            self.assertThat(self.proofs, Equals(["done"]))
+            sent, = self.asked
+            self.assertThat((sent.method, sent.url, sent.body), Equals(
+                ("POST", "http://e0/a/b?c", b"q")))
+
+    def test_foreign_answers_are_never_passed_on(self):
+        """Another request's id, or a success without stamp."""
+        for headers in ((("X-Try-Id", "t2"), ("X-Postmark", "p")), (("X-Try-Id", "t1"),), (),
+                        (("x-try-id", "t2"),), (("X-Postmark", "p"), ("X-Try-Id", "T1"))):
+            for facts in (PLAIN, STREAM, {**PLAIN, "repeatable": False}):
+                bad = [head(200, headers), *data(b"foreign"), ("end", WHOLE)]
+                response = self.relay([bad, bad], facts)
+                self.assertThat(response.status_code, Equals(502))
+                self.assertFalse(b"foreign" in self.body(response)[0])
+                self.assertThat(set(self.proofs), Equals({"unknown"}))
+
+    def test_a_foreign_failure_is_not_passed_on(self):
+        for code in (400, 404, 421, 503):
+            bad = [head(code, (("X-Try-Id", "t2"), ("X-Not-Run", "full"))), ("end", Ended(
+                code, b"", True))]
+            self.assertThat(self.relay([bad], PLAIN).status_code, Equals(502))
+            self.assertThat(self.proofs, Equals(["unknown"]))
+
+    def test_what_has_not_run_goes_elsewhere(self):
+        refused = [head(503, (("X-Try-Id", "t1"), ("X-Not-Run", "full"))), ("end", WHOLE)]
+        good = [head(), *data(b"ok"), ("end", WHOLE)]
+        response = self.relay([refused, good], {**PLAIN, "repeatable": False})
+        self.assertThat(self.body(response), Equals((b"ok", True)))
+        self.assertThat(self.proofs, Equals(["not-run", "done"]))
+
+    def test_a_cut_answer_is_not_passed_on(self):
+        cut = [head(), *data(b"half"), ("end", CUT)]
+        response = self.relay([cut], {**PLAIN, "repeatable": False})
+        self.assertThat(response.status_code, Equals(502))
+        self.assertThat(self.proofs, Equals(["unknown"]))
+        response = self.relay([cut, [head(), *data(b"whole"), ("end", WHOLE)]], PLAIN)
+        self.assertThat(self.body(response), Equals((b"whole", True)))
+
+    def test_nothing_sent(self):
+        for begun, proof in ((False, "no-pipe"), (True, "unknown")):
+            self.relay([[("end", Ended(0, b"", begun))]], PLAIN)
+            self.assertThat(self.proofs, Equals([proof]))
+
+    def test_the_last_failure_is_told_whole(self):
+        """Of legs that all fail, the engine's own answer, whole."""
+        for facts in (PLAIN, STREAM):
+            bad = [head(500, OWN + (("Content-Length", "5"),)), *data(b"oo", b"ps!"),
+                   ("end", Ended(500, b"", True))]
+            response = self.relay([bad, bad], facts)
+            self.assertThat((response.status_code, self.body(response)),
+                            Equals((500, (b"oops!", True))))
+            self.assertThat(self.proofs, Equals(["unknown", "unknown"]))
+
+    def test_a_failure_that_is_cut_is_not_told(self):
+        for facts in (PLAIN, STREAM):
+            bad = [head(500, OWN + (("Content-Length", "5"),)), *data(b"oo"), ("end", CUT)]
+            response = self.relay([bad], facts)
+            self.assertThat(response.status_code, Equals(502))
+
+
+class Streams(Relayed):
+    def test_as_it_came(self):
+        for facts in (STREAM, {**STREAM, "resumable": False, "repeatable": False}):
+            response = self.relay([[head(), *data(event(1), event(2)[:5]), ("idle", None),
+                                    *data(event(2)[5:] + event(3)), ("end", WHOLE)]], facts)
+            self.assertThat(self.body(response), Equals(
+                (event(1) + event(2) + event(3), True)))
+            self.assertThat(self.proofs, Equals(["done"]))
+
+    def test_only_whole_events(self):
+        """Each part that leaves ends an event, whatever the parts were that came."""
+        whole = b"".join(event(n) for n in range(1, 9))
+        for size in range(1, 40):
+            parts = [whole[at:at + size] for at in range(0, len(whole), size)]
+            response = self.relay([[head(), *data(*parts), ("end", WHOLE)]], STREAM)
+            out = list(response.iter_encoded())
+            self.assertThat(b"".join(out), Equals(whole))
+            self.assertTrue(all(part.endswith(b"\n\n") for part in out))
+
+    def test_joined_where_it_broke_off(self):
+        whole = b"".join(event(n) for n in range(1, 7))
+        for at in range(1, len(whole)):
+            done = whole[:at].count(b"\n\n")
+            for overlap in (0, 1, 2):
+                rest = [event(n) for n in range(max(1, done + 1 - overlap), 7)]
+                response = self.relay([
+                    [head(), *data(whole[:at]), ("end", CUT)],
+                    [head(), *data(*rest), ("end", WHOLE)]], STREAM)
+                self.assertThat(self.body(response), Equals((whole, True)), f"{at} {overlap}")
+                self.assertThat(self.proofs, Equals(["unknown", "done"]))
+                told = [h for h in self.asked[1].headers if h.startswith("Last-Event-Id")]
+                self.assertThat(told, Equals([f"Last-Event-Id: {done}"] if done else []))
+
+    def test_joined_twice_and_from_the_callers_own_id(self):
+        legs = [[head(), *data(event(13), event(14)[:4]), ("end", CUT)], [("end", CUT)],
+                [head(), *data(event(14), b"id: 1"), ("end", CUT)],
+                [head(), *data(event(15)), ("end", WHOLE)]]
+        response = self.relay(legs, STREAM, headers=("X-Try-Id: t1", "Last-Event-Id: 12"))
+        self.assertThat(self.body(response), Equals((event(13) + event(14) + event(15), True)))
+        told = [[h for h in ask.headers if h.startswith("Last-Event-Id")] for ask in self.asked]
+        self.assertThat(told, Equals([["Last-Event-Id: 12"], ["Last-Event-Id: 13"],
+                                      ["Last-Event-Id: 13"], ["Last-Event-Id: 14"]]))
+
+    def test_the_first_head_is_kept(self):
+        other = (("X-Try-Id", "t1"), ("X-Postmark", "q"))
+        response = self.relay([[head(), *data(event(1)), ("end", CUT)],
+                               [head(200, other), *data(event(2)), ("end", WHOLE)]], STREAM)
+        self.assertThat(response.headers["X-Postmark"], Equals("p"))
+        self.assertThat(self.body(response), Equals((event(1) + event(2), True)))
+
+    def test_cut_otherwise(self):
+        """Not resumable, no other engine, or one whose answer isn't good."""
+        first = [head(), *data(event(1), event(2)[:3]), ("end", CUT)]
+        foreign = [head(200, (("X-Try-Id", "t2"), ("X-Postmark", "p"))), *data(event(2))]
+        failed = [head(500), *data(b"no"), ("end", Ended(500, b"", True))]
+        for legs, facts, got in (
+                ([first], STREAM, event(1)), ([first, foreign], STREAM, event(1)),
+                ([first, failed], STREAM, event(1)), ([first, [("end", CUT)]], STREAM, event(1)),
+                ([first, first], {**STREAM, "resumable": False, "repeatable": False},
+                 event(1) + event(2)[:3])):
+            response = self.relay(legs, facts)
+            self.assertThat(self.body(response), Equals((got, False)))
+            self.assertThat(len(self.closed), Equals(len(self.asked)))
+
+    def test_a_caller_who_leaves(self):
+        response = self.relay([[head(), *data(event(1), event(2)), ("end", WHOLE)]], STREAM)
+        self.assertThat(next(response.iter_encoded()), Equals(event(1)))
+        response.close()
+        self.assertThat((self.proofs, len(self.closed)), Equals((["gone"], 1)))
