Let requests of every class wait for a model

Cause: the part of the line that a class may fill was 1 - 0.25 x its rank; from rank 4 on it was nothing, so such a request was refused at once, and since only the line and legs tell the placer what is wanted, its model never came up. Change: ranks from 3 on share the last part. Tests: each rank waits; the whole path on the platform found it.

--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -121,7 +121,7 @@
 def _line_open(r, task):
     """Whether one more may wait here; the lowest class is shut out first."""
     waiting = sum(t.waiting for t in r.tasks.values())
-    return waiting < r.terms.waitingMax * (1 - 0.25 * task.rank)
+    return waiting < r.terms.waitingMax * (1 - 0.25 * min(task.rank, 3))
 
 
 def _line_up(r, nowMs, floor, task):
