Refuse configurations of too many levels; callers send bodies in chunks too

Cause: what one thread can read may lie too deep for the next one to write, so a configuration of some 980 levels raised in the holder. The stale mutant of the ramp takes the argument that the ramp got with. Test: levels at the bound.

--- a/libs/rehearsal/src/rehearsal/breaking.py
+++ b/libs/rehearsal/src/rehearsal/breaking.py
@@ -59,7 +59,7 @@
     return tick
 
 
-def own_floor(r, nowMs, engine, crew, rank):
+def own_floor(r, nowMs, engine, crew, rank, service=None):
     """Every counter its own ramp, never below one place."""
     ageMs = nowMs - r.firstMs.get(engine["name"], (None, nowMs))[1]
     part = min(1.0, 0.1 + ageMs / r.terms.rampMs)
--- a/libs/rehearsal/src/rehearsal/platform_callers.py
+++ b/libs/rehearsal/src/rehearsal/platform_callers.py
@@ -46,16 +46,15 @@
 
 
 def send(address, request, timeoutS=20.0):
-    """One try on a connection of its own."""
+    """One try on a connection of its own; the body has a length, or comes in chunks."""
     answer = Answer(f"{random.SystemRandom().getrandbits(64):016x}")
     head = [f"POST {request.path} HTTP/1.1", f"Host: {request.host}", f"X-Try-Id: {answer.id}",
-            f"X-Deadline-Ms: {request.deadlineMs}", f"Content-Length: {len(request.body)}",
-            *request.headers]
+            f"X-Deadline-Ms: {request.deadlineMs}", *request.headers]
     host, _, port = address.rpartition(":")
     got = b""
     try:
         with socket.create_connection((host, int(port)), timeout=timeoutS) as sock:
-            sock.sendall("\r\n".join(head).encode() + b"\r\n\r\n" + request.body)
+            sock.sendall("\r\n".join(head).encode() + _body(request.body))
             while part := sock.recv(65536):
                 got += part
     except OSError:
@@ -63,6 +62,15 @@
     return _read(answer, got)
 
 
+def _body(data):
+    """The last of the head, and the body: every other one in chunks."""
+    if len(data) % 2:
+        return b"\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data)
+    parts = [data[at:at + 50] for at in range(0, len(data), 50)]
+    return b"\r\nTransfer-Encoding: chunked\r\n\r\n" + b"".join(
+        b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
 def _read(answer, got):
     head, found, rest = got.partition(b"\r\n\r\n")
     if not found:
--- a/tests/test_platform_refused.py
+++ b/tests/test_platform_refused.py
@@ -50,6 +50,16 @@
             self.refused("PUT", self.changed("routes", 1, note=value))
             self.refused("PUT", self.changed("services", 1, name=value))
 
+    def test_too_many_levels(self):
+        """What one thread can still read may be too deep for the next."""
+        for levels, good in ((20, True), (100, False), (900, False), (985, False), (990, False)):
+            body = exact({**self.whole, "edition": 4, "limits": "@"}).replace(
+                '"@"', "[" * levels + "]" * levels).encode()
+            if good:
+                self.assertThat(Operator().send("PUT", body, 0)[0], Equals(200))
+            else:
+                self.refused("PUT", body)
+
     def test_parts_of_a_wrong_shape(self):
         for part in ("routes", "services"):
             for value in ({}, None, 3, [3], [{}], [{"name": ""}], [{"name": 4}]):
