--- a/libs/junction/src/junction/relaying.py
+++ b/libs/junction/src/junction/relaying.py
@@ -12,7 +12,7 @@
 from junction.engines import Ask
 from junction.router import Leg, Stay
 from waybill import failures
-from waybill.pipes import hung_up
+from waybill.ends import hung_up
 
 __all__ = ["Relaying"]
 
--- a/libs/junction/src/junction/serving.py
+++ b/libs/junction/src/junction/serving.py
@@ -8,7 +8,7 @@
 from junction import callers, engines, legs, pieces
 from junction.router import Leg
 from waybill import failures
-from waybill.pipes import hung_up
+from waybill.ends import hung_up
 
 __all__ = ["Serving"]
 
