--- a/libs/waybill/src/waybill/pipes.py
+++ b/libs/waybill/src/waybill/pipes.py
@@ -160,7 +160,7 @@
                 elif key.fileobj is self._bell:
                     self._bell.recv(64)
                 elif isinstance(key.data, _Line):
-                    self._on_line(key.data, mask)
+                    self._on_line(key.data, key.fileobj, mask)
                 else:
                     self._read(key.data)
             self._rung = False
@@ -183,9 +183,10 @@
             if line.sock is not None and line.out and nowS - line.movedS > self._stallS:
                 self._lost(line, "TimeoutError")
 
-    def _on_line(self, line, mask):
+    def _on_line(self, line, sock, mask):
+        """What was seen of a socket that is this line's no more says nothing."""
         with self._lock:
-            if line.sock is None:
+            if line.sock is not sock:
                 return
             if mask & selectors.EVENT_READ and self._ended(line):
                 return
--- a/tests/test_waybill.py
+++ b/tests/test_waybill.py
@@ -3,6 +3,7 @@
 
 import queue
 import random
+import selectors
 import socket
 import typing
 from dataclasses import fields, is_dataclass
@@ -10,7 +11,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from rehearsal.fleet import free_ports
 from waybill import codec, frames, messages
+from waybill.messages import Release
 from waybill.pipes import Pipes
 
 CARD = messages.Card("n", "counter", "z", "127.0.0.1:1", "127.0.0.1:2", "i")
@@ -93,3 +96,29 @@
         self.assertIn((CARD.address, messages.TakeOver(9)), seen)
         self.assertThat({notes.get(timeout=20)[0] for _ in range(2)},
                         Equals({"pipe-broken", "pipe-rude"}))
+
+
+class Redialled(TestCase):
+    def test_what_was_seen_of_an_old_socket_says_nothing(self):
+        """A line that broke and was dialled again between a look and its handling: the
+        watching thread goes on, and what is sent arrives."""
+        got, notes = queue.Queue(), []
+        addresses = [f"127.0.0.1:{p}" for p in free_ports(2)]
+        here, there = (Pipes(a, lambda: HELLO, lambda s, m: got.put(m),
+                             lambda *n: notes.append(n), 500) for a in addresses)
+        self.addCleanup(here.close)
+        self.addCleanup(there.close)
+        for turn in range(200):
+            here.send(addresses[1], Release("n", turn, 1, ""))
+            line = here._lines[addresses[1]]
+            old = line.sock
+            with here._lock:
+                if old is not None:
+                    here._lost(line, "test")
+                line.notBeforeS = 0.0
+                here._dial(line)
+                if old is not None:
+                    here._on_line(line, old, selectors.EVENT_READ | selectors.EVENT_WRITE)
+        here.send(addresses[1], Release("n", 999, 1, ""))
+        while got.get(timeout=10) != Release("n", 999, 1, ""):
+            pass
