Let a silent leg go on when it may not be followed by another

Cause: silence ended a repeatable task's leg as unknown before it was looked whether the retry budget and the age of the layout allow another, so with the budget spent the caller got a failure at once and an answer on its way was thrown away. Change: without leave for another leg the one that is out goes on. Test: test_platform_silent.

--- a/libs/junction/src/junction/choice.py
+++ b/libs/junction/src/junction/choice.py
@@ -47,13 +47,13 @@
     b.asked += 1
 
 
-def may_retry(b, nowMs, windowMs, ratio, allowance=1.0):
+def may_retry(b, nowMs, windowMs, ratio, allowance=1.0, peek=False):
     """Whether one more leg tried again keeps within its share of the traffic of
     the last while; the one that does is counted."""
     _fade(b, nowMs, windowMs)
     if b.again + 1 > allowance + ratio * b.asked:
         return False
-    b.again += 1
+    b.again += not peek
     return True
 
 
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -176,7 +176,8 @@
     """No answer has begun on a task's leg for long: another leg elsewhere, if the task
     may run twice and there is a place for it, else the one that is out goes on."""
     task = r.tasks.get(token)
-    if task is None or not task.repeatable or not task.legs or task.sent >= task.tries:
+    if task is None or not task.repeatable or not task.legs or task.sent >= task.tries or (
+            not _may_retry(r, nowMs, ageMs, crew, True)):
         return [Reply(token, Stay())]
     engine, item = task.legs[-1], item_name(task.model, task.adapter) if task.model else ""
     others = [e for e in floors.engines_with(floor, task.service, item)
@@ -235,6 +236,11 @@
     return max(1.0, r.terms.retryAllowance / max(1, len(crew.names)))
 
 
+def _may_retry(r, nowMs, ageMs, crew, peek=False):
+    return ageMs <= r.terms.staleMs and choice.may_retry(
+        r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek)
+
+
 def ended(r, nowMs, floor, ageMs, crew, token, proof):
     """A leg ended.  `proof`: "done", "not-run" (the engine's refusal), "no-pipe"
     (nothing was sent), "unknown", or "gone" (the caller left)."""
@@ -261,8 +267,7 @@
     if not again:
         r.tasks.pop(token, None)
         return [Reply(token, failures.OutcomeUnknown("leg-broken"))]
-    if ageMs > r.terms.staleMs or not choice.may_retry(
-            r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew)):
+    if not _may_retry(r, nowMs, ageMs, crew):
         if task.mayHaveRun:
             return _fail(r, task, failures.OutcomeUnknown("leg-broken"))
         return _fail(r, task, failures.Overloaded(2000, "no-retry-left"))
--- /dev/null
+++ b/tests/test_platform_silent.py
@@ -0,0 +1,75 @@
+"""A leg that stays silent: another one elsewhere, or it goes on; it is never ended for
+nothing."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from dispatch import floor
+from junction import choice, router
+from junction.tasks import Leg, Stay
+from manifest import passages
+from manifest.registry import Registry
+from rehearsal.placing import SHARDS, engine_facts
+
+CREW = choice.Crew("c0", ("c0",), "z")
+
+
+class Silent(TestCase):
+    def setUp(self):
+        super().setUp()
+        section = passages.section({}, {"s": {"kind": "plain", "warmPerS": 0.0, "warmMs": 0.0}})
+        self.floor = floor.Floor(SHARDS, registry=Registry(
+            sections={"floor": section},
+            engines={f"e{n}": engine_facts(f"e{n}", "s") for n in range(9)}))
+
+    def router(self, allowance, stale=1e12):
+        return router.Router(router.Terms(
+            staleMs=stale, rampMs=1000.0, pauseMs=100.0, retryRatio=0.0, retryWindowMs=10000.0,
+            legMs=1e6, retryAllowance=allowance))
+
+    def begin(self, r, token="t", repeatable=True, tries=3):
+        task = router.Task(token, token, "s", "", "", "rank1", "", repeatable, False, 9000.0,
+                           rank=1, aimMs=500.0, tries=tries, told=True)
+        reply, = router.begin(r, 1000.0, self.floor, 0.0, CREW, task)
+        return reply.outcome
+
+    def silent(self, r, token="t", ageMs=0.0):
+        return router.silent(r, 1400.0, self.floor, ageMs, CREW, token)[0].outcome
+
+    def test_another_engine(self):
+        r = self.router(5.0)
+        first, second = self.begin(r), self.silent(r)
+        self.assertIsInstance(second, Leg)
+        self.assertThat(first.engine == second.engine, Equals(False))
+        self.assertThat(r.busy[first.engine], Equals(0))
+
+    def test_not_what_may_run_once_or_is_spent(self):
+        for facts in ({"repeatable": False}, {"tries": 1}):
+            r = self.router(5.0)
+            self.begin(r, **facts)
+            self.assertThat((self.silent(r), len(r.tasks)), Equals((Stay(), 1)))
+        self.assertThat(self.silent(self.router(5.0), "unknown"), Equals(Stay()))
+
+    def test_not_without_another_engine(self):
+        r = self.router(5.0)
+        first = self.begin(r)
+        for name in set(self.floor.registry.engines) - {first.engine}:
+            del self.floor.registry.engines[name]
+        self.assertThat((self.silent(r), len(r.tasks)), Equals((Stay(), 1)))
+
+    def test_a_spent_budget_does_not_end_the_leg_that_is_out(self):
+        """Silence gives no reason to end an answer: it goes on if it can't be replaced."""
+        r = self.router(2.0)
+        for number in range(2):
+            self.begin(r, f"t{number}")
+            self.assertIsInstance(self.silent(r, f"t{number}"), Leg)
+        before = self.begin(r, "t2")
+        again = r.budget.again
+        self.assertThat(self.silent(r, "t2"), Equals(Stay()))
+        self.assertThat(("t2" in r.tasks, r.busy[before.engine] > 0), Equals((True, True)))
+        self.assertTrue(r.budget.again <= again)
+
+    def test_nor_does_a_layout_that_is_old(self):
+        r = self.router(5.0, stale=500.0)
+        self.begin(r)
+        self.assertThat((self.silent(r, ageMs=600.0), len(r.tasks)), Equals((Stay(), 1)))
