--- a/tests/test_platform_relaying.py
+++ b/tests/test_platform_relaying.py
@@ -9,7 +9,7 @@
 from junction.passing import Head
 from junction.relaying import Relaying
 from junction.router import Leg
-from junction.tasks import Done
+from junction.tasks import Done, Stay
 from waybill import failures
 
 OWN = (("X-Try-Id", "t1"), ("X-Postmark", "p"), ("Content-Type", "text/event-stream"))
@@ -31,13 +31,13 @@
 
 
 class Relayed(TestCase):
-    """`legs`: what comes of each leg in turn; `spent`: what is said when none is left."""
+    """`legs`: what comes of each leg in turn; `silent`: what is said of a silent one."""
 
-    def relay(self, legs, facts, spent=None, **told):
+    def relay(self, legs, facts, silent=None, **told):
         sources, self.asked, self.proofs, self.closed = list(legs), [], [], []
-        spent = spent or failures.OutcomeUnknown("leg-broken")
+        spent = failures.OutcomeUnknown("leg-broken")
 
-        def stream(pool, base, ask, timeoutMs, connectMs, fresh):
+        def stream(pool, base, ask, timeoutMs, connectMs, fresh, silentMs):
             self.asked.append(ask)
             try:
                 yield from sources.pop(0)
@@ -49,11 +49,13 @@
             return Leg(f"e{number}", f"http://e{number}", 1000.0) if sources else spent
 
         def ask(token, verb, body):
+            if verb == "silent":
+                return silent or next_leg()
             self.proofs.append(body["proof"])
             return Done() if body["proof"] in ("done", "gone", "cut") else next_leg()
         self.patch(passing, "stream", stream)
         self.told = {"id": "t1", "method": "POST", "target": "/a/b?c", "body": b"q",
-                     "headers": ("X-Try-Id: t1",), **facts, **told}
+                     "headers": ("X-Try-Id: t1",), "aimMs": 500.0, **facts, **told}
         return Relaying(ask, None, DIALECT, 100).serve("k", self.told, next_leg(), {})
 
     def body(self, response):
@@ -137,6 +139,34 @@
             self.assertThat(response.status_code, Equals(502))
 
 
+class Silent(Relayed):
+    def test_it_goes_on(self):
+        for facts in (PLAIN, STREAM):
+            response = self.relay([[("silent", None), ("idle", None), head(), *data(event(1)),
+                                    ("end", WHOLE)]], facts, silent=Stay())
+            self.assertThat(self.body(response), Equals((event(1), True)))
+            self.assertThat((self.proofs, len(self.closed)), Equals((["done"], 1)))
+
+    def test_another_leg_in_its_place(self):
+        """What the first one says later is heard by nobody."""
+        for facts in (PLAIN, STREAM):
+            response = self.relay([[("silent", None), head(), *data(event(1, "late"))],
+                                   [head(), *data(event(1)), ("end", WHOLE)]], facts)
+            self.assertThat(self.body(response), Equals((event(1), True)))
+            self.assertThat((self.closed, self.proofs), Equals(
+                (["http://e0", "http://e1"], ["done"])))
+
+    def test_another_leg_of_a_stream_that_broke(self):
+        response = self.relay([[head(), *data(event(1)), ("end", CUT)], [("silent", None)],
+                               [head(), *data(event(2)), ("end", WHOLE)]], STREAM)
+        self.assertThat(self.body(response), Equals((event(1) + event(2), True)))
+
+    def test_an_end(self):
+        failure = failures.Overloaded(1000, "all-busy")
+        response = self.relay([[("silent", None)]], PLAIN, silent=failure)
+        self.assertThat((response.status_code, len(self.closed)), Equals((503, 1)))
+
+
 class Streams(Relayed):
     def test_as_it_came(self):
         for facts in (STREAM, {**STREAM, "resumable": False, "repeatable": False}):
