--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -38,6 +38,7 @@
     seenEngines: dict = field(default_factory=dict)
     coldUntilMs: dict = field(default_factory=dict)
     coldTokens: dict = field(default_factory=dict)
+    heardMs: dict = field(default_factory=dict)
 
 
 _FOR_A_PLACE = 0.4
@@ -187,7 +188,7 @@
                   registries.services(floor.registry).get(task.service))]
     if not others:
         return [Reply(token, Stay())]
-    return ended(r, nowMs, floor, ageMs, crew, token, "unknown")
+    return ended(r, nowMs, floor, ageMs, crew, token, "unknown", True)
 
 
 def wake(r, nowMs, floor, ageMs, crew):
@@ -241,7 +242,7 @@
         r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek)
 
 
-def ended(r, nowMs, floor, ageMs, crew, token, proof):
+def ended(r, nowMs, floor, ageMs, crew, token, proof, slow=False):
     """A leg ended.  `proof`: "done", "not-run" (the engine's refusal), "no-pipe"
     (nothing was sent), "unknown", or "gone" (the caller left)."""
     task = r.tasks.get(token)
@@ -250,7 +251,10 @@
     if task.legs:
         engine = task.legs[-1]
         r.busy[engine] = max(0, r.busy.get(engine, 0) - 1)
-        if proof in ("no-pipe", "unknown"):
+        if proof in ("done", "not-run"):
+            r.heardMs[engine] = nowMs
+        lately = slow and nowMs - r.heardMs.get(engine, -1e12) < 2 * r.terms.pauseMs
+        if proof in ("no-pipe", "unknown") and not lately:
             choice.broke(r, nowMs, engine)
     if proof in ("done", "gone", "cut"):
         r.tasks.pop(token, None)
