--- a/libs/dispatch/src/dispatch/ledger.py
+++ b/libs/dispatch/src/dispatch/ledger.py
@@ -104,7 +104,8 @@
     state = told["state"]
     if state in ("unloaded", "forgotten") or (
             state == "refused" and entry["verb"] == "load"):
-        del items[told["item"]]
+        for item in [i for i in items if i == told["item"] or i.startswith(told["item"] + "/")]:
+            del items[item]
     elif state in ("refused", "loaded"):
         entry["verb"], entry["state"] = "load", "loaded"
     else:
@@ -143,7 +144,13 @@
 
 
 def loaded(ledger, engine, item):
-    entry = ledger.engines.get(engine, {}).get(item)
+    """Whether an item is up; an adapter is only while its model is, if that is known."""
+    items = ledger.engines.get(engine, {})
+    model = items.get(item.partition("/")[0])
+    return _up(items.get(item)) and (model is None or _up(model))
+
+
+def _up(entry):
     return bool(entry) and entry["verb"] == "load" and entry["state"] == "loaded"
 
 
--- a/libs/junction/src/junction/choice.py
+++ b/libs/junction/src/junction/choice.py
@@ -14,10 +14,11 @@
 from waybill.rendezvous import weight
 
 __all__ = ["Crew", "Budget", "choose", "limit", "notice", "broke", "ready_in",
-           "asked", "may_retry"]
+           "asked", "may_retry", "retry_allowed"]
 
 _PARTS = (1.0, 0.85, 0.6)
 _BOUND = 1.25
+_SHORT = 2000
 _FIRST = 0.1
 
 
@@ -143,8 +144,20 @@
     total = sum(r.busy.get(e["name"], 0) for e in engines) + 1
     bound = max(1, -(-int(total * _BOUND * 100) // (len(engines) * 100)))
     key = f"{task.model}|{task.adapter}|{task.opening}"
-    order = sorted(free, key=lambda e: weight(key, e["name"]), reverse=True)
+    near = crew.zone if 0 < sum(task.tokens[:1]) < _SHORT else None
+    order = sorted(free, key=lambda e: (e["zone"] == near, weight(key, e["name"])),
+                   reverse=True)
     for engine in order:
         if r.busy.get(engine["name"], 0) < bound:
             return engine
     return min(order, key=lambda e: r.busy.get(e["name"], 0))
+
+
+def _part_of(r, crew):
+    """Our part of the retries that all counters together may make beside the ratio."""
+    return max(1.0, r.terms.retryAllowance / max(1, len(crew.names)))
+
+
+def retry_allowed(r, nowMs, ageMs, crew, peek=False):
+    return ageMs <= r.terms.staleMs and may_retry(
+        r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek)
--- /dev/null
+++ b/libs/junction/src/junction/resuming.py
@@ -0,0 +1,23 @@
+"""Going on with a run whose pipe broke, at the engine that offered to."""
+
+from dispatch import floor as floors
+from junction import choice
+from junction.tasks import Leg
+from waybill import failures
+from waybill.effects import Reply
+
+__all__ = ["resume"]
+
+
+def resume(r, nowMs, floor, crew, token, incarnation):
+    """The pipe of a stream broke, and its engine offered to go on with that very
+    run: one more leg to it, if it is still the same incarnation, within the
+    budget of retries."""
+    task = r.tasks.get(token)
+    engine = floor.registry.engines.get(task.legs[-1]) if task and task.legs else None
+    if engine is None or floors.incarnation(floor, engine) != incarnation or (
+            nowMs >= task.endMs) or not choice.retry_allowed(r, nowMs, 0.0, crew):
+        return [Reply(token, failures.StreamCut("not-resumed", 0))]
+    r.resumed += 1
+    return [Reply(token, Leg(engine["name"], engine["url"],
+                             min(r.terms.legMs, task.endMs - nowMs)))]
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -6,39 +6,18 @@
 token of a small budget.  Overload refuses the lowest class first, at once.
 """
 
-from dataclasses import dataclass, field
-
 from dispatch import floor as floors
 from dispatch import world
 from dispatch.placement import item_name
 from junction import choice, cold
-from junction.tasks import Done, Hold, Leg, Stay, Task, Terms
+from junction.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 from manifest import registry as registries
 from waybill import failures
 from waybill.effects import Reply
 
 __all__ = ["Router", "Terms", "Task", "Leg", "Done", "Stay", "begin", "ended", "wake",
-           "tick", "held", "resume", "silent"]
-
-
+           "tick", "held", "silent"]
 
-@dataclass
-class Router:
-    terms: Terms
-    tasks: dict = field(default_factory=dict)
-    busy: dict = field(default_factory=dict)
-    firstMs: dict = field(default_factory=dict)
-    brokeMs: dict = field(default_factory=dict)
-    budget: choice.Budget = field(default_factory=choice.Budget)
-    refused: int = 0
-    served: int = 0
-    retried: int = 0
-    resumed: int = 0
-    wanted: dict = field(default_factory=dict)
-    seenEngines: dict = field(default_factory=dict)
-    coldUntilMs: dict = field(default_factory=dict)
-    coldTokens: dict = field(default_factory=dict)
-    heardMs: dict = field(default_factory=dict)
 
 
 _FOR_A_PLACE = 0.4
@@ -158,27 +137,12 @@
     return []
 
 
-def resume(r, nowMs, floor, crew, token, incarnation):
-    """The pipe of a stream broke, and its engine offered to go on with that very
-    run: one more leg to it, if it is still the same incarnation, within the
-    budget of retries."""
-    task = r.tasks.get(token)
-    engine = floor.registry.engines.get(task.legs[-1]) if task and task.legs else None
-    if engine is None or floors.incarnation(floor, engine) != incarnation or (
-            nowMs >= task.endMs) or not choice.may_retry(
-            r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew)):
-        return [Reply(token, failures.StreamCut("not-resumed", 0))]
-    r.resumed += 1
-    return [Reply(token, Leg(engine["name"], engine["url"],
-                             min(r.terms.legMs, task.endMs - nowMs)))]
-
-
 def silent(r, nowMs, floor, ageMs, crew, token):
     """No answer has begun on a task's leg for long: another leg elsewhere, if the task
     may run twice and there is a place for it, else the one that is out goes on."""
     task = r.tasks.get(token)
     if task is None or not task.repeatable or not task.legs or task.sent >= task.tries or (
-            not _may_retry(r, nowMs, ageMs, crew, True)):
+            not choice.retry_allowed(r, nowMs, ageMs, crew, True)):
         return [Reply(token, Stay())]
     engine, item = task.legs[-1], item_name(task.model, task.adapter) if task.model else ""
     others = [e for e in floors.engines_with(floor, task.service, item)
@@ -232,16 +196,6 @@
     return effects
 
 
-def _part_of(r, crew):
-    """Our part of the retries that all counters together may make beside the ratio."""
-    return max(1.0, r.terms.retryAllowance / max(1, len(crew.names)))
-
-
-def _may_retry(r, nowMs, ageMs, crew, peek=False):
-    return ageMs <= r.terms.staleMs and choice.may_retry(
-        r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek)
-
-
 def ended(r, nowMs, floor, ageMs, crew, token, proof, slow=False):
     """A leg ended.  `proof`: "done", "not-run" (the engine's refusal), "no-pipe"
     (nothing was sent), "unknown", or "gone" (the caller left)."""
@@ -271,7 +225,7 @@
     if not again:
         r.tasks.pop(token, None)
         return [Reply(token, failures.OutcomeUnknown("leg-broken"))]
-    if not _may_retry(r, nowMs, ageMs, crew):
+    if not choice.retry_allowed(r, nowMs, ageMs, crew):
         if task.mayHaveRun:
             return _fail(r, task, failures.OutcomeUnknown("leg-broken"))
         return _fail(r, task, failures.Overloaded(2000, "no-retry-left"))
--- a/libs/junction/src/junction/tasks.py
+++ b/libs/junction/src/junction/tasks.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Terms", "Task", "Leg", "Done", "Stay", "Hold"]
+from junction import choice
+
+__all__ = ["Terms", "Task", "Leg", "Done", "Stay", "Hold", "Router"]
 
 
 @dataclass(frozen=True)
@@ -73,3 +75,22 @@
     verb: str
     shard: int
     body: dict
+
+
+@dataclass
+class Router:
+    terms: Terms
+    tasks: dict = field(default_factory=dict)
+    busy: dict = field(default_factory=dict)
+    firstMs: dict = field(default_factory=dict)
+    brokeMs: dict = field(default_factory=dict)
+    budget: choice.Budget = field(default_factory=choice.Budget)
+    refused: int = 0
+    served: int = 0
+    retried: int = 0
+    resumed: int = 0
+    wanted: dict = field(default_factory=dict)
+    seenEngines: dict = field(default_factory=dict)
+    coldUntilMs: dict = field(default_factory=dict)
+    coldTokens: dict = field(default_factory=dict)
+    heardMs: dict = field(default_factory=dict)
--- a/libs/logbook/src/logbook/grants.py
+++ b/libs/logbook/src/logbook/grants.py
@@ -85,11 +85,12 @@
     return held
 
 
-def _choose(held, shard, shards):
-    """The live counter with the best score among those not yet full."""
+def _choose(held, shard, shards, apart=""):
+    """The live node with the best score among those not yet full; not the log node
+    itself if there is another, so that one loss doesn't take both."""
     if not held:
         return None
-    live = list(held)
+    live = [name for name in held if name != apart] or list(held)
     cap = -(-shards // len(live))
     roomy = [name for name in live if held[name] < cap] or live
     return max(roomy, key=lambda name: weight(shard, name))
@@ -103,7 +104,7 @@
         part = books.shard_of(g.book, shard)
         if d.epochs.get(shard, 0) != part.epoch or not _vacant(g, n, nowMs, part):
             continue
-        name = part.holder if part.holder in held else _choose(held, shard, shards)
+        name = part.holder if part.holder in held else _choose(held, shard, shards, g.name)
         if name is not None:
             held[name] += 1
             effects += _grant(g, d, n, shard, name)
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -56,6 +56,7 @@
     retryWindowMs: int = 0
     placers: str = "counter"
     founds: bool = True
+    revokeRatio: float = 0.25
     worksUnheard: bool = False
     doors: dict = field(default_factory=dict)
     provider: str = ""
@@ -108,6 +109,7 @@
     placers = fields.String(load_default="counter",
                             validate=validate.OneOf(["counter", "depot"]))
     founds = fields.Boolean(load_default=True)
+    revokeRatio = fields.Float(load_default=0.25, validate=validate.Range(min=0.08, max=0.5))
     worksUnheard = fields.Boolean(load_default=False)
     doors = fields.Dict(keys=fields.String(validate=validate.OneOf(
         ["callers", "status", "operators"])), values=fields.String(validate=_ADDRESS),
@@ -162,7 +164,7 @@
 def times(config):
     backMs = config.bounds.serviceBackMs
     return Times(electMs=0.04 * backMs, heartbeatMs=0.01 * backMs,
-                 pingMs=0.02 * backMs, revokeMs=0.25 * backMs,
+                 pingMs=0.02 * backMs, revokeMs=config.revokeRatio * backMs,
                  groupWait=config.groupWait, depots=config.depots,
                  placers=config.placers, founds=config.founds)
 
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -21,6 +21,7 @@
 
 __all__ = ["Node", "make", "handle", "leader_of"]
 
+_LOST = 0.25
 _DEPOT_TALK = (m.Entries, m.EntriesAck, m.ViewPart, m.Canvass, m.Ballot, m.TakeOver,
                m.FoundAsk, m.FoundAgree, m.Append, m.RecoverAsk, m.Release)
 
@@ -55,7 +56,8 @@
     rng = random.Random(seed)
     node = Node(
         card, config,
-        circles.Circle(card, config.seeds, rng, times.pingMs * 1.5, times.revokeMs),
+        circles.Circle(card, config.seeds, rng, times.pingMs * 1.5,
+                       _LOST * config.bounds.serviceBackMs),
         follows.Follow(), floors.Floor(config.shards, config.zones, reader),
         keeping.Keeping(config.shards, config.zones, reader, config.provider),
         router.Router(configs.routing(config)), operating.Operating(),
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -10,7 +10,7 @@
 
 from dispatch import world
 from fellows import circle as circles
-from junction import choice, router
+from junction import choice, resuming, router
 from logbook import follow as follows
 from manifest.schema import RANK
 from pulleyhitch import believing, keeping, passages
@@ -64,7 +64,7 @@
         return router.silent(node.router, nowMs, node.floor, follows.age(node.follow, nowMs),
                              crew(node, nowMs), event.token)
     if verb == "resume":
-        return router.resume(node.router, nowMs, node.floor, crew(node, nowMs),
+        return resuming.resume(node.router, nowMs, node.floor, crew(node, nowMs),
                              event.token, body["incarnation"])
     if verb == "believes":
         return [Reply(event.token, Answered(200, believing.all_of(node, nowMs)))]
@@ -166,20 +166,7 @@
         if nowMs >= read[3]:
             node.operator.reads.remove(read)
             effects.append(Reply(read[0], failures.MajorityLost(1000)))
-    return effects + current(node, nowMs) + _tell_wanted(node, nowMs)
-
-
-def _tell_wanted(node, nowMs):
-    """Tell the placers, in few bytes, what callers have been asking for."""
-    if not node.router.wanted or nowMs - node.operator.toldMs < 2 * node.times.pingMs:
-        return []
-    node.operator.toldMs = nowMs
-    by = {}
-    for (service, item), count in node.router.wanted.items():
-        by.setdefault(world.shard_of(service, node.config.shards), {})[item] = count
-    node.router.wanted = {}
-    return [Send(to, Command("", shard, "", "wanted", json.dumps({"items": items}).encode()))
-            for shard, items in by.items() if (to := _holder_address(node, shard))]
+    return effects + current(node, nowMs) + passages.tell_wanted(node, nowMs, _holder_address)
 
 
 def current(node, nowMs):
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -5,13 +5,17 @@
 may be sent are the layout's.
 """
 
+import json
+
+from dispatch import world
 from junction import router, routes
 from logbook import follow as follows
 from manifest import registry as registries
 from waybill import failures
-from waybill.effects import Reply
+from waybill.effects import Reply, Send
+from waybill.messages import Command
 
-__all__ = ["begin", "ready"]
+__all__ = ["begin", "ready", "tell_wanted"]
 
 _OPENING = 2
 
@@ -49,3 +53,16 @@
                        told["adapter"], f"rank{rank}", "|".join(told["opening"][:_OPENING]),
                        repeatable, stream, nowMs + holdMs, rank=rank, aimMs=route["aimMs"],
                        tries=route.get("tries", 1), tokens=told["tokens"], told=True)
+
+
+def tell_wanted(node, nowMs, holder_address):
+    """Tell the placers, in few bytes, what callers have been asking for."""
+    if not node.router.wanted or nowMs - node.operator.toldMs < 2 * node.times.pingMs:
+        return []
+    node.operator.toldMs = nowMs
+    by = {}
+    for (service, item), count in node.router.wanted.items():
+        by.setdefault(world.shard_of(service, node.config.shards), {})[item] = count
+    node.router.wanted = {}
+    return [Send(to, Command("", shard, "", "wanted", json.dumps({"items": items}).encode()))
+            for shard, items in by.items() if (to := holder_address(node, shard))]
--- a/tests/test_platform_again.py
+++ b/tests/test_platform_again.py
@@ -172,3 +172,17 @@
             "incarnation": "j", "roomMb": 1 << 40, "adapterPlaces": 1 << 20, "items": {}},
             self.nowMs - 10, self.registry)
         self.assertThat(self.p.ledger.engines["e0"], Equals({}))
+
+
+class Unloading(TestCase):
+    def test_a_models_adapters_go_with_it(self):
+        """The engine drops them, so an adapter on the way out, or gone, is up nowhere."""
+        kept = ledger.Ledger()
+        for item in ("m", "m/a1", "n", "n/a1"):
+            ledger.apply(kept, ledger.order_record("e", item, "load", f"o{item}", 1, 0, "s"))
+            ledger.apply(kept, ledger.state_record("e", item, f"o{item}", "loaded"))
+        ledger.apply(kept, ledger.order_record("e", "m", "unload", "u", 1, 0, "s"))
+        self.assertFalse(ledger.loaded(kept, "e", "m/a1"), "its model is being unloaded")
+        ledger.apply(kept, ledger.state_record("e", "m", "u", "unloaded"))
+        self.assertThat(sorted(kept.engines["e"]), Equals(["n", "n/a1"]))
+        self.assertTrue(ledger.loaded(kept, "e", "n/a1"))
