--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -19,6 +19,7 @@
 
 _ADDRESS = validate.Regexp(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$",
                            error="not an IP number and port, like 10.0.0.5:7400")
+_FEW, _MANY, _PER_CORE = 48, 192, 180
 _NAME = validate.Regexp(r"^[a-z0-9][a-z0-9._-]{0,62}$", error="not a name")
 
 
@@ -46,6 +47,7 @@
     shards: int
     depots: int
     httpThreads: int
+    cores: float
     deadlineMs: int
     bounds: Bounds
     tokens: dict
@@ -94,8 +96,8 @@
     folder = fields.String(load_default="")
     shards = fields.Integer(strict=True, load_default=8, validate=validate.Range(min=2, max=256))
     depots = fields.Integer(strict=True, load_default=3, validate=validate.OneOf([1, 3, 5]))
-    httpThreads = fields.Integer(strict=True, load_default=192,
-                                 validate=validate.Range(min=4, max=4096))
+    httpThreads = fields.Integer(strict=True, validate=validate.Range(min=4, max=4096))
+    cores = fields.Float(load_default=0.0, validate=validate.Range(min=0))
     deadlineMs = fields.Integer(strict=True, load_default=30000,
                                 validate=validate.Range(min=1, max=3_600_000))
     bounds = fields.Nested(_BoundsSchema, load_default=lambda: _BoundsSchema().load({}))
@@ -142,11 +144,17 @@
         if not 0 < int(loaded[key].rpartition(":")[2]) < 65536:
             return failures.ConfigWrong(key, "port out of range")
     loaded.setdefault("listen", loaded["address"])
+    loaded.setdefault("httpThreads", _threads(loaded["cores"]))
     loaded["bounds"] = Bounds(**loaded["bounds"])
     loaded["seeds"], loaded["zones"] = tuple(loaded["seeds"]), tuple(loaded["zones"])
     return Config(**loaded)
 
 
+def _threads(cores):
+    """How many callers are served at once, by what the machine can do, if it is told."""
+    return max(_FEW, min(_MANY, int(_PER_CORE * cores))) if cores else _MANY
+
+
 def read(path, flags):
     """Config from a file (may be None) with flags laid over it."""
     raw = {}
