--- a/libs/dispatch/src/dispatch/again.py
+++ b/libs/dispatch/src/dispatch/again.py
@@ -9,7 +9,7 @@
 from dispatch import ledger as ledgers
 from dispatch import line, world
 from dispatch.state import log
-from waybill.effects import Call
+from waybill.effects import Call, Wake
 
 __all__ = ["call", "due", "on_answer"]
 
@@ -70,7 +70,7 @@
     lastMs = grantEndMs - terms.callMs
     if nowMs >= lastMs or p.held.lost:
         return []
-    effects = []
+    effects, soonMs = [], float("inf")
     for engine in world.engines_of(registry, name):
         if not world.usable(registry, engine):
             continue
@@ -82,10 +82,12 @@
                 entry["verb"] == "load" and "/" not in item) else _ADAPTER_MS
             nextMs, pauseMs = p.againMs.get(order, (endMs + 0.7 * usualMs, 0.05 * usualMs))
             if nowMs < nextMs:
+                soonMs = min(soonMs, nextMs)
                 continue
             pauseMs = max(_LEAST_PAUSE_MS, 1.4 * pauseMs)
             p.againMs[order] = (nowMs + pauseMs, pauseMs)
             effects.append(call(p, nowMs, f"again:{order}", entry["verb"], engine,
                                 {"epoch": p.epoch, "item": item, "order": order}, terms,
                                 item, order, lastMs))
-    return effects
+            soonMs = min(soonMs, nowMs + pauseMs)
+    return effects + ([Wake(soonMs)] if effects or soonMs < float("inf") else [])
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -12,7 +12,7 @@
 from logbook import holder
 from manifest import registry as registries
 from waybill import failures
-from waybill.effects import Reply
+from waybill.effects import Reply, Wake
 
 __all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
 
@@ -130,7 +130,7 @@
             del p.reports[engine]
         return []
     again.on_answer(p, nowMs, id_, called, verb, engine, item, order, terms)
-    return []
+    return [Wake(nowMs)] if terms.turnMs else []
 
 
 def command(p, nowMs, token, verb, body, registry, terms):
@@ -175,4 +175,4 @@
     log(p, ledgers.hold_record({k: body[k] for k in (
         "id", "service", "model", "adapter", "class", "waitMs", "node", "life")}),
         ("reply", token, {"id": id_, "turn": p.ledger.holdCount + 1}))
-    return []
+    return [Wake(nowMs)] if terms.turnMs else []
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -47,7 +47,6 @@
     shards: int
     depots: int
     httpThreads: int
-    cores: float
     deadlineMs: int
     bounds: Bounds
     tokens: dict
@@ -59,6 +58,7 @@
     placers: str = "counter"
     founds: bool = True
     revokeRatio: float = 0.25
+    cores: float = 0.0
     worksUnheard: bool = False
     doors: dict = field(default_factory=dict)
     provider: str = ""
--- a/tests/test_platform_again.py
+++ b/tests/test_platform_again.py
@@ -11,6 +11,7 @@
 from manifest import registry as registries
 from rehearsal import platform_made as made
 from rehearsal.placing import SHARDS, TERMS, engine_facts
+from waybill.effects import Call, Wake
 from waybill.events import Called
 
 ENDS_MS = 1e9
@@ -56,7 +57,16 @@
         return entry and entry["state"]
 
     def due(self):
-        return again.due(self.p, self.nowMs, self.registry, self.service, TERMS, ENDS_MS)
+        """The calls that are due; the placer is woken when the next one is, and only
+        if there is one to come."""
+        found = again.due(self.p, self.nowMs, self.registry, self.service, TERMS, ENDS_MS)
+        calls = [e for e in found if isinstance(e, Call)]
+        wakes = [e.atMs for e in found if isinstance(e, Wake)]
+        self.assertThat(len(calls) + len(wakes), Equals(len(found)))
+        self.assertThat([at > self.nowMs for at in wakes], Equals([True] * len(wakes)))
+        coming = self.state() == "taken"
+        self.assertThat(len(wakes), Equals(1 if coming else 0))
+        return calls
 
     def test_taken_then_settled_by_giving_it_again(self):
         order = self.give()
