Hollow fleets: real cores in virtual time, counted by role

Cause: the target is 360 nodes before 1,200 engines, and no machine holds so many processes; what each role costs there was not known.

Change: `pulleyhitch-rehearsal hollow` runs the real make and handle of many nodes in one process, packs and reads every message as between processes, and counts messages, bytes, processor time and state by role.

--- a/libs/rehearsal/src/rehearsal/cli.py
+++ b/libs/rehearsal/src/rehearsal/cli.py
@@ -180,11 +180,31 @@
         return 0
 
 
+class HollowCommand(Command):
+    name = "hollow"
+    description = "Real cores, many in one process, in virtual time: what each role costs."
+    arguments = [argument("runs", "Which runs; none: only the tables of those kept",
+                          optional=True, multiple=True)]
+    options = [option("all", None, "Every run there is (half an hour)", flag=True),
+               option("kept", None, "The file that keeps the runs", flag=False,
+                      default="docs/capacity.json"),
+               option("plot", None, "Where to draw the curves", flag=False)]
+
+    def handle(self):
+        from rehearsal.hollow import plan, show
+        known = [*plan.RUNS, *plan.CHECKS]
+        names = known if self.option("all") else self.argument("runs")
+        if set(names) - set(known):
+            self.line_error("no such run: " + ", ".join(known))
+            return 2
+        return show.show(names, self.option("kept"), self.option("plot"), self.line)
+
+
 def main():
     application = Application("pulleyhitch-rehearsal")
     application.add(EngineCommand())
     for command in (FleetCommand, SweepCommand, ReplayCommand, MutantsCommand,
-                    TrialCommand, MeasureCommand):
+                    TrialCommand, MeasureCommand, HollowCommand):
         application.add(command())
     sys.exit(application.run())
 
--- /dev/null
+++ b/libs/rehearsal/src/rehearsal/hollow/plan.py
@@ -0,0 +1,61 @@
+"""Which hollow runs are made, and what each stands for.
+
+One small fleet, and one thing grown at a time; pairs where two things multiply
+each other.  The grown fleets, all of it at once, are kept out of the fit: what
+the coefficients say of them is held against what was measured.
+"""
+
+from rehearsal.hollow.settings import Size
+
+__all__ = ["RUNS", "CHECKS", "TARGET", "FEATURES", "features", "at"]
+
+_ASKED = 13.6
+
+
+def at(nodes=12, engines=100, models=90, asked=_ASKED, **more):
+    """A size by requests a second at each counter."""
+    return Size(nodes, engines, models, int(2.2 * models),
+                asksPerS=asked * (nodes - 5), **more)
+
+
+RUNS = {
+    "base": at(),
+    "nodes-30": at(30),
+    "nodes-100": at(100),
+    "nodes-300": at(300, windowS=4.0),
+    "nodes-100-still": at(100, asked=3.0),
+    "engines-400": at(engines=400),
+    "engines-1200": at(engines=1200),
+    "engines-1200-busy": at(engines=1200, asked=40.0),
+    "models-400": at(models=400),
+    "models-1100": at(models=1100),
+    "asks-3": at(asked=3.0),
+    "asks-40": at(asked=40.0),
+    "changes-1": at(changesPerS=1.0),
+    "changes-4": at(changesPerS=4.0),
+    "loads-1": at(loadsPerS=1.0),
+    "nodes-100-changes": at(100, changesPerS=2.0),
+    "nodes-100-loads": at(100, loadsPerS=1.0),
+}
+
+CHECKS = {
+    "grown-30": at(30, 100, 92, changesPerS=1.0, windowS=8.0),
+    "grown-100": at(100, 333, 306, changesPerS=1.0, loadsPerS=0.12, windowS=6.0),
+    "grown-300": at(300, 1000, 917, changesPerS=1.0, loadsPerS=0.3, windowS=3.0),
+    "service-90": at(changesPerS=1.0, whole=True),
+    "service-1100": at(models=1100, changesPerS=1.0, whole=True),
+}
+
+TARGET = at(360, 1200, 1100, asked=4900 / 348, changesPerS=1600 / 86400,
+            loadsPerS=1300 / 3600)
+
+FEATURES = ("1", "N", "E", "M", "r", "C", "L", "r E", "r N", "N C", "N L")
+
+
+def features(size):
+    """What a role's cost is a sum of: nodes, engines, models, requests a second at
+    each counter, changes and loads a second."""
+    n, e, m, c, l = (size.nodes, size.engines, size.models, size.changesPerS,
+                     size.loadsPerS)
+    r = size.asksPerS / (size.nodes - size.depots)
+    return (1.0, n, e, m, r, c, l, r * e, r * n, n * c, n * l)
