Hollow fleets whose counters are started again now and then

Cause: after a restart the nodes know different cards for a while, and what greetings cost then was not seen in a calm.

Change: `restartsPerS`, and two runs with it.

--- a/libs/rehearsal/src/rehearsal/hollow/floor.py
+++ b/libs/rehearsal/src/rehearsal/hollow/floor.py
@@ -13,7 +13,8 @@
 from rehearsal.hollow import world as worlds
 from waybill import events as e
 
-__all__ = ["Floor", "furnish", "call", "ask_on", "change", "change_on", "applied"]
+__all__ = ["Floor", "furnish", "call", "ask_on", "change", "change_on", "restart_on",
+           "applied"]
 
 _CALL_MS, _LOAD_MS, _LEG_MS, _PAGE = 2.0, 600.0, 400.0, 200
 _UNTOLD = 1 << 40
@@ -30,6 +31,7 @@
     served: int = 0
     refused: dict = field(default_factory=dict)
     loads: int = 0
+    lives: int = 0
     acked: dict = field(default_factory=dict)
     behind: dict = field(default_factory=dict)
     tookMs: list = field(default_factory=list)
@@ -144,6 +146,19 @@
         "expect": before, "written": told, "partial": partial, "change": token}), "change")
 
 
+def restart_on(floor, perS, dialect):
+    """Counters killed and started again, one after another at even intervals."""
+    if perS <= 0:
+        return
+    world = floor.world
+    counters = [h for h in world.hosts.values() if h.config.role == "counter"]
+    host = counters[world.random.randrange(1, len(counters))]
+    floor.lives += 1
+    host.node = worlds.MAKE(host.config, f"{host.name}.{1 + floor.lives}",
+                            world.random.getrandbits(32), None, dialect)
+    worlds.after(world, 1000 / perS, lambda: restart_on(floor, perS, dialect))
+
+
 def applied(floor, host):
     """After each event: does this node have what it lacked?"""
     for edition in [n for n, names in floor.behind.items() if host.name in names]:
--- a/libs/rehearsal/src/rehearsal/hollow/plan.py
+++ b/libs/rehearsal/src/rehearsal/hollow/plan.py
@@ -42,6 +42,8 @@
     "grown-30": at(30, 100, 92, changesPerS=1.0, windowS=8.0),
     "grown-100": at(100, 333, 306, changesPerS=1.0, loadsPerS=0.12, windowS=6.0),
     "grown-300": at(300, 1000, 917, changesPerS=1.0, loadsPerS=0.3, windowS=3.0),
+    "restarts-30": at(30, restartsPerS=0.2, windowS=15.0),
+    "restarts-100": at(100, restartsPerS=0.2, windowS=6.0),
     "service-90": at(changesPerS=1.0, whole=True),
     "service-1100": at(models=1100, changesPerS=1.0, whole=True),
 }
--- a/libs/rehearsal/src/rehearsal/hollow/run.py
+++ b/libs/rehearsal/src/rehearsal/hollow/run.py
@@ -90,6 +90,7 @@
     worlds.spin(world, _SETTLE_MS)
     floors.ask_on(floor, size.asksPerS)
     floors.ask_on(floor, size.loadsPerS, True)
+    floors.restart_on(floor, size.restartsPerS, settings.Dialect(settings.READER))
     worlds.spin(world, 2500.0)
     loads, served = floor.loads, floor.served
     floor.tookMs.clear()
--- a/libs/rehearsal/src/rehearsal/hollow/settings.py
+++ b/libs/rehearsal/src/rehearsal/hollow/settings.py
@@ -29,6 +29,7 @@
     loadsPerS: float = 0.1
     changesPerS: float = 0.0
     whole: bool = False
+    restartsPerS: float = 0.0
     depots: int = 5
     zones: int = 14
     windowS: float = 6.0
