Hollow fits take the loads that were seen, and engines that aren't crowded

Cause: with 13.6 requests a second at each of 300 counters before 100 engines, demand brought up copies all the time; some 9 loads a second stood in the fit as 0.1, and the holder's plan as a slope in nodes.

The product of requests and nodes is left out, since no processor time was found in it.

--- a/libs/rehearsal/src/rehearsal/hollow/fit.py
+++ b/libs/rehearsal/src/rehearsal/hollow/fit.py
@@ -16,7 +16,7 @@
 def coefficients(runs, role, measure, sizes=plan.RUNS):
     """{feature: part} of one role's measure; `runs`: name -> {role: {measure: value}}."""
     names = [n for n in sizes if n in runs and role in runs[n]]
-    rows = numpy.array([plan.features(sizes[n]) for n in names])
+    rows = numpy.array([plan.features(sizes[n], runs[n].get("loads")) for n in names])
     values = numpy.array([runs[n][role][measure] for n in names])
     weights = 1 / numpy.maximum(values, 1e-9)
     parts = _not_below(rows * weights[:, None], values * weights)
@@ -50,6 +50,6 @@
     return parts / scale
 
 
-def cost(parts, size):
+def cost(parts, size, loads=None):
     """What the coefficients say of a size."""
-    return sum(parts[f] * x for f, x in zip(plan.FEATURES, plan.features(size)))
+    return sum(parts[f] * x for f, x in zip(plan.FEATURES, plan.features(size, loads)))
--- a/libs/rehearsal/src/rehearsal/hollow/plan.py
+++ b/libs/rehearsal/src/rehearsal/hollow/plan.py
@@ -21,9 +21,8 @@
 RUNS = {
     "base": at(),
     "nodes-30": at(30),
-    "nodes-100": at(100),
-    "nodes-300": at(300, windowS=4.0),
-    "nodes-100-still": at(100, asked=3.0),
+    "nodes-100": at(100, asked=3.0),
+    "nodes-300": at(300, asked=1.0, windowS=4.0),
     "engines-400": at(engines=400),
     "engines-1200": at(engines=1200),
     "engines-1200-busy": at(engines=1200, asked=40.0),
@@ -34,14 +33,16 @@
     "changes-1": at(changesPerS=1.0),
     "changes-4": at(changesPerS=4.0),
     "loads-1": at(loadsPerS=1.0),
-    "nodes-100-changes": at(100, changesPerS=2.0),
-    "nodes-100-loads": at(100, loadsPerS=1.0),
+    "nodes-100-changes": at(100, asked=3.0, changesPerS=2.0),
+    "nodes-100-loads": at(100, asked=3.0, loadsPerS=1.0),
 }
 
 CHECKS = {
     "grown-30": at(30, 100, 92, changesPerS=1.0, windowS=8.0),
     "grown-100": at(100, 333, 306, changesPerS=1.0, loadsPerS=0.12, windowS=6.0),
     "grown-300": at(300, 1000, 917, changesPerS=1.0, loadsPerS=0.3, windowS=3.0),
+    "crowded-100": at(100),
+    "crowded-300": at(300, windowS=4.0),
     "restarts-30": at(30, restartsPerS=0.2, windowS=15.0),
     "restarts-100": at(100, restartsPerS=0.2, windowS=6.0),
     "service-90": at(changesPerS=1.0, whole=True),
@@ -51,13 +52,13 @@
 TARGET = at(360, 1200, 1100, asked=4900 / 348, changesPerS=1600 / 86400,
             loadsPerS=1300 / 3600)
 
-FEATURES = ("1", "N", "E", "M", "r", "C", "L", "r E", "r N", "N C", "N L")
+FEATURES = ("1", "N", "E", "M", "r", "C", "L", "r E", "N C", "N L")
 
 
-def features(size):
+def features(size, loads=None):
     """What a role's cost is a sum of: nodes, engines, models, requests a second at
-    each counter, changes and loads a second."""
-    n, e, m, c, l = (size.nodes, size.engines, size.models, size.changesPerS,
-                     size.loadsPerS)
+    each counter, changes and loads a second; `loads`: those seen in a run."""
+    n, e, m, c = size.nodes, size.engines, size.models, size.changesPerS
+    l = size.loadsPerS if loads is None else loads / size.windowS
     r = size.asksPerS / (size.nodes - size.depots)
-    return (1.0, n, e, m, r, c, l, r * e, r * n, n * c, n * l)
+    return (1.0, n, e, m, r, c, l, r * e, n * c, n * l)
--- a/libs/rehearsal/src/rehearsal/hollow/plot.py
+++ b/libs/rehearsal/src/rehearsal/hollow/plot.py
@@ -13,6 +13,12 @@
     return figures["inBytes"] + figures["outBytes"] if what == "bytes" else figures[what]
 
 
+def _loads(runs, size):
+    """The loads a grown run saw; those asked for at the target."""
+    return next((runs[n]["loads"] for n, s in plan.CHECKS.items() if s == size and n in runs),
+                None)
+
+
 def draw(runs, path):
     """Measured grown fleets as points, what the coefficients say as lines, a node's
     allowance dashed; nothing drawn but what `runs` hold."""
@@ -28,7 +34,7 @@
             axis.plot([plan.CHECKS[n].nodes for n in grown],
                       [_value(runs[n][role], what) for n in grown], "o", color=color)
             axis.plot([s.nodes for s in sizes],
-                      [_value(table.at_target(runs, role, s), what) for s in sizes],
+                      [_value(table.at_target(runs, role, s, _loads(runs, s)), what) for s in sizes],
                       "-", color=color, label=word)
         axis.axhline(allowed, linestyle="--", color="black", linewidth=1)
         axis.set(title=title, xlabel="nodes, all else grown along", yscale="log")
--- a/libs/rehearsal/src/rehearsal/hollow/table.py
+++ b/libs/rehearsal/src/rehearsal/hollow/table.py
@@ -18,8 +18,8 @@
     return f"{value:.0f}" if abs(value) >= 1000 else f"{value:.3g}"
 
 
-def at_target(runs, role, size=plan.TARGET):
-    return {m: fit.cost(fit.coefficients(runs, role, m), size) for m in fit.MEASURES}
+def at_target(runs, role, size=plan.TARGET, loads=None):
+    return {m: fit.cost(fit.coefficients(runs, role, m), size, loads) for m in fit.MEASURES}
 
 
 def lines(runs, size=plan.TARGET):
@@ -59,7 +59,7 @@
         if name not in runs or not name.startswith("grown"):
             continue
         for role, title in TITLES.items():
-            seen, told = runs[name][role], at_target(runs, role, size)
+            seen, told = runs[name][role], at_target(runs, role, size, runs[name]["loads"])
             found.append(f"| {name} | {title} | {_number(seen['cpuPct'])} | "
                          f"{_number(told['cpuPct'])} | "
                          f"{_number(seen['inBytes'] + seen['outBytes'])} | "
