--- a/libs/fellows/src/fellows/circle.py
+++ b/libs/fellows/src/fellows/circle.py
@@ -5,9 +5,14 @@
 one knows and the depots' membership; the membership of the highest term and
 stamp wins and a node never goes back to an older one.  Addresses learned are
 kept, so swapped seeds matter only to those who start.
+
+Fellows that know the same names are told only of cards met lately, and how long
+each node has been silent in a byte each; of two cards of one node the later met
+is the present one.
 """
 
 import hashlib
+import math
 import random
 import zlib
 from dataclasses import dataclass, field
@@ -23,6 +28,10 @@
 _KNOWN = 4
 _SETTLED = 5
 _CALM = 2.0
+_FRESH = 40
+_WHOLE = 50
+_STEPS = 64
+_LONGEST = 255
 
 
 @dataclass
@@ -39,6 +48,8 @@
     nextMs: float = 0.0
     turn: int = 0
     digests: dict = field(default_factory=dict)
+    metMs: dict = field(default_factory=dict)
+    learnedMs: dict = field(default_factory=dict)
     settledTurns: int = 0
 
 
@@ -72,21 +83,39 @@
     return zlib.crc32(repr(known).encode())
 
 
-def greeting(circle, answer, nowMs=None, to=None):
-    """With `nowMs`, also how lately each fellow has been heard of; one who is known
-    to hold the same cards gets none."""
-    told = digest(circle)
-    same = to is not None and circle.digests.get(to) == told
-    names = sorted([*circle.cards, circle.card.name]) if same else list(circle.cards)
-    silent = () if nowMs is None else tuple(_silence(circle, nowMs, n) for n in names)
-    cards = () if same else tuple(circle.cards.values())
-    return Greet(circle.card, answer, cards, circle.group, silent, told)
+def _names(circle):
+    return zlib.crc32(repr(sorted([*circle.cards, circle.card.name])).encode())
+
+
+def greeting(circle, answer, nowMs, to=None):
+    """Who we are and how lately each node has been heard of; to one who knows the
+    same names only the cards that are new, to another all.  One we never heard is
+    told no more: its answer, or our next, brings what either lacks."""
+    told, named = digest(circle), _names(circle)
+    theirs, theirNames = circle.digests.get(to, (0, named))
+    alike = theirNames == named
+    names = sorted([*circle.cards, circle.card.name]) if alike else list(circle.cards)
+    known = () if theirs == told else _fresh(circle, nowMs, answer) if alike else names
+    return Greet(circle.card, answer, tuple(circle.cards[n] for n in known), circle.group,
+                 bytes(_silence(circle, nowMs, n) for n in names), told, named,
+                 tuple(int(min(1e12, nowMs - circle.metMs.get(n, -1e12))) for n in known))
+
+
+def _fresh(circle, nowMs, answer):
+    """Names whose cards we learned lately; now and then all, whatever was lost, but
+    only as an answer, since only then what the other knows was told just now."""
+    if not answer and circle.turn % _WHOLE == 0:
+        return list(circle.cards)
+    return [n for n in circle.cards
+            if nowMs - circle.learnedMs.get(n, -1e12) < _FRESH * circle.gossipMs]
 
 
 def _silence(circle, nowMs, name):
+    """In parts of the time after which a node counts as lost."""
     if name == circle.card.name:
         return 0
-    return int(min(1e9, max(0.0, nowMs - circle.aliveMs.get(name, -1e9))))
+    silentMs = max(0.0, nowMs - circle.aliveMs.get(name, -1e9))
+    return min(_LONGEST, math.ceil(silentMs * _STEPS / circle.lostMs))
 
 
 def tick(circle, nowMs):
@@ -105,7 +134,8 @@
         targets.add(depots[circle.turn % len(depots)])
     targets.discard(circle.card.address)
     told = digest(circle)
-    known = all(circle.digests.get(circle.cards[n].address) == told for n in watched(circle))
+    known = all(circle.digests.get(circle.cards[n].address, (0, 0))[0] == told
+                for n in watched(circle))
     circle.settledTurns = circle.settledTurns + 1 if known and circle.group.group else 0
     if circle.settledTurns > _SETTLED:
         circle.nextMs += _CALM * circle.gossipMs
@@ -116,44 +146,54 @@
     """Learn from a greeting, and answer it if it asks for that."""
     effects = []
     if message.card.name and message.card.name != circle.card.name:
-        effects += _meet(circle, nowMs, message.card, True)
-    circle.digests[message.card.address] = message.digest
-    if not message.cards and message.silentMs and message.digest == digest(circle):
-        for name, silentMs in zip(sorted([*circle.cards, circle.card.name]),
-                                  message.silentMs):
-            if name != circle.card.name:
-                atMs = nowMs - silentMs - circle.gossipMs / 10
-                circle.aliveMs[name] = max(atMs, circle.aliveMs.get(name, -1e12))
+        effects += _meet(circle, nowMs, message.card, None)
+    circle.digests[message.card.address] = message.digest, message.names
     for number, card in enumerate(message.cards):
         if card.name != circle.card.name:
-            effects += _meet(circle, nowMs, card, False)
-            if number < len(message.silentMs):
-                atMs = nowMs - message.silentMs[number] - circle.gossipMs / 10
-                circle.aliveMs[card.name] = max(atMs, circle.aliveMs.get(card.name, -1e12))
+            if number < len(message.ages):
+                effects += _meet(circle, nowMs, card, nowMs - message.ages[number])
+    _hear(circle, nowMs, message)
     learn_group(circle, message.group, message.card.address)
     if message.answer:
         effects.append(Send(sender, greeting(circle, False, nowMs, sender)))
     return effects
 
 
-def _meet(circle, nowMs, card, direct):
-    """A card heard directly replaces the old one; hearsay only fills gaps, or
-    replaces a card whose node has been silent."""
-    old = circle.cards.get(card.name)
-    if direct:
-        circle.heardMs[card.name] = circle.aliveMs[card.name] = nowMs
-        circle.cards[card.name] = card
-    elif old is None or (old != card and nowMs - circle.heardMs.get(
-            card.name, -1e12) > circle.lostMs):
-        circle.cards[card.name] = card
-    if old is None:
-        return [Note("meets", {"name": card.name, "address": card.address})]
-    return []
+def _hear(circle, nowMs, message):
+    """Take how lately others have heard of each node."""
+    names = [card.name for card in message.cards]
+    if len(message.silent) == len(circle.cards) + 1 and message.names == _names(circle):
+        names = sorted([*circle.cards, circle.card.name])
+    if len(message.silent) != len(names):
+        return
+    for name, steps in zip(names, message.silent):
+        if name != circle.card.name:
+            atMs = nowMs - steps * circle.lostMs / _STEPS - circle.gossipMs / 10
+            if steps == _LONGEST:
+                atMs = -1e9
+            circle.aliveMs[name] = max(atMs, circle.aliveMs.get(name, -1e12))
+
+
+def _meet(circle, nowMs, card, metMs):
+    """A card heard directly (no `metMs`) replaces the old one; hearsay only fills
+    gaps, or replaces one met before it whose node has been silent here."""
+    old, before = circle.cards.get(card.name), circle.metMs.get(card.name, -1e12)
+    if metMs is None:
+        circle.heardMs[card.name] = circle.aliveMs[card.name] = metMs = nowMs
+    elif old not in (None, card) and (metMs <= before or (
+            nowMs - circle.heardMs.get(card.name, -1e12) <= circle.lostMs)):
+        return []
+    if old == card:
+        circle.metMs[card.name] = min(before, metMs)
+        return []
+    circle.cards[card.name], circle.metMs[card.name] = card, metMs
+    circle.learnedMs[card.name] = nowMs
+    return [Note("meets", {"name": card.name, "address": card.address})] if old is None else []
 
 
-def announce(circle):
+def announce(circle, nowMs):
     """Tell everyone known what we know, as a new leader does."""
-    return [Send(card.address, greeting(circle, False))
+    return [Send(card.address, greeting(circle, False, nowMs, card.address))
             for _, card in sorted(circle.cards.items())]
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -105,7 +105,7 @@
         node.circle.card = node.depot.card = node.card
     circles.learn_group(node.circle, depots.group_card(group), node.card.address)
     if node.depot.desk.serving and not served:
-        effects += circles.announce(node.circle)
+        effects += circles.announce(node.circle, nowMs)
     return effects
 
 
@@ -133,7 +133,7 @@
         around = circles.depot_addresses(node.circle) or list(node.circle.seeds)
         if around:
             target = around[node.askTurn % len(around)]
-            effects.append(Send(target, circles.greeting(node.circle, True)))
+            effects.append(Send(target, circles.greeting(node.circle, True, nowMs, target)))
             to = to if node.askTurn % 2 and to else target
         for name in circles.watched(node.circle)[:2]:
             card = node.circle.cards[name]
--- a/libs/rehearsal/src/rehearsal/hollow/run.py
+++ b/libs/rehearsal/src/rehearsal/hollow/run.py
@@ -65,8 +65,8 @@
                 circle.cards[name] = card
                 circle.aliveMs[name] = circle.heardMs[name] = world.nowMs
         circles.learn_group(circle, group)
-        told = circles.digest(circle)
-        circle.digests = {card.address: told for card in cards.values()}
+        told = circles.greeting(circle, False, world.nowMs)
+        circle.digests = {c.address: (told.digest, told.names) for c in cards.values()}
         circle.settledTurns, circle.turn = 100, world.random.randrange(1, 9)
         circle.nextMs = world.nowMs + world.random.random() * 3 * circle.gossipMs
 
--- a/libs/waybill/src/waybill/messages.py
+++ b/libs/waybill/src/waybill/messages.py
@@ -37,15 +37,18 @@
 
 @dataclass(frozen=True)
 class Greet:
-    """`silentMs`: how long each of `cards` has not been heard of, by anyone; in the
-    order of their names where `cards` is left out, as it is to one who knows them
-    all already: `digest` tells what cards the sender knows, its own included."""
+    """`digest` and `names` tell in short which cards, and which names, the sender
+    knows, its own included.  `silent`: how long each node has not been heard of by
+    anyone, a byte each: of all names in order to one who is known to know the same,
+    of `cards` to another.  `ages`: how long ago each of `cards` was first met."""
     card: Card
     answer: bool
     cards: tuple[Card, ...]
     group: GroupCard
-    silentMs: tuple[int, ...] = ()
+    silent: bytes = b""
     digest: int = 0
+    names: int = 0
+    ages: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
