--- a/deploy/build.py
+++ b/deploy/build.py
@@ -17,8 +17,9 @@
 
 
 def projects():
-    return [p for p in sorted(ROOT.glob("libs/*/pyproject.toml"))
-            if p.parent.name not in PROVED_ONLY]
+    return [
+        p for p in sorted(ROOT.glob("libs/*/pyproject.toml")) if p.parent.name not in PROVED_ONLY
+    ]
 
 
 def asked():
@@ -34,16 +35,28 @@
     words = asked()
     if not TOLD.exists() or TOLD.read_text() != "\n".join(words):
         shutil.rmtree(DEPS, ignore_errors=True)
-        subprocess.run([sys.executable, "-m", "pip", "install", "-q",
-                        "--disable-pip-version-check", "--target", str(DEPS), *words],
-                       check=True)
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "pip",
+                "install",
+                "-q",
+                "--disable-pip-version-check",
+                "--target",
+                str(DEPS),
+                *words,
+            ],
+            check=True,
+        )
         TOLD.write_text("\n".join(words))
     for project in projects():
         for package in (project.parent / "src").iterdir():
             if package.is_dir() and package.suffix != ".egg-info":
                 shutil.rmtree(DEPS / package.name, ignore_errors=True)
-                shutil.copytree(package, DEPS / package.name,
-                                ignore=shutil.ignore_patterns("__pycache__"))
+                shutil.copytree(
+                    package, DEPS / package.name, ignore=shutil.ignore_patterns("__pycache__")
+                )
                 compileall.compile_dir(DEPS / package.name, quiet=1)
 
 
--- a/libs/dispatch/src/dispatch/again.py
+++ b/libs/dispatch/src/dispatch/again.py
@@ -6,10 +6,11 @@
 the same order under the same epoch.
 """
 
+from waybill.effects import Call, Wake
+
 from dispatch import ledger as ledgers
 from dispatch import line, world
 from dispatch.state import log
-from waybill.effects import Call, Wake
 
 __all__ = ["call", "due", "on_answer"]
 
@@ -20,8 +21,15 @@
 def call(p, nowMs, id_, verb, engine, body, terms, item, order, notAfterMs=float("inf")):
     """A call to an engine, remembered until it ends."""
     p.calls[id_] = (verb, engine["name"], item, order, nowMs)
-    return Call(f"{p.shard}|{p.epoch}|{id_}", engine["name"], engine["url"], verb,
-                body, terms.callMs, notAfterMs)
+    return Call(
+        f"{p.shard}|{p.epoch}|{id_}",
+        engine["name"],
+        engine["url"],
+        verb,
+        body,
+        terms.callMs,
+        notAfterMs,
+    )
 
 
 def on_answer(p, nowMs, id_, called, verb, engine, item, order, terms):
@@ -78,16 +86,30 @@
             order, endMs = entry["order"], p.callEndMs.get(entry["order"])
             if entry["state"] != "taken" or endMs is None or f"again:{order}" in p.calls:
                 continue
-            usualMs = p.loadMs.get(name, 500.0) if (
-                entry["verb"] == "load" and "/" not in item) else _ADAPTER_MS
+            usualMs = (
+                p.loadMs.get(name, 500.0)
+                if (entry["verb"] == "load" and "/" not in item)
+                else _ADAPTER_MS
+            )
             nextMs, pauseMs = p.againMs.get(order, (endMs + 0.7 * usualMs, 0.05 * usualMs))
             if nowMs < nextMs:
                 soonMs = min(soonMs, nextMs)
                 continue
             pauseMs = max(_LEAST_PAUSE_MS, 1.4 * pauseMs)
             p.againMs[order] = (nowMs + pauseMs, pauseMs)
-            effects.append(call(p, nowMs, f"again:{order}", entry["verb"], engine,
-                                {"epoch": p.epoch, "item": item, "order": order}, terms,
-                                item, order, lastMs))
+            effects.append(
+                call(
+                    p,
+                    nowMs,
+                    f"again:{order}",
+                    entry["verb"],
+                    engine,
+                    {"epoch": p.epoch, "item": item, "order": order},
+                    terms,
+                    item,
+                    order,
+                    lastMs,
+                )
+            )
             soonMs = min(soonMs, nowMs + pauseMs)
     return effects + ([Wake(soonMs)] if effects or soonMs < float("inf") else [])
--- a/libs/dispatch/src/dispatch/asked.py
+++ b/libs/dispatch/src/dispatch/asked.py
@@ -11,10 +11,11 @@
 import math
 from dataclasses import dataclass
 
+from waybill.rendezvous import weight
+
 from dispatch import ledger as ledgers
 from dispatch import line, orders, world
 from dispatch.demand import FADE_MS, rate, tell
-from waybill.rendezvous import weight
 
 __all__ = ["plan"]
 
@@ -33,6 +34,7 @@
 @dataclass
 class _View:
     """What one pass looks at."""
+
     p: object
     nowMs: float
     registry: object
@@ -49,8 +51,17 @@
     engines = {e.name: e for e in world.placement_engines(registry, name, p.reports)}
     if not engines:
         return
-    v = _View(p, nowMs, registry, name, service, terms, engines, _copies(p, engines),
-              line.waited_for(p, name))
+    v = _View(
+        p,
+        nowMs,
+        registry,
+        name,
+        service,
+        terms,
+        engines,
+        _copies(p, engines),
+        line.waited_for(p, name),
+    )
     _forget(p, nowMs, engines)
     if not p.demand.seeded:
         _seed(v)
@@ -72,18 +83,21 @@
 def _patience(v, item):
     """How much may be lost, in askings a second, for an item that is waited for: the
     more so the more wait for it and the longer they have."""
-    since = [v.p.holdsMs.get(id_, v.nowMs) for id_, hold in v.p.ledger.holds.items()
-             if item in (hold["model"], f"{hold['model']}/{hold['adapter']}")]
+    since = [
+        v.p.holdsMs.get(id_, v.nowMs)
+        for id_, hold in v.p.ledger.holds.items()
+        if item in (hold["model"], f"{hold['model']}/{hold['adapter']}")
+    ]
     waitS = (v.nowMs - min(since, default=v.nowMs)) / 1000
     return _LEAST + _EACH * len(since) * (1 + waitS)
 
 
 def _forget(p, nowMs, engines):
-    p.demand.making = {i: m for i, m in p.demand.making.items()
-                       if m[0] in engines and nowMs - m[1] < 8 * _KEEP_MS}
+    p.demand.making = {
+        i: m for i, m in p.demand.making.items() if m[0] in engines and nowMs - m[1] < 8 * _KEEP_MS
+    }
     if len(p.demand.rates) > 4096:
-        p.demand.rates = {i: r for i, r in p.demand.rates.items()
-                          if nowMs - r[1] < 8 * FADE_MS}
+        p.demand.rates = {i: r for i, r in p.demand.rates.items() if nowMs - r[1] < 8 * FADE_MS}
 
 
 def _copies(p, engines):
@@ -100,7 +114,8 @@
     """Whether an order may be given to an engine now."""
     items = v.p.ledger.engines.get(engine, {})
     return v.p.demand.pauseMs.get(engine, 0.0) <= v.nowMs and not any(
-        e["state"] != "loaded" for e in items.values())
+        e["state"] != "loaded" for e in items.values()
+    )
 
 
 def _bring(v, item, most):
@@ -124,12 +139,17 @@
         items = v.p.ledger.engines[name]
         usedMb, places = ledgers.charged(v.p.ledger, name)
         if places + size[1] <= v.engines[name].places and (
-                usedMb + size[0] <= v.engines[name].roomMb):
+            usedMb + size[0] <= v.engines[name].roomMb
+        ):
             return ()
         adapters = [i for i in items if "/" in i and i not in v.waited]
         return tuple(sorted(adapters, key=lambda i: rate(v.p.demand, v.nowMs, i))[:1]) or None
-    found = [(sum(rate(v.p.demand, v.nowMs, i) for i in out), weight(item, n), n, out)
-             for n in hosts if (out := pushed(n)) is not None]
+
+    found = [
+        (sum(rate(v.p.demand, v.nowMs, i) for i in out), weight(item, n), n, out)
+        for n in hosts
+        if (out := pushed(n)) is not None
+    ]
     if found:
         _, _, name, out = min(found)
         _give(v, name, item, out)
@@ -192,8 +212,15 @@
             continue
         known = model in v.p.demand.before.get(name, ())
         zones = sum(1 for n in beside if v.engines[n].zone == v.engines[name].zone)
-        found.append((pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones, not known,
-                      weight(model, name), name, pushed[1]))
+        found.append(
+            (
+                pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones,
+                not known,
+                weight(model, name),
+                name,
+                pushed[1],
+            )
+        )
     if found:
         name, out = min(found)[3:]
         v.p.demand.making.setdefault(model, (name, v.nowMs))
@@ -209,8 +236,11 @@
         v.copies[out[0]] = v.copies.get(out[0], 1) - 1
         return
     known = item in v.p.demand.before.get(name, ())
-    if "/" not in item and not known and not orders.store_allows(
-            v.p, v.nowMs, v.name, v.service["loads"]):
+    if (
+        "/" not in item
+        and not known
+        and not orders.store_allows(v.p, v.nowMs, v.name, v.service["loads"])
+    ):
         return
     size = world.size_of(v.registry, item)
     orders.give(v.p, name, item, "load", size[0], size[1], v.name)
@@ -221,8 +251,11 @@
 def _more_copies(v, least):
     """One more copy of what has fewer than its demand keeps busy, where that costs
     less than it brings; of those asked for at least so often, most asked first."""
-    found = [(-rate(v.p.demand, v.nowMs, i), i) for i in v.copies
-             if "/" not in i and 0 < v.copies[i] < _wanted(v, i)]
+    found = [
+        (-rate(v.p.demand, v.nowMs, i), i)
+        for i in v.copies
+        if "/" not in i and 0 < v.copies[i] < _wanted(v, i)
+    ]
     for asked, model in sorted(found):
         asked = -asked
         if asked < least:
--- a/libs/dispatch/src/dispatch/demand.py
+++ b/libs/dispatch/src/dispatch/demand.py
@@ -11,6 +11,7 @@
 @dataclass
 class Demand:
     """rates: item -> (asked for a second, at); making: item -> (engine, since)."""
+
     rates: dict = field(default_factory=dict)
     making: dict = field(default_factory=dict)
     upMs: dict = field(default_factory=dict)
--- a/libs/dispatch/src/dispatch/floor.py
+++ b/libs/dispatch/src/dispatch/floor.py
@@ -6,11 +6,12 @@
 
 from dataclasses import dataclass, field
 
-from dispatch import ledger as ledgers
-from dispatch import world
 from logbook import book as books
 from manifest import registry as registries
 
+from dispatch import ledger as ledgers
+from dispatch import world
+
 __all__ = ["Floor", "on_news", "ledger_of", "engines_with", "incarnation", "servable"]
 
 
@@ -63,9 +64,11 @@
 def engines_with(floor, service, item):
     """Engines that may be given new work for an item (any, for a plain service)."""
     ledger = ledger_of(floor, world.shard_of(service, floor.shards))
-    return [e for e in world.engines_of(floor.registry, service)
-            if world.usable(floor.registry, e)
-            and (not item or ledgers.loaded(ledger, e["name"], item))]
+    return [
+        e
+        for e in world.engines_of(floor.registry, service)
+        if world.usable(floor.registry, e) and (not item or ledgers.loaded(ledger, e["name"], item))
+    ]
 
 
 def servable(floor):
@@ -76,7 +79,8 @@
         ledger = ledger_of(floor, world.shard_of(engine["service"], floor.shards))
         held = ledger.engines.get(engine["name"], {}).values()
         if engine["name"] in ledger.incarnations and (
-                not engine["roomMb"] or any(i["state"] == "loaded" for i in held)):
+            not engine["roomMb"] or any(i["state"] == "loaded" for i in held)
+        ):
             found.append(engine)
     return found
 
--- a/libs/dispatch/src/dispatch/ledger.py
+++ b/libs/dispatch/src/dispatch/ledger.py
@@ -8,9 +8,24 @@
 import json
 from dataclasses import dataclass, field
 
-__all__ = ["Ledger", "apply", "dump", "load", "charged", "loads_out", "is_open_load", "loaded",
-           "order_record", "state_record", "hold_record", "unhold_record",
-           "unmet_record", "found_record", "dropped_record", "lingered_record"]
+__all__ = [
+    "Ledger",
+    "apply",
+    "dump",
+    "load",
+    "charged",
+    "loads_out",
+    "is_open_load",
+    "loaded",
+    "order_record",
+    "state_record",
+    "hold_record",
+    "unhold_record",
+    "unmet_record",
+    "found_record",
+    "dropped_record",
+    "lingered_record",
+]
 
 _TOLD = 500
 _OPEN = ("intended", "taken", "unknown")
@@ -33,20 +48,37 @@
 
 
 def order_record(engine, item, verb, order, mb, places, service):
-    return _pack({"k": "order", "engine": engine, "item": item, "verb": verb,
-                  "order": order, "mb": mb, "places": places, "service": service})
+    return _pack(
+        {
+            "k": "order",
+            "engine": engine,
+            "item": item,
+            "verb": verb,
+            "order": order,
+            "mb": mb,
+            "places": places,
+            "service": service,
+        }
+    )
 
 
 def state_record(engine, item, order, state):
-    return _pack({"k": "state", "engine": engine, "item": item, "order": order,
-                  "state": state})
+    return _pack({"k": "state", "engine": engine, "item": item, "order": order, "state": state})
 
 
 def found_record(engine, incarnation, items, service, keep=()):
     """A new incarnation of an engine, or things on it that no order explains; of
     what was ordered before, a new incarnation may still come to hold `keep`."""
-    return _pack({"k": "found", "engine": engine, "incarnation": incarnation,
-                  "items": items, "service": service, "keep": sorted(keep)})
+    return _pack(
+        {
+            "k": "found",
+            "engine": engine,
+            "incarnation": incarnation,
+            "items": items,
+            "service": service,
+            "keep": sorted(keep),
+        }
+    )
 
 
 def hold_record(hold):
@@ -71,8 +103,13 @@
     if kind == "order":
         ledger.orderCount += 1
         ledger.engines.setdefault(told["engine"], {})[told["item"]] = {
-            "verb": told["verb"], "order": told["order"], "state": "intended",
-            "mb": told["mb"], "places": told["places"], "service": told["service"]}
+            "verb": told["verb"],
+            "order": told["order"],
+            "state": "intended",
+            "mb": told["mb"],
+            "places": told["places"],
+            "service": told["service"],
+        }
     elif kind == "state":
         _state(ledger, told)
     elif kind == "found":
@@ -102,8 +139,7 @@
     if entry is None or entry["order"] != told["order"]:
         return
     state = told["state"]
-    if state in ("unloaded", "forgotten") or (
-            state == "refused" and entry["verb"] == "load"):
+    if state in ("unloaded", "forgotten") or (state == "refused" and entry["verb"] == "load"):
         for item in [i for i in items if i == told["item"] or i.startswith(told["item"] + "/")]:
             del items[item]
     elif state in ("refused", "loaded"):
@@ -119,9 +155,14 @@
         ledger.incarnations[told["engine"]] = told["incarnation"]
     items = ledger.engines.setdefault(told["engine"], {})
     for item, facts in told["items"].items():
-        items[item] = {"verb": "load", "order": "", "state": facts["state"],
-                       "mb": facts["mb"], "places": facts["places"],
-                       "service": told["service"]}
+        items[item] = {
+            "verb": "load",
+            "order": "",
+            "state": facts["state"],
+            "mb": facts["mb"],
+            "places": facts["places"],
+            "service": told["service"],
+        }
 
 
 def charged(ledger, engine):
@@ -133,10 +174,12 @@
 def loads_out(ledger, service, adapters=True):
     """Loads that may still be asking the weight store for something; adapters too,
     unless they come from elsewhere."""
-    return sum(1 for items in ledger.engines.values() for n, i in items.items()
-               if i["service"] == service and is_open_load(i)
-               and (adapters or "/" not in n)) + sum(
-        1 for other in ledger.lingering.values() if other == service)
+    return sum(
+        1
+        for items in ledger.engines.values()
+        for n, i in items.items()
+        if i["service"] == service and is_open_load(i) and (adapters or "/" not in n)
+    ) + sum(1 for other in ledger.lingering.values() if other == service)
 
 
 def is_open_load(entry):
--- a/libs/dispatch/src/dispatch/line.py
+++ b/libs/dispatch/src/dispatch/line.py
@@ -8,13 +8,13 @@
 first estimate has passed by as much again with nothing begun.
 """
 
+from manifest.schema import rank_of
+
 from dispatch import ledger as ledgers
 from dispatch import placement
 from dispatch.state import log
-from manifest.schema import rank_of
 
-__all__ = ["queue", "estimate", "give_up", "learn", "drop_lost", "store_rate",
-           "waited_for"]
+__all__ = ["queue", "estimate", "give_up", "learn", "drop_lost", "store_rate", "waited_for"]
 
 _STEP_MS = 10000.0
 
@@ -46,14 +46,22 @@
         if item in waited and not _comes_up(p, item):
             return (0, waited[item], item, engine)
         return (1, yields.get(made.targets[engine][item], placement.LAST), item, engine)
-    return sorted(((engine, item) for engine, targets in made.targets.items()
-                   for item in targets
-                   if item not in p.ledger.engines.get(engine, {})), key=turn)
+
+    return sorted(
+        (
+            (engine, item)
+            for engine, targets in made.targets.items()
+            for item in targets
+            if item not in p.ledger.engines.get(engine, {})
+        ),
+        key=turn,
+    )
 
 
 def _comes_up(p, item):
-    return any(item in items and items[item]["verb"] == "load"
-               for items in p.ledger.engines.values())
+    return any(
+        item in items and items[item]["verb"] == "load" for items in p.ledger.engines.values()
+    )
 
 
 def learn(p, nowMs, service, order):
@@ -70,8 +78,12 @@
     loadMs = p.loadMs.get(name, 2 * terms.reportMs)
     base, _, adapter = item.partition("/")
     serving = _serving(p, name)
-    entries = [e for n, items in p.ledger.engines.items() for i, e in items.items()
-               if i == item and e["verb"] == "load" and n in serving]
+    entries = [
+        e
+        for n, items in p.ledger.engines.items()
+        for i, e in items.items()
+        if i == item and e["verb"] == "load" and n in serving
+    ]
     if any(e["state"] == "loaded" for e in entries):
         return 0.0
     if entries:
--- a/libs/dispatch/src/dispatch/orders.py
+++ b/libs/dispatch/src/dispatch/orders.py
@@ -14,8 +14,7 @@
 
 
 def plan(p, nowMs, registry, name, service, terms):
-    p.refusedMs = {k: ms for k, ms in p.refusedMs.items()
-                   if nowMs - ms < 2 * terms.callMs}
+    p.refusedMs = {k: ms for k, ms in p.refusedMs.items() if nowMs - ms < 2 * terms.callMs}
     engines = world.placement_engines(registry, name, p.reports)
     made = _made(p, registry, name, service, engines)
     if engines:
@@ -25,7 +24,8 @@
         _unload(p, registry, engine, name, made, sizes)
     for engine, item in p.queues[name]:
         if _fits(p, registry, sizes[engine], item) and not _load(
-                p, nowMs, registry, engine, item, name, service):
+            p, nowMs, registry, engine, item, name, service
+        ):
             return
 
 
@@ -35,8 +35,10 @@
     kept = p.plans.get(name)
     if kept is not None and kept[0] == inputs:
         return kept[1]
-    present = {e: {i for i, entry in items.items() if entry["verb"] == "load"}
-               for e, items in p.ledger.engines.items()}
+    present = {
+        e: {i for i, entry in items.items() if entry["verb"] == "load"}
+        for e, items in p.ledger.engines.items()
+    }
     wishes = world.wishes_of(registry, name, p.ledger)
     made = placement.place(engines, wishes, world.shares_of(service), present)
     p.queues[name] = line.queue(p, name, made, {w.id: w.yields for w in wishes})
@@ -48,9 +50,16 @@
 def _tell_unmet(p, name, made, service):
     unmet = made.unmet
     if service["loads"]["atOnce"] == 0 and not unmet:
-        unmet = {"(all)": {"rule": "no-loads-granted", "wanted": 0, "placed": 0,
-                           "won": [], "partner": service["partner"],
-                           "shareSpent": False}}
+        unmet = {
+            "(all)": {
+                "rule": "no-loads-granted",
+                "wanted": 0,
+                "placed": 0,
+                "won": [],
+                "partner": service["partner"],
+                "shareSpent": False,
+            }
+        }
     if p.ledger.unmet.get(name, {}) != unmet:
         log(p, ledgers.unmet_record(name, unmet))
 
@@ -59,19 +68,31 @@
     """Log an order; it is sent once the record is durable."""
     number = p.ledger.orderCount + 1
     order = f"{p.shard}.{p.epoch}.{number}"
-    body = {"shard": p.shard, "epoch": p.epoch, "order": order, "number": number,
-            "item": item, "roomMb": mb, "places": places}
-    log(p, ledgers.order_record(engine, item, verb, order, mb, places, service),
-                ("order", engine, item, order, verb, body))
+    body = {
+        "shard": p.shard,
+        "epoch": p.epoch,
+        "order": order,
+        "number": number,
+        "item": item,
+        "roomMb": mb,
+        "places": places,
+    }
+    log(
+        p,
+        ledgers.order_record(engine, item, verb, order, mb, places, service),
+        ("order", engine, item, order, verb, body),
+    )
 
 
 def _moving(p, registry, engine, item, made, sizes):
     """Whether a copy's new place comes up, or can, while this one still serves."""
-    return any(item in targets and other != engine
-               and not ledgers.loaded(p.ledger, other, item)
-               and (item in p.ledger.engines.get(other, {})
-                    or _fits(p, registry, sizes[other], item))
-               for other, targets in made.targets.items())
+    return any(
+        item in targets
+        and other != engine
+        and not ledgers.loaded(p.ledger, other, item)
+        and (item in p.ledger.engines.get(other, {}) or _fits(p, registry, sizes[other], item))
+        for other, targets in made.targets.items()
+    )
 
 
 def _unload(p, registry, engine, service, made, sizes):
@@ -83,13 +104,13 @@
     for item, entry in sorted(items.items(), reverse=True):
         if entry["verb"] != "load" or entry["state"] != "loaded" or item in targets:
             continue
-        if "/" not in item and any(
-                other.startswith(item + "/") for other in items):
+        if "/" not in item and any(other.startswith(item + "/") for other in items):
             continue
         if not missing and world.size_of(registry, item) is not None:
             continue
         if (engine.name, item) in p.refusedMs or _moving(
-                p, registry, engine.name, item, made, sizes):
+            p, registry, engine.name, item, made, sizes
+        ):
             continue
         give(p, engine.name, item, "unload", entry["mb"], entry["places"], service)
 
@@ -104,8 +125,11 @@
         return False
     size = world.size_of(registry, item)
     usedMb, usedPlaces = ledgers.charged(p.ledger, engine.name)
-    return (size is not None and usedMb + size[0] <= engine.roomMb
-            and usedPlaces + size[1] <= engine.places)
+    return (
+        size is not None
+        and usedMb + size[0] <= engine.roomMb
+        and usedPlaces + size[1] <= engine.places
+    )
 
 
 def _load(p, nowMs, registry, engine, item, name, service):
--- a/libs/dispatch/src/dispatch/placement.py
+++ b/libs/dispatch/src/dispatch/placement.py
@@ -41,6 +41,7 @@
 @dataclass
 class Plan:
     """`targets`: engine -> item -> id of the wish that won it there."""
+
     targets: dict = field(default_factory=dict)
     unmet: dict = field(default_factory=dict)
     lent: set = field(default_factory=set)
@@ -66,15 +67,21 @@
 
 def place(engines, wishes, shares, present):
     """`shares`: partner -> part of the room; `present`: engine -> items."""
-    work = _Work({e.name: e for e in engines}, shares, present,
-                 sum(e.roomMb for e in engines), {},
-                 {e.name: e.roomMb for e in engines},
-                 {e.name: e.places for e in engines},
-                 Plan({e.name: {} for e in engines}))
+    work = _Work(
+        {e.name: e for e in engines},
+        shares,
+        present,
+        sum(e.roomMb for e in engines),
+        {},
+        {e.name: e.roomMb for e in engines},
+        {e.name: e.places for e in engines},
+        Plan({e.name: {} for e in engines}),
+    )
     for wish in wishes:
         work.sizes[wish.model] = wish.roomMb
-    turns = sorted(((w.yields, copy, w.partner, w.id), w)
-                   for w in wishes for copy in range(w.copies))
+    turns = sorted(
+        ((w.yields, copy, w.partner, w.id), w) for w in wishes for copy in range(w.copies)
+    )
     late = []
     for _, wish in turns:
         if wish.yields >= LAST or not _try(work, wish, True):
@@ -94,24 +101,30 @@
 
 
 def _fits(work, wish, engine):
-    return (_cost(work, wish, engine) <= work.freeMb[engine]
-            and (not wish.adapter or wish.places <= work.freePlaces[engine]))
+    return _cost(work, wish, engine) <= work.freeMb[engine] and (
+        not wish.adapter or wish.places <= work.freePlaces[engine]
+    )
 
 
 def _zone_engines(work, wish):
-    return [n for n, e in work.engines.items()
-            if (not wish.zones or e.zone in wish.zones) and wish.only in ("", n)]
+    return [
+        n
+        for n, e in work.engines.items()
+        if (not wish.zones or e.zone in wish.zones) and wish.only in ("", n)
+    ]
 
 
 def _try(work, wish, ownShare):
     """Place one more copy of the wish; False if there is no way."""
     item = item_name(wish.model, wish.adapter)
     mine = work.copies.setdefault(wish.id, set())
-    found = [n for n in _zone_engines(work, wish)
-             if n not in mine and _fits(work, wish, n)]
+    found = [n for n in _zone_engines(work, wish) if n not in mine and _fits(work, wish, n)]
     if ownShare:
-        leftMb = (work.shares.get(wish.partner, 0.0) * work.totalMb + 1e-6
-                  - work.usedMb.get(wish.partner, 0))
+        leftMb = (
+            work.shares.get(wish.partner, 0.0) * work.totalMb
+            + 1e-6
+            - work.usedMb.get(wish.partner, 0)
+        )
         found = [n for n in found if _cost(work, wish, n) <= leftMb]
     if not found:
         return False
@@ -131,8 +144,14 @@
     costMb = _cost(work, wish, name)
     heldMb = sum(work.sizes.get(i, 0) for i in here if i not in work.plan.targets[name])
     evicts = wish.model not in here and heldMb + costMb > work.freeMb[name]
-    return (item not in here, zones.get(work.engines[name].zone, 0), evicts, costMb,
-            -work.freeMb[name], hashlib.blake2b(f"{item}|{name}".encode()).digest())
+    return (
+        item not in here,
+        zones.get(work.engines[name].zone, 0),
+        evicts,
+        costMb,
+        -work.freeMb[name],
+        hashlib.blake2b(f"{item}|{name}".encode()).digest(),
+    )
 
 
 def _take(work, wish, item, name):
@@ -150,8 +169,7 @@
     zone = _zone_engines(work, wish)
     mine = work.copies.get(wish.id, set())
     others = [n for n in zone if n not in mine]
-    winners = sorted({w for n in others for w in work.plan.targets[n].values()
-                      if w != wish.id})
+    winners = sorted({w for n in others for w in work.plan.targets[n].values() if w != wish.id})
     if not zone:
         rule = "no-engine-in-zone"
     elif not others:
@@ -163,6 +181,13 @@
     else:
         rule = "no-adapter-place"
     overShare = work.usedMb.get(wish.partner, 0) >= (
-        work.shares.get(wish.partner, 0.0) * work.totalMb - wish.roomMb)
-    return {"wanted": wish.copies, "placed": len(mine), "rule": rule,
-            "shareSpent": overShare, "partner": wish.partner, "won": winners[:8]}
+        work.shares.get(wish.partner, 0.0) * work.totalMb - wish.roomMb
+    )
+    return {
+        "wanted": wish.copies,
+        "placed": len(mine),
+        "rule": rule,
+        "shareSpent": overShare,
+        "partner": wish.partner,
+        "won": winners[:8],
+    }
--- a/libs/dispatch/src/dispatch/placer.py
+++ b/libs/dispatch/src/dispatch/placer.py
@@ -6,14 +6,15 @@
 itself, and nothing that would outlast its own grant.
 """
 
-from dispatch import ledger as ledgers
-from dispatch import again, asked, demand, line, orders, placement, settle, world
-from dispatch.state import log
 from logbook import holder
 from manifest import registry as registries
 from waybill import failures
 from waybill.effects import Reply, Wake
 
+from dispatch import again, asked, demand, line, orders, placement, settle, world
+from dispatch import ledger as ledgers
+from dispatch.state import log
+
 __all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
 
 _OWN = 0.25
@@ -25,8 +26,9 @@
     p.ledger = ledgers.load(p.held.checkpoint)
     for record in p.held.pages:
         ledgers.apply(p.ledger, record)
-    p.notBeforeMs = nowMs + (_OWN * terms.callMs if p.own and terms.turnMs
-                             else max(terms.callMs, terms.turnMs))
+    p.notBeforeMs = nowMs + (
+        _OWN * terms.callMs if p.own and terms.turnMs else max(terms.callMs, terms.turnMs)
+    )
     for items in p.ledger.engines.values():
         for entry in items.values():
             if entry["state"] == "taken":
@@ -61,12 +63,18 @@
             busy = p.polls.get(engine["name"])
             if busy is not None and nowMs - busy < _pause(p, engine, service, terms):
                 continue
-            if busy is not None and f"report:{engine['name']}" in p.calls and (
-                    nowMs - busy < 2 * terms.callMs):
+            if (
+                busy is not None
+                and f"report:{engine['name']}" in p.calls
+                and (nowMs - busy < 2 * terms.callMs)
+            ):
                 continue
             p.polls[engine["name"]] = nowMs
-            effects.append(again.call(p, nowMs, f"report:{engine['name']}", "report",
-                                 engine, {}, terms, "", ""))
+            effects.append(
+                again.call(
+                    p, nowMs, f"report:{engine['name']}", "report", engine, {}, terms, "", ""
+                )
+            )
     return effects
 
 
@@ -74,8 +82,9 @@
     """How long to wait between reports; where orders tell their own end, reports are
     only for what was left in doubt."""
     if not service.get("byDemand") or any(
-            e["state"] == "unknown" or (e["state"] == "intended" and e["order"] not in p.calls)
-            for e in p.ledger.engines.get(engine["name"], {}).values()):
+        e["state"] == "unknown" or (e["state"] == "intended" and e["order"] not in p.calls)
+        for e in p.ledger.engines.get(engine["name"], {}).values()
+    ):
         return terms.reportMs
     return 5 * terms.reportMs
 
@@ -145,8 +154,11 @@
     if id_ not in p.ledger.holds:
         return [Reply(token, {"id": id_, "gone": True})]
     p.holdsMs.pop(id_, None)
-    log(p, ledgers.unhold_record(id_, str(body.get("why", "")) or "done"),
-        ("reply", token, {"id": id_, "gone": True}))
+    log(
+        p,
+        ledgers.unhold_record(id_, str(body.get("why", "")) or "done"),
+        ("reply", token, {"id": id_, "gone": True}),
+    )
     return []
 
 
@@ -163,8 +175,7 @@
         return [Reply(token, failures.Overloaded(int(10 * terms.callMs), "waitlist"))]
     loads = registries.services(registry)[body["service"]]["loads"]
     if not loads["atOnce"] or not loads["perMinute"]:
-        return [Reply(token, failures.NoRoom(int(30 * terms.callMs), body["model"],
-                                             "no-loads"))]
+        return [Reply(token, failures.NoRoom(int(30 * terms.callMs), body["model"], "no-loads"))]
     item = placement.item_name(body["model"], body["adapter"])
     for asked_for in {body["model"], item}:
         demand.tell(p.demand, nowMs, asked_for, 1)
@@ -172,7 +183,14 @@
     if waitMs is not None and waitMs > body["waitMs"]:
         return [Reply(token, failures.NoRoom(int(waitMs), body["model"], "loads-queue"))]
     p.holdsMs[id_] = nowMs
-    log(p, ledgers.hold_record({k: body[k] for k in (
-        "id", "service", "model", "adapter", "class", "waitMs", "node", "life")}),
-        ("reply", token, {"id": id_, "turn": p.ledger.holdCount + 1}))
+    log(
+        p,
+        ledgers.hold_record(
+            {
+                k: body[k]
+                for k in ("id", "service", "model", "adapter", "class", "waitMs", "node", "life")
+            }
+        ),
+        ("reply", token, {"id": id_, "turn": p.ledger.holdCount + 1}),
+    )
     return [Wake(nowMs)] if terms.turnMs else []
--- a/libs/dispatch/src/dispatch/roster.py
+++ b/libs/dispatch/src/dispatch/roster.py
@@ -28,8 +28,11 @@
 
 def tick(r, nowMs, terms, address, id_):
     """Ask for the first page when it is time; `id_` makes a call's id."""
-    if not address or nowMs - r.askedMs < terms.listMs or (
-            r.open and nowMs - r.askedMs < 2 * terms.callMs):
+    if (
+        not address
+        or nowMs - r.askedMs < terms.listMs
+        or (r.open and nowMs - r.askedMs < 2 * terms.callMs)
+    ):
         return []
     r.askedMs, r.round, r.open = nowMs, r.round + 1, True
     r.found, r.token = {}, ""
@@ -37,8 +40,7 @@
 
 
 def _ask(r, terms, address, id_):
-    return Call(f"{id_}|list:{r.round}", "", address, "list", {"token": r.token},
-                terms.callMs)
+    return Call(f"{id_}|list:{r.round}", "", address, "list", {"token": r.token}, terms.callMs)
 
 
 def on_called(r, nowMs, id_, called, registry, terms, address, prefix):
@@ -73,6 +75,7 @@
     for name, old in registry.engines.items():
         if name not in r.found:
             r.warmUntilMs.pop(name, None)
-            changed.append({**{k: old[k] for k in (
-                "name", "service", "zone", "url")}, "state": "gone"})
+            changed.append(
+                {**{k: old[k] for k in ("name", "service", "zone", "url")}, "state": "gone"}
+            )
     return changed
--- a/libs/dispatch/src/dispatch/settle.py
+++ b/libs/dispatch/src/dispatch/settle.py
@@ -17,13 +17,21 @@
     facts = registry.engines.get(engine)
     if facts is None or not _sound(body):
         return
-    report = Report(body["incarnation"], body["roomMb"], body["adapterPlaces"],
-                    dict(body["items"]), askedMs)
+    report = Report(
+        body["incarnation"], body["roomMb"], body["adapterPlaces"], dict(body["items"]), askedMs
+    )
     p.reports[engine] = report
     if p.ledger.incarnations.get(engine) != report.incarnation:
-        log(p, ledgers.found_record(engine, report.incarnation,
-                                    _facts(registry, facts, report.items), facts["service"],
-                                    _on_their_way(p, engine, askedMs)))
+        log(
+            p,
+            ledgers.found_record(
+                engine,
+                report.incarnation,
+                _facts(registry, facts, report.items),
+                facts["service"],
+                _on_their_way(p, engine, askedMs),
+            ),
+        )
         return
     items = p.ledger.engines.get(engine, {})
     for item, entry in list(items.items()):
@@ -42,9 +50,13 @@
         return
     held = p.ledger.engines.get(engine, {})
     told = _facts(registry, facts, report.items)
-    strange = {i: told[i] for i, seen in report.items.items()
-               if i not in held and seen != "unloading" or (
-                   world.size_of(registry, i) and _resized(held.get(i), told[i]))}
+    strange = {
+        i: told[i]
+        for i, seen in report.items.items()
+        if i not in held
+        and seen != "unloading"
+        or (world.size_of(registry, i) and _resized(held.get(i), told[i]))
+    }
     if strange:
         log(p, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
 
@@ -56,24 +68,32 @@
     for item, entry in p.ledger.engines.get(engine, {}).items():
         endMs = p.callEndMs.get(entry["order"])
         flying = entry["order"] in p.calls or endMs is None or endMs >= askedMs
-        if entry["order"] and (entry["state"] == "unknown" or (
-                entry["state"] == "intended" and flying)):
+        if entry["order"] and (
+            entry["state"] == "unknown" or (entry["state"] == "intended" and flying)
+        ):
             found.add(item)
     return found
 
 
 def _resized(entry, told):
     """What was found before a layout told its size is charged rightly from then on."""
-    return (entry is not None and not entry["order"] and entry["verb"] == "load"
-            and (entry["mb"], entry["places"]) != (told["mb"], told["places"]))
+    return (
+        entry is not None
+        and not entry["order"]
+        and entry["verb"] == "load"
+        and (entry["mb"], entry["places"]) != (told["mb"], told["places"])
+    )
 
 
 def _sound(body):
-    return (isinstance(body, dict) and isinstance(body.get("incarnation"), str)
-            and isinstance(body.get("items"), dict)
-            and all(isinstance(s, str) for s in body["items"].values())
-            and isinstance(body.get("roomMb"), int)
-            and isinstance(body.get("adapterPlaces"), int))
+    return (
+        isinstance(body, dict)
+        and isinstance(body.get("incarnation"), str)
+        and isinstance(body.get("items"), dict)
+        and all(isinstance(s, str) for s in body["items"].values())
+        and isinstance(body.get("roomMb"), int)
+        and isinstance(body.get("adapterPlaces"), int)
+    )
 
 
 def _facts(registry, engine, items):
@@ -81,10 +101,12 @@
     is, so that nothing is loaded beside it before it is gone or named."""
     found = {}
     for item, state in items.items():
-        size = world.size_of(registry, item) or (
-            *world.room_of(registry, engine), "")
-        found[item] = {"state": "loaded" if state == "loaded" else "taken",
-                       "mb": size[0], "places": size[1]}
+        size = world.size_of(registry, item) or (*world.room_of(registry, engine), "")
+        found[item] = {
+            "state": "loaded" if state == "loaded" else "taken",
+            "mb": size[0],
+            "places": size[1],
+        }
     return found
 
 
@@ -101,8 +123,12 @@
     open_ = entry["state"] in ("intended", "taken", "unknown")
     if open_ and entry["order"] and entry["order"] in p.calls:
         return None
-    if open_ and entry["order"] and endMs is None and (
-            entry["state"] == "intended" and _ours(p, entry)):
+    if (
+        open_
+        and entry["order"]
+        and endMs is None
+        and (entry["state"] == "intended" and _ours(p, entry))
+    ):
         return None
     if open_ and endMs is not None and askedMs <= endMs:
         return None
--- a/libs/dispatch/src/dispatch/state.py
+++ b/libs/dispatch/src/dispatch/state.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from logbook import holder
+
 from dispatch import demand as demands
 from dispatch import ledger as ledgers
-from logbook import holder
 
 __all__ = ["Placer", "Terms", "Report", "log"]
 
@@ -12,6 +13,7 @@
 @dataclass(frozen=True)
 class Terms:
     """All in ms, ratios of the bounds in config."""
+
     callMs: float
     reportMs: float
     darkMs: float
--- a/libs/dispatch/src/dispatch/world.py
+++ b/libs/dispatch/src/dispatch/world.py
@@ -7,11 +7,21 @@
 import functools
 import hashlib
 
-from dispatch.placement import LAST, Engine, Wish, item_name
 from manifest import registry as registries
 
-__all__ = ["shard_of", "services_of", "usable", "wishes_of", "shares_of", "size_of",
-           "engines_of", "placement_engines", "room_of"]
+from dispatch.placement import LAST, Engine, Wish, item_name
+
+__all__ = [
+    "shard_of",
+    "services_of",
+    "usable",
+    "wishes_of",
+    "shares_of",
+    "size_of",
+    "engines_of",
+    "placement_engines",
+    "room_of",
+]
 
 
 @functools.lru_cache(4096)
@@ -21,8 +31,7 @@
 
 
 def services_of(registry, shard, shards):
-    return {n: s for n, s in registries.services(registry).items()
-            if shard_of(n, shards) == shard}
+    return {n: s for n, s in registries.services(registry).items() if shard_of(n, shards) == shard}
 
 
 def usable(registry, engine):
@@ -60,18 +69,36 @@
     for partner, section in sorted(registry.sections.items()):
         for name, wish in sorted(section["wishes"].items()):
             if wish["service"] == service:
-                found.append(_wish(models, f"{partner}:{name}", partner, wish["model"],
-                                   wish["adapter"], wish["copies"],
-                                   tuple(wish["zones"]), wish["yields"]))
+                found.append(
+                    _wish(
+                        models,
+                        f"{partner}:{name}",
+                        partner,
+                        wish["model"],
+                        wish["adapter"],
+                        wish["copies"],
+                        tuple(wish["zones"]),
+                        wish["yields"],
+                    )
+                )
     turns = {}
     for hold in ledger.holds.values():
         if hold["service"] == service:
             key = (hold["model"], hold["adapter"])
             turns[key] = min(turns.get(key, hold["turn"]), hold["turn"])
-    for number, (turn, key) in enumerate(sorted((t, k) for k, t in turns.items())):
+    for number, (_turn, key) in enumerate(sorted((t, k) for k, t in turns.items())):
         if size_of(registry, item_name(*key)):
-            found.append(_wish(models, f"hold:{item_name(*key)}", models[key[0]]["partner"],
-                               *key, 1, (), LAST + number))
+            found.append(
+                _wish(
+                    models,
+                    f"hold:{item_name(*key)}",
+                    models[key[0]]["partner"],
+                    *key,
+                    1,
+                    (),
+                    LAST + number,
+                )
+            )
     return found + _kept(registry, models, service, ledger)
 
 
@@ -81,16 +108,26 @@
         for item, entry in sorted(items.items()):
             if entry["service"] == service and size_of(registry, item):
                 model, _, adapter = item.partition("/")
-                found.append(_wish(models, f"kept:{engine}:{item}", "", model,
-                                   adapter, 1, (), LAST * 100, engine))
+                found.append(
+                    _wish(
+                        models,
+                        f"kept:{engine}:{item}",
+                        "",
+                        model,
+                        adapter,
+                        1,
+                        (),
+                        LAST * 100,
+                        engine,
+                    )
+                )
     return found
 
 
 def _wish(models, id_, partner, model, adapter, copies, zones, yields, only=""):
     facts = models[model]
     places = facts["adapters"][adapter]["places"] if adapter else 0
-    return Wish(id_, partner, model, adapter, copies, zones, yields,
-                facts["roomMb"], places, only)
+    return Wish(id_, partner, model, adapter, copies, zones, yields, facts["roomMb"], places, only)
 
 
 def placement_engines(registry, service, reports):
@@ -100,13 +137,21 @@
         report = reports.get(engine["name"])
         if usable(registry, engine) and report is not None:
             roomMb, places = room_of(registry, engine)
-            found.append(Engine(engine["name"], engine["zone"],
-                                min(roomMb, report.roomMb), min(places, report.places)))
+            found.append(
+                Engine(
+                    engine["name"],
+                    engine["zone"],
+                    min(roomMb, report.roomMb),
+                    min(places, report.places),
+                )
+            )
     return found
 
 
 def room_of(registry, engine):
     """(room, adapter places) of an engine, its own or as its service's layout says."""
     service = registries.services(registry).get(engine["service"], {})
-    return (engine["roomMb"] or service.get("roomMb", 0),
-            engine["adapterPlaces"] or service.get("adapterPlaces", 0))
+    return (
+        engine["roomMb"] or service.get("roomMb", 0),
+        engine["adapterPlaces"] or service.get("adapterPlaces", 0),
+    )
--- a/libs/fellows/src/fellows/circle.py
+++ b/libs/fellows/src/fellows/circle.py
@@ -20,9 +20,21 @@
 from waybill.effects import Note, Send
 from waybill.messages import Card, Greet, GroupCard
 
-__all__ = ["Circle", "tick", "on_greet", "learn_group", "watched", "counters",
-           "depot_addresses", "weight", "NO_GROUP", "live", "announce",
-           "greeting", "lost"]
+__all__ = [
+    "Circle",
+    "tick",
+    "on_greet",
+    "learn_group",
+    "watched",
+    "counters",
+    "depot_addresses",
+    "weight",
+    "NO_GROUP",
+    "live",
+    "announce",
+    "greeting",
+    "lost",
+]
 
 NO_GROUP = GroupCard("", 0, 0, "", ())
 _KNOWN = 4
@@ -72,14 +84,15 @@
     card = circle.cards.get(name)
     if card is None or name == circle.card.name:
         return card is not None and life != card.incarnation
-    return card.incarnation != life or (
-        nowMs - circle.aliveMs.get(name, nowMs) > 2 * circle.lostMs)
+    return card.incarnation != life or (nowMs - circle.aliveMs.get(name, nowMs) > 2 * circle.lostMs)
 
 
 def digest(circle):
     """What cards we know, our own included, in a few bytes."""
-    known = sorted((c.name, c.incarnation, c.address, c.identity, c.empty)
-                   for c in (circle.card, *circle.cards.values()))
+    known = sorted(
+        (c.name, c.incarnation, c.address, c.identity, c.empty)
+        for c in (circle.card, *circle.cards.values())
+    )
     return zlib.crc32(repr(known).encode())
 
 
@@ -96,9 +109,16 @@
     alike = theirNames == named
     names = sorted([*circle.cards, circle.card.name]) if alike else list(circle.cards)
     known = () if theirs == told else _fresh(circle, nowMs, answer) if alike else names
-    return Greet(circle.card, answer, tuple(circle.cards[n] for n in known), circle.group,
-                 bytes(_silence(circle, nowMs, n) for n in names), told, named,
-                 tuple(int(min(1e12, nowMs - circle.metMs.get(n, -1e12))) for n in known))
+    return Greet(
+        circle.card,
+        answer,
+        tuple(circle.cards[n] for n in known),
+        circle.group,
+        bytes(_silence(circle, nowMs, n) for n in names),
+        told,
+        named,
+        tuple(int(min(1e12, nowMs - circle.metMs.get(n, -1e12))) for n in known),
+    )
 
 
 def _fresh(circle, nowMs, answer):
@@ -106,8 +126,9 @@
     only as an answer, since only then what the other knows was told just now."""
     if not answer and circle.turn % _WHOLE == 0:
         return list(circle.cards)
-    return [n for n in circle.cards
-            if nowMs - circle.learnedMs.get(n, -1e12) < _FRESH * circle.gossipMs]
+    return [
+        n for n in circle.cards if nowMs - circle.learnedMs.get(n, -1e12) < _FRESH * circle.gossipMs
+    ]
 
 
 def _silence(circle, nowMs, name):
@@ -134,8 +155,9 @@
         targets.add(depots[circle.turn % len(depots)])
     targets.discard(circle.card.address)
     told = digest(circle)
-    known = all(circle.digests.get(circle.cards[n].address, (0, 0))[0] == told
-                for n in watched(circle))
+    known = all(
+        circle.digests.get(circle.cards[n].address, (0, 0))[0] == told for n in watched(circle)
+    )
     circle.settledTurns = circle.settledTurns + 1 if known and circle.group.group else 0
     if circle.settledTurns > _SETTLED:
         circle.nextMs += _CALM * circle.gossipMs
@@ -180,8 +202,9 @@
     old, before = circle.cards.get(card.name), circle.metMs.get(card.name, -1e12)
     if metMs is None:
         circle.heardMs[card.name] = circle.aliveMs[card.name] = metMs = nowMs
-    elif old not in (None, card) and (metMs <= before or (
-            nowMs - circle.heardMs.get(card.name, -1e12) <= circle.lostMs)):
+    elif old not in (None, card) and (
+        metMs <= before or (nowMs - circle.heardMs.get(card.name, -1e12) <= circle.lostMs)
+    ):
         return []
     if old == card:
         circle.metMs[card.name] = min(before, metMs)
@@ -193,8 +216,10 @@
 
 def announce(circle, nowMs):
     """Tell everyone known what we know, as a new leader does."""
-    return [Send(card.address, greeting(circle, False, nowMs, card.address))
-            for _, card in sorted(circle.cards.items())]
+    return [
+        Send(card.address, greeting(circle, False, nowMs, card.address))
+        for _, card in sorted(circle.cards.items())
+    ]
 
 
 def learn_group(circle, group, teller=""):
@@ -202,20 +227,31 @@
     if not group.group or (circle.group.group and group.group != circle.group.group):
         return
     if (group.term, group.stamp, bool(group.leader)) > (
-            circle.group.term, circle.group.stamp, bool(circle.group.leader)) or (
-            group.term == circle.group.term and group.leader
-            and teller == group.leader and group.stamp >= circle.group.stamp):
+        circle.group.term,
+        circle.group.stamp,
+        bool(circle.group.leader),
+    ) or (
+        group.term == circle.group.term
+        and group.leader
+        and teller == group.leader
+        and group.stamp >= circle.group.stamp
+    ):
         circle.group = group
 
 
 def counters(circle, nowMs):
     """The counters there are to share an engine's slots with, us included."""
-    return tuple(sorted([circle.card.name] + [
-        n for n in live(circle, nowMs) if circle.cards[n].role == "counter"]))
+    return tuple(
+        sorted(
+            [circle.card.name]
+            + [n for n in live(circle, nowMs) if circle.cards[n].role == "counter"]
+        )
+    )
 
 
 def depot_addresses(circle):
     """Every depot there is to ask when the leader is silent."""
     found = [m.address for m in circle.group.members] + [
-        c.address for c in circle.cards.values() if c.role == "depot"]
+        c.address for c in circle.cards.values() if c.role == "depot"
+    ]
     return sorted(set(found) - {circle.card.address})
--- a/libs/junction/src/junction/callers.py
+++ b/libs/junction/src/junction/callers.py
@@ -13,13 +13,19 @@
 import json
 import secrets
 
-from werkzeug.wrappers import Response
-
 from manifest.schema import RANK
 from waybill import failures
+from werkzeug.wrappers import Response
 
-__all__ = ["read_task", "read_lookup", "refusal", "answer", "stream_response",
-           "event", "LIMIT_BYTES"]
+__all__ = [
+    "read_task",
+    "read_lookup",
+    "refusal",
+    "answer",
+    "stream_response",
+    "event",
+    "LIMIT_BYTES",
+]
 
 LIMIT_BYTES = 1 << 20
 _KEYS = {"service", "model", "adapter", "class", "prompt", "stream", "deadlineMs", "id"}
@@ -47,8 +53,14 @@
         if key not in _KEYS:
             return failures.FieldWrong(key, "unknown key")
     told = {**body, **{k: v for k, v in (route or {}).items() if v}}
-    for key, missing in (("service", None), ("model", ""), ("adapter", ""),
-                         ("class", "update"), ("prompt", None), ("id", "")):
+    for key, missing in (
+        ("service", None),
+        ("model", ""),
+        ("adapter", ""),
+        ("class", "update"),
+        ("prompt", None),
+        ("id", ""),
+    ):
         value = told.setdefault(key, missing)
         if not isinstance(value, str):
             return failures.FieldWrong(key, "missing" if value is None else "not a text")
@@ -67,9 +79,18 @@
 
 
 def read_lookup(service, key, deadlineMs):
-    return {"service": service, "model": "", "adapter": "", "class": "lookup",
-            "prompt": "", "stream": False, "deadlineMs": deadlineMs,
-            "id": secrets.token_hex(12), "repeatable": True, "key": key}
+    return {
+        "service": service,
+        "model": "",
+        "adapter": "",
+        "class": "lookup",
+        "prompt": "",
+        "stream": False,
+        "deadlineMs": deadlineMs,
+        "id": secrets.token_hex(12),
+        "repeatable": True,
+        "key": key,
+    }
 
 
 def refusal(failure):
@@ -91,5 +112,10 @@
 
 
 def stream_response(chunks):
-    return Response(chunks, 200, content_type="text/event-stream",
-                    headers={"Cache-Control": "no-store"}, direct_passthrough=True)
+    return Response(
+        chunks,
+        200,
+        content_type="text/event-stream",
+        headers={"Cache-Control": "no-store"},
+        direct_passthrough=True,
+    )
--- a/libs/junction/src/junction/choice.py
+++ b/libs/junction/src/junction/choice.py
@@ -10,11 +10,22 @@
 import math
 from dataclasses import dataclass
 
-from junction import cold
 from waybill.rendezvous import weight
 
-__all__ = ["Crew", "Budget", "choose", "limit", "notice", "broke", "ready_in",
-           "asked", "may_retry", "retry_allowed"]
+from junction import cold
+
+__all__ = [
+    "Crew",
+    "Budget",
+    "choose",
+    "limit",
+    "notice",
+    "broke",
+    "ready_in",
+    "asked",
+    "may_retry",
+    "retry_allowed",
+]
 
 _PARTS = (1.0, 0.85, 0.6)
 _BOUND = 1.25
@@ -25,6 +36,7 @@
 @dataclass(frozen=True)
 class Crew:
     """The counters that share the engines, as this one knows them."""
+
     me: str
     names: tuple
     zone: str = ""
@@ -33,6 +45,7 @@
 @dataclass
 class Budget:
     """Tasks asked and legs tried again, both fading over one window."""
+
     asked: float = 0.0
     again: float = 0.0
     atMs: float = 0.0
@@ -102,10 +115,17 @@
 def ready_in(r, nowMs, engines, crew, rank, service=None):
     """In how many ms this node will have a place on one of these at all."""
     if service is not None and "warmPerS" in service:
-        return min((cold.ready_in(r, nowMs, e, service, crew) for e in engines
-                    if cold.is_cold(r, nowMs, e)), default=r.terms.pauseMs / 2)
-    waits = [(_turn(r, e, crew) + 1) / _part(rank) / e["slots"] - _ramp(r, nowMs, e)
-             for e in engines]
+        return min(
+            (
+                cold.ready_in(r, nowMs, e, service, crew)
+                for e in engines
+                if cold.is_cold(r, nowMs, e)
+            ),
+            default=r.terms.pauseMs / 2,
+        )
+    waits = [
+        (_turn(r, e, crew) + 1) / _part(rank) / e["slots"] - _ramp(r, nowMs, e) for e in engines
+    ]
     return max(0.0, min(waits, default=0.0)) * r.terms.rampMs
 
 
@@ -127,8 +147,9 @@
 
 def choose(r, nowMs, engines, crew, task, rank, service=None):
     """The engine for a task's next leg, or None if none has a place for it."""
-    free = [e for e in engines
-            if r.busy.get(e["name"], 0) < limit(r, nowMs, e, crew, rank, service)]
+    free = [
+        e for e in engines if r.busy.get(e["name"], 0) < limit(r, nowMs, e, crew, rank, service)
+    ]
     if not free:
         return None
     best = _liked(r, free, engines, crew, task)
@@ -139,14 +160,18 @@
 
 def _liked(r, free, engines, crew, task):
     if not task.model:
-        return min(free, key=lambda e: (r.busy.get(e["name"], 0) - (e["zone"] == crew.zone),
-                                        weight(task.id, e["name"])))
+        return min(
+            free,
+            key=lambda e: (
+                r.busy.get(e["name"], 0) - (e["zone"] == crew.zone),
+                weight(task.id, e["name"]),
+            ),
+        )
     total = sum(r.busy.get(e["name"], 0) for e in engines) + 1
     bound = max(1, -(-int(total * _BOUND * 100) // (len(engines) * 100)))
     key = f"{task.model}|{task.adapter}|{task.opening}"
     near = crew.zone if 0 < sum(task.tokens[:1]) < _SHORT else None
-    order = sorted(free, key=lambda e: (e["zone"] == near, weight(key, e["name"])),
-                   reverse=True)
+    order = sorted(free, key=lambda e: (e["zone"] == near, weight(key, e["name"])), reverse=True)
     for engine in order:
         if r.busy.get(engine["name"], 0) < bound:
             return engine
@@ -160,4 +185,5 @@
 
 def retry_allowed(r, nowMs, ageMs, crew, peek=False):
     return ageMs <= r.terms.staleMs and may_retry(
-        r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek)
+        r.budget, nowMs, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek
+    )
--- a/libs/junction/src/junction/cold.py
+++ b/libs/junction/src/junction/cold.py
@@ -27,8 +27,9 @@
                 r.coldUntilMs[name] = nowMs + engine["warmMs"] + 100
         may = usable(engine)
         if known is not None and may and not known[1]:
-            r.coldUntilMs[name] = max(r.coldUntilMs.get(name, 0.0),
-                                      nowMs + service.get("warmMs", 0.0))
+            r.coldUntilMs[name] = max(
+                r.coldUntilMs.get(name, 0.0), nowMs + service.get("warmMs", 0.0)
+            )
         r.seenEngines[name] = (engine, may)
     for name in [n for n in r.seenEngines if n not in registry.engines]:
         del r.seenEngines[name]
--- a/libs/junction/src/junction/dialect.py
+++ b/libs/junction/src/junction/dialect.py
@@ -25,6 +25,7 @@
     read_operator(request) -> (verb, body) or a Failure
     operator_answer(verb, outcome) -> (status, headers, body)
     """
+
     reader: object
     call_ask: Callable
     read_call: Callable
--- a/libs/junction/src/junction/engines.py
+++ b/libs/junction/src/junction/engines.py
@@ -13,8 +13,16 @@
 import json
 from urllib.parse import quote
 
-__all__ = ["Ask", "order_ask", "task_ask", "resume_ask", "read_answer", "refused", "read_pieces",
-           "read_json"]
+__all__ = [
+    "Ask",
+    "order_ask",
+    "task_ask",
+    "resume_ask",
+    "read_answer",
+    "refused",
+    "read_pieces",
+    "read_json",
+]
 
 from dataclasses import dataclass
 
@@ -36,16 +44,30 @@
 def task_ask(url, told):
     if "key" in told:
         return Ask("GET", f"{url}/lookup/{quote(told['key'], safe='')}?task={told['id']}", b"")
-    return Ask("POST", url + "/task", json.dumps({
-        "task": told["id"], "model": told["model"], "adapter": told["adapter"],
-        "class": told["class"], "prompt": told["prompt"], "stream": told["stream"],
-    }).encode())
+    return Ask(
+        "POST",
+        url + "/task",
+        json.dumps(
+            {
+                "task": told["id"],
+                "model": told["model"],
+                "adapter": told["adapter"],
+                "class": told["class"],
+                "prompt": told["prompt"],
+                "stream": told["stream"],
+            }
+        ).encode(),
+    )
 
 
 def resume_ask(url, run):
-    return Ask("POST", url + "/resume", json.dumps({
-        "task": run.task, "run": run.run, "incarnation": run.incarnation,
-        "from": run.next}).encode())
+    return Ask(
+        "POST",
+        url + "/resume",
+        json.dumps(
+            {"task": run.task, "run": run.run, "incarnation": run.incarnation, "from": run.next}
+        ).encode(),
+    )
 
 
 def read_json(data):
@@ -78,5 +100,5 @@
     found = []
     while (end := buffer.find(b"\n")) >= 0:
         found.append(read_json(bytes(buffer[:end])))
-        del buffer[:end + 1]
+        del buffer[: end + 1]
     return found
--- a/libs/junction/src/junction/legs.py
+++ b/libs/junction/src/junction/legs.py
@@ -15,6 +15,7 @@
 @dataclass(frozen=True)
 class Ended:
     """`code` 0: no whole answer.  `begun`: at least a byte of it was sent."""
+
     code: int
     data: bytes
     begun: bool
--- a/libs/junction/src/junction/passing.py
+++ b/libs/junction/src/junction/passing.py
@@ -35,8 +35,9 @@
 def _head(lines):
     """A Head of the header lines of the last answer begun."""
     words = lines[0].split(None, 2)
-    pairs = tuple((n.strip(), v.strip()) for n, s, v in (
-        line.partition(":") for line in lines[1:]) if s)
+    pairs = tuple(
+        (n.strip(), v.strip()) for n, s, v in (line.partition(":") for line in lines[1:]) if s
+    )
     return Head(int(words[1]), words[2].strip() if len(words) > 2 else "", pairs)
 
 
@@ -110,8 +111,7 @@
                 if head is None and nowS >= silentS:
                     silentS = float("inf")
                     yield "silent", None
-                multi.select(min(_WAIT_S, max(0.001, silentS - nowS)) if head is None
-                             else _WAIT_S)
+                multi.select(min(_WAIT_S, max(0.001, silentS - nowS)) if head is None else _WAIT_S)
                 yield "idle", None
         fd = curl.getinfo(pycurl.LASTSOCKET)
         multi.remove_handle(curl)
@@ -131,9 +131,10 @@
 
 
 def _keeps(head):
-    return (head.get("connection", "").lower() != "close"
-            and (head.get("content-length") is not None
-                 or "chunked" in head.get("transfer-encoding", "").lower()))
+    return head.get("connection", "").lower() != "close" and (
+        head.get("content-length") is not None
+        or "chunked" in head.get("transfer-encoding", "").lower()
+    )
 
 
 def _keep_s(head):
--- a/libs/junction/src/junction/relaying.py
+++ b/libs/junction/src/junction/relaying.py
@@ -6,20 +6,30 @@
 are passed on, so that the rest joins where the first broke off.
 """
 
+from waybill import failures
+from waybill.ends import hung_up
 from werkzeug.wrappers import Response
 
 from junction import passing
 from junction.engines import Ask
 from junction.router import Leg, Stay
-from waybill import failures
-from waybill.ends import hung_up
 
 __all__ = ["Relaying"]
 
 _SILENT = 0.5
 _LEAST_SILENT_MS = 250.0
-_HOP = frozenset(("connection", "keep-alive", "proxy-authenticate", "proxy-authorization",
-                  "te", "trailer", "transfer-encoding", "upgrade"))
+_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
 
 
 def _streamed(told, head):
@@ -41,7 +51,10 @@
     def serve(self, token, told, step, environ):
         """The response to a caller, whose first step is `step`."""
         sock = environ.get("werkzeug.socket")
-        gone = (lambda: sock is not None and hung_up(sock))
+
+        def gone():
+            return sock is not None and hung_up(sock)
+
         last = None
         while isinstance(step, Leg):
             source = self._leg(told, step, 0)
@@ -67,12 +80,17 @@
         return Response(body, status, headers)
 
     def _leg(self, told, leg, after):
-        ask = Ask(told["method"], leg.url + told["target"], told["body"],
-                  self._dialect.leg_headers(told, leg, after))
+        ask = Ask(
+            told["method"],
+            leg.url + told["target"],
+            told["body"],
+            self._dialect.leg_headers(told, leg, after),
+        )
         silentMs = max(_LEAST_SILENT_MS, _SILENT * told["aimMs"]) if told["repeatable"] else None
         connectMs = min(self._connectMs, max(100.0, 0.4 * told["aimMs"]))
-        return passing.stream(self._pool, leg.url, ask, leg.timeoutMs, connectMs,
-                              not told["repeatable"], silentMs)
+        return passing.stream(
+            self._pool, leg.url, ask, leg.timeoutMs, connectMs, not told["repeatable"], silentMs
+        )
 
     def _begin(self, token, told, source, gone):
         """(head, first data, proof): a head that is the engine's own answer, or None;
@@ -107,8 +125,7 @@
             elif kind == "idle" and gone():
                 return None, b"", "gone"
             elif kind == "end":
-                return (head, b"".join(data), "unknown") if value.code else (
-                    None, b"", "unknown")
+                return (head, b"".join(data), "unknown") if value.code else (None, b"", "unknown")
         return None, b"", "unknown"
 
     def _response(self, head, body):
@@ -164,8 +181,8 @@
         """Take whole events off `held`; those already passed on are dropped."""
         out = bytearray()
         while (end := held.find(b"\n\n")) >= 0:
-            event = bytes(held[:end + 2])
-            del held[:end + 2]
+            event = bytes(held[: end + 2])
+            del held[: end + 2]
             number = self._dialect.event_id(event)
             if number is not None and number <= last:
                 continue
--- a/libs/junction/src/junction/resuming.py
+++ b/libs/junction/src/junction/resuming.py
@@ -1,11 +1,12 @@
 """Going on with a run whose pipe broke, at the engine that offered to."""
 
 from dispatch import floor as floors
-from junction import choice
-from junction.tasks import Leg
 from waybill import failures
 from waybill.effects import Reply
 
+from junction import choice
+from junction.tasks import Leg
+
 __all__ = ["resume"]
 
 
@@ -15,9 +16,14 @@
     budget of retries."""
     task = r.tasks.get(token)
     engine = floor.registry.engines.get(task.legs[-1]) if task and task.legs else None
-    if engine is None or floors.incarnation(floor, engine) != incarnation or (
-            nowMs >= task.endMs) or not choice.retry_allowed(r, nowMs, 0.0, crew):
+    if (
+        engine is None
+        or floors.incarnation(floor, engine) != incarnation
+        or (nowMs >= task.endMs)
+        or not choice.retry_allowed(r, nowMs, 0.0, crew)
+    ):
         return [Reply(token, failures.StreamCut("not-resumed", 0))]
     r.resumed += 1
-    return [Reply(token, Leg(engine["name"], engine["url"],
-                             min(r.terms.legMs, task.endMs - nowMs)))]
+    return [
+        Reply(token, Leg(engine["name"], engine["url"], min(r.terms.legMs, task.endMs - nowMs)))
+    ]
--- a/libs/junction/src/junction/router.py
+++ b/libs/junction/src/junction/router.py
@@ -9,15 +9,27 @@
 from dispatch import floor as floors
 from dispatch import world
 from dispatch.placement import item_name
-from junction import choice, cold
-from junction.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 from manifest import registry as registries
 from waybill import failures
 from waybill.effects import Reply
 
-__all__ = ["Router", "Terms", "Task", "Leg", "Done", "Stay", "begin", "ended", "wake",
-           "tick", "held", "silent"]
+from junction import choice, cold
+from junction.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 
+__all__ = [
+    "Router",
+    "Terms",
+    "Task",
+    "Leg",
+    "Done",
+    "Stay",
+    "begin",
+    "ended",
+    "wake",
+    "tick",
+    "held",
+    "silent",
+]
 
 
 _FOR_A_PLACE = 0.4
@@ -51,9 +63,11 @@
     if service is None:
         return _fail(r, task, failures.UnknownService(task.service))
     if service["kind"] == "models" and not world.size_of(
-            floor.registry, item_name(task.model, task.adapter)):
-        return _fail(r, task, failures.UnknownModel(
-            task.service, item_name(task.model, task.adapter)))
+        floor.registry, item_name(task.model, task.adapter)
+    ):
+        return _fail(
+            r, task, failures.UnknownModel(task.service, item_name(task.model, task.adapter))
+        )
     return _go(r, nowMs, floor, crew, task)
 
 
@@ -72,8 +86,13 @@
         r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
         task.legs.append(best["name"])
         task.sent += 1
-        leg = Leg(best["name"], best["url"], min(r.terms.legMs, task.endMs - nowMs),
-                  task.rank, task.sent > 1)
+        leg = Leg(
+            best["name"],
+            best["url"],
+            min(r.terms.legMs, task.endMs - nowMs),
+            task.rank,
+            task.sent > 1,
+        )
         if item and not leg.again:
             for wanted in {task.model, item}:
                 key = task.service, wanted
@@ -90,15 +109,17 @@
             task.giveUpMs = min(task.endMs, nowMs + readyMs + 2 * r.terms.pauseMs)
             return []
         retryMs = int(max(readyMs, 1000 * (1 + task.rank)))
-        return _fail(r, task, failures.Overloaded(
-            retryMs, "all-busy" if found else "no-engine"))
+        return _fail(r, task, failures.Overloaded(retryMs, "all-busy" if found else "no-engine"))
     return _line_up(r, nowMs, floor, task)
 
 
 def _spent(task):
     """What is told of a task whose legs have all ended without an answer."""
-    return failures.OutcomeUnknown("leg-broken") if task.mayHaveRun else (
-        failures.Overloaded(1000, "all-busy"))
+    return (
+        failures.OutcomeUnknown("leg-broken")
+        if task.mayHaveRun
+        else (failures.Overloaded(1000, "all-busy"))
+    )
 
 
 def _line_open(r, task):
@@ -112,18 +133,29 @@
         return []
     if not _line_open(r, task):
         return _fail(r, task, failures.Overloaded(3000 * (1 + task.rank), "line-full"))
-    if not any(world.usable(floor.registry, e)
-               for e in world.engines_of(floor.registry, task.service)):
+    if not any(
+        world.usable(floor.registry, e) for e in world.engines_of(floor.registry, task.service)
+    ):
         return _fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
     task.waiting = True
     task.giveUpMs = task.endMs
     if task.told:
         task.giveUpMs = max(nowMs, task.sinceMs + _IN_LINE * (task.endMs - task.sinceMs))
     shard = world.shard_of(task.service, floor.shards)
-    return [Hold("hold", shard, {
-        "id": task.id, "service": task.service, "model": task.model,
-        "adapter": task.adapter, "class": task.cls,
-        "waitMs": int(task.giveUpMs - nowMs)})]
+    return [
+        Hold(
+            "hold",
+            shard,
+            {
+                "id": task.id,
+                "service": task.service,
+                "model": task.model,
+                "adapter": task.adapter,
+                "class": task.cls,
+                "waitMs": int(task.giveUpMs - nowMs),
+            },
+        )
+    ]
 
 
 def held(r, nowMs, id_, outcome):
@@ -141,15 +173,25 @@
     """No answer has begun on a task's leg for long: another leg elsewhere, if the task
     may run twice and there is a place for it, else the one that is out goes on."""
     task = r.tasks.get(token)
-    if task is None or not task.repeatable or not task.legs or task.sent >= task.tries or (
-            not choice.retry_allowed(r, nowMs, ageMs, crew, True)):
+    if (
+        task is None
+        or not task.repeatable
+        or not task.legs
+        or task.sent >= task.tries
+        or (not choice.retry_allowed(r, nowMs, ageMs, crew, True))
+    ):
         return [Reply(token, Stay())]
     engine, item = task.legs[-1], item_name(task.model, task.adapter) if task.model else ""
-    others = [e for e in floors.engines_with(floor, task.service, item)
-              if e["name"] != engine and task.avoid.get(e["name"], 0.0) <= nowMs
-              and r.busy.get(e["name"], 0) < choice.limit(
-                  r, nowMs, e, crew, task.rank,
-                  registries.services(floor.registry).get(task.service))]
+    others = [
+        e
+        for e in floors.engines_with(floor, task.service, item)
+        if e["name"] != engine
+        and task.avoid.get(e["name"], 0.0) <= nowMs
+        and r.busy.get(e["name"], 0)
+        < choice.limit(
+            r, nowMs, e, crew, task.rank, registries.services(floor.registry).get(task.service)
+        )
+    ]
     if not others:
         return [Reply(token, Stay())]
     return ended(r, nowMs, floor, ageMs, crew, token, "unknown", True)
@@ -159,13 +201,20 @@
     """The floor changed, or a leg ended: those in line try again, in order."""
     for engine in floors.servable(floor):
         choice.notice(r, nowMs, engine["name"], floors.incarnation(floor, engine))
-    cold.notice(r, nowMs, floor.registry, registries.services(floor.registry),
-                lambda engine: world.usable(floor.registry, engine))
+    cold.notice(
+        r,
+        nowMs,
+        floor.registry,
+        registries.services(floor.registry),
+        lambda engine: world.usable(floor.registry, engine),
+    )
     if ageMs > r.terms.staleMs:
         return []
     effects = []
-    line = sorted((t for t in r.tasks.values() if t.waiting),
-                  key=lambda t: (t.rank, t.turn or 1 << 60, t.sinceMs))
+    line = sorted(
+        (t for t in r.tasks.values() if t.waiting),
+        key=lambda t: (t.rank, t.turn or 1 << 60, t.sinceMs),
+    )
     for task in line:
         told = _dropped(floor, task)
         if told:
@@ -191,8 +240,13 @@
     for task in list(r.tasks.values()):
         if task.waiting and nowMs >= task.giveUpMs:
             for_a_place = task.short or task.up
-            effects += _fail(r, task, failures.Overloaded(1000, "all-busy") if for_a_place
-                             else failures.NoRoom(3000, task.model, "still-loading"))
+            effects += _fail(
+                r,
+                task,
+                failures.Overloaded(1000, "all-busy")
+                if for_a_place
+                else failures.NoRoom(3000, task.model, "still-loading"),
+            )
     return effects
 
 
@@ -216,8 +270,7 @@
         return [Reply(token, Done())] + _unhold(r, task, proof)
     task.mayHaveRun = task.mayHaveRun or proof == "unknown"
     if task.legs:
-        task.avoid[task.legs[-1]] = nowMs + (
-            _AVOID_MS.get(proof, 1e12) if task.told else 1e12)
+        task.avoid[task.legs[-1]] = nowMs + (_AVOID_MS.get(proof, 1e12) if task.told else 1e12)
         if proof == "no-pipe" and task.told:
             task.sent -= 1
             return _go(r, nowMs, floor, crew, task)
--- a/libs/junction/src/junction/routes.py
+++ b/libs/junction/src/junction/routes.py
@@ -24,7 +24,7 @@
     path = path.partition("?")[0]
     end = len(path)
     while prefixes and (end := path.rfind("/", 0, end)) >= 0:
-        found = prefixes.get(path[:end + 1])
+        found = prefixes.get(path[: end + 1])
         if found is not None:
             return found
     return None
@@ -36,7 +36,7 @@
     if len(split) == 1:
         return split[0]["service"]
     digest = hashlib.blake2b(id_.encode(), digest_size=8).digest()
-    left = int.from_bytes(digest, "big") / 2 ** 64 * sum(s["weight"] for s in split)
+    left = int.from_bytes(digest, "big") / 2**64 * sum(s["weight"] for s in split)
     for share in split:
         left -= share["weight"]
         if left < 0:
--- a/libs/junction/src/junction/serving.py
+++ b/libs/junction/src/junction/serving.py
@@ -5,11 +5,12 @@
 thread owns the sockets.
 """
 
-from junction import callers, engines, legs, pieces
-from junction.router import Leg
 from waybill import failures
 from waybill.ends import hung_up
 
+from junction import callers, engines, legs, pieces
+from junction.router import Leg
+
 __all__ = ["Serving"]
 
 
@@ -53,8 +54,7 @@
     def _stream(self, token, told, leg, gone):
         """Find a leg whose first piece is good, then pass its pieces on."""
         while isinstance(leg, Leg):
-            source = legs.stream(engines.task_ask(leg.url, told), leg.timeoutMs,
-                                 self._connectMs)
+            source = legs.stream(engines.task_ask(leg.url, told), leg.timeoutMs, self._connectMs)
             run = pieces.Run(told["id"])
             passing = _pieces(source, run, gone)
             passed, proof = next(passing)
@@ -62,10 +62,10 @@
                 chunks = self._pass_on(token, run, passed, passing, source, gone)
                 return callers.stream_response(chunks)
             source.close()
-            leg = self._ask(token, "ended", {
-                "proof": "unknown" if proof == "broken" else proof})
-        failed = leg if isinstance(leg, failures.Failure) else (
-            failures.OutcomeUnknown("caller-left"))
+            leg = self._ask(token, "ended", {"proof": "unknown" if proof == "broken" else proof})
+        failed = (
+            leg if isinstance(leg, failures.Failure) else (failures.OutcomeUnknown("caller-left"))
+        )
         return callers.refusal(failed)
 
     def _pass_on(self, token, run, passed, passing, source, gone):
--- a/libs/junction/src/junction/tasks.py
+++ b/libs/junction/src/junction/tasks.py
@@ -10,6 +10,7 @@
 @dataclass(frozen=True)
 class Terms:
     """In ms, ratios of the bounds in config; the rest are plain ratios."""
+
     staleMs: float
     rampMs: float
     pauseMs: float
@@ -72,6 +73,7 @@
 @dataclass(frozen=True)
 class Hold:
     """Ask the shard's holder for a place in line (or to give one back)."""
+
     verb: str
     shard: int
     body: dict
--- a/libs/logbook/src/logbook/book.py
+++ b/libs/logbook/src/logbook/book.py
@@ -12,9 +12,23 @@
 from waybill.codec import from_bytes, to_bytes
 from waybill.messages import Batch, Member, Section
 
-__all__ = ["Book", "ShardBook", "RECORDS", "CHECKPOINT", "GRANT", "MEMBERS",
-           "TERM", "apply", "apply_body", "view", "open_view", "grant_section",
-           "members_section", "term_section", "GROUP_SHARD"]
+__all__ = [
+    "Book",
+    "ShardBook",
+    "RECORDS",
+    "CHECKPOINT",
+    "GRANT",
+    "MEMBERS",
+    "TERM",
+    "apply",
+    "apply_body",
+    "view",
+    "open_view",
+    "grant_section",
+    "members_section",
+    "term_section",
+    "GROUP_SHARD",
+]
 
 RECORDS, CHECKPOINT, GRANT, MEMBERS, TERM = range(5)
 GROUP_SHARD = -1
@@ -66,8 +80,7 @@
 def apply(book, section, index):
     """Apply one section; say whether it changed anything."""
     if section.kind == MEMBERS:
-        book.members = {m["identity"]: Member(**m)
-                        for m in json.loads(section.records[0])}
+        book.members = {m["identity"]: Member(**m) for m in json.loads(section.records[0])}
         book.membersStamp = index
         return True
     if section.kind == TERM:
@@ -85,7 +98,7 @@
     if section.kind == CHECKPOINT:
         if not part.checkpointAt < section.first < part.next:
             return False
-        del part.records[:section.first - part.checkpointAt]
+        del part.records[: section.first - part.checkpointAt]
         part.checkpointAt, part.checkpoint = section.first, section.records[0]
         return True
     if section.first != part.next:
@@ -101,20 +114,47 @@
 
 
 def view(book):
-    return to_bytes(_BookView(
-        tuple(_ShardView(n, s.epoch, s.holder, s.incarnation, s.before, s.next,
-                         s.checkpointAt, s.checkpoint, tuple(s.records))
-              for n, s in sorted(book.shards.items())),
-        tuple(book.members[i] for i in sorted(book.members)),
-        book.membersStamp))
+    return to_bytes(
+        _BookView(
+            tuple(
+                _ShardView(
+                    n,
+                    s.epoch,
+                    s.holder,
+                    s.incarnation,
+                    s.before,
+                    s.next,
+                    s.checkpointAt,
+                    s.checkpoint,
+                    tuple(s.records),
+                )
+                for n, s in sorted(book.shards.items())
+            ),
+            tuple(book.members[i] for i in sorted(book.members)),
+            book.membersStamp,
+        )
+    )
 
 
 def open_view(body):
     seen = from_bytes(_BookView, body)
-    return Book({s.shard: ShardBook(s.epoch, s.holder, s.incarnation, s.before, s.next,
-                                    s.checkpointAt, s.checkpoint, list(s.records))
-                 for s in seen.shards},
-                {m.identity: m for m in seen.members}, seen.membersStamp)
+    return Book(
+        {
+            s.shard: ShardBook(
+                s.epoch,
+                s.holder,
+                s.incarnation,
+                s.before,
+                s.next,
+                s.checkpointAt,
+                s.checkpoint,
+                list(s.records),
+            )
+            for s in seen.shards
+        },
+        {m.identity: m for m in seen.members},
+        seen.membersStamp,
+    )
 
 
 def grant_section(shard, epoch, holder, incarnation):
--- a/libs/logbook/src/logbook/copying.py
+++ b/libs/logbook/src/logbook/copying.py
@@ -6,15 +6,36 @@
 it, and everything before it with it.
 """
 
-from logbook import book as books
-from logbook.group import (Other, entry_at, last_index, learn_members, majority,
-                           members, read_view_file, save_promise, term_at,
-                           view_file)
 from waybill.effects import Install, Note, Send, Write
 from waybill.messages import Entries, EntriesAck, Entry, ViewPart
 
-__all__ = ["propose", "send_to", "new_round", "on_entries", "on_ack", "on_view",
-           "on_written", "advance", "confirmed_round", "add_learner", "trim"]
+from logbook import book as books
+from logbook.group import (
+    Other,
+    entry_at,
+    last_index,
+    learn_members,
+    majority,
+    members,
+    read_view_file,
+    save_promise,
+    term_at,
+    view_file,
+)
+
+__all__ = [
+    "propose",
+    "send_to",
+    "new_round",
+    "on_entries",
+    "on_ack",
+    "on_view",
+    "on_written",
+    "advance",
+    "confirmed_round",
+    "add_learner",
+    "trim",
+]
 
 _PER_SEND = 64
 
@@ -41,16 +62,13 @@
     """Keep one `Other` for each voter; learners stay until they are voters."""
     for identity, member in members(g).items():
         if identity != g.identity and identity not in g.others:
-            g.others[identity] = Other(member.address, member.name,
-                                       last_index(g), heardMs=nowMs)
-    for identity in [i for i, o in g.others.items()
-                     if i not in members(g) and not o.learner]:
+            g.others[identity] = Other(member.address, member.name, last_index(g), heardMs=nowMs)
+    for identity in [i for i, o in g.others.items() if i not in members(g) and not o.learner]:
         del g.others[identity]
 
 
 def add_learner(g, nowMs, identity, name, address):
-    g.others[identity] = Other(address, name, last_index(g) + 1, heardMs=nowMs,
-                               learner=True)
+    g.others[identity] = Other(address, name, last_index(g) + 1, heardMs=nowMs, learner=True)
     return send_to(g, g.others[identity], nowMs)
 
 
@@ -68,8 +86,7 @@
 
 def confirmed_round(g):
     """The newest round that a majority, ourselves included, has answered."""
-    answered = sorted((o.round for i, o in g.others.items() if i in members(g)),
-                      reverse=True)
+    answered = sorted((o.round for i, o in g.others.items() if i in members(g)), reverse=True)
     need = majority(g) - 1
     return g.round if need == 0 else answered[need - 1] if len(answered) >= need else 0
 
@@ -84,15 +101,34 @@
     if other.next <= g.baseIndex:
         other.next = last_index(g) + 1
         body = view_file(g)
-        return [Send(other.address, ViewPart(
-            g.group, g.term, g.identity, g.address, to, g.commit,
-            term_at(g, g.commit), body))]
+        return [
+            Send(
+                other.address,
+                ViewPart(
+                    g.group, g.term, g.identity, g.address, to, g.commit, term_at(g, g.commit), body
+                ),
+            )
+        ]
     first = other.next
-    batch = tuple(g.log[first - g.baseIndex - 1:first - g.baseIndex - 1 + _PER_SEND])
+    batch = tuple(g.log[first - g.baseIndex - 1 : first - g.baseIndex - 1 + _PER_SEND])
     other.next = first + len(batch)
-    return [Send(other.address, Entries(
-        g.group, g.term, g.identity, g.address, to, first - 1,
-        term_at(g, first - 1), g.commit, g.round, batch))]
+    return [
+        Send(
+            other.address,
+            Entries(
+                g.group,
+                g.term,
+                g.identity,
+                g.address,
+                to,
+                first - 1,
+                term_at(g, first - 1),
+                g.commit,
+                g.round,
+                batch,
+            ),
+        )
+    ]
 
 
 def _follow(g, nowMs, message):
@@ -123,8 +159,8 @@
         return [Send(sender, _ack(g, False, 0, 0))]
     effects = _follow(g, nowMs, message)
     if message.prevIndex > last_index(g) or (
-            message.prevIndex >= g.commit
-            and term_at(g, message.prevIndex) != message.prevTerm):
+        message.prevIndex >= g.commit and term_at(g, message.prevIndex) != message.prevTerm
+    ):
         hint = min(last_index(g), message.prevIndex - 1)
         return effects + [Send(sender, _ack(g, False, max(hint, g.commit), message.round))]
     fresh = []
@@ -146,7 +182,7 @@
 
 
 def _cut(g, index):
-    del g.log[index - g.baseIndex - 1:]
+    del g.log[index - g.baseIndex - 1 :]
     g.synced = min(g.synced, index - 1)
     while g.memberEntries and g.memberEntries[-1][0] >= index:
         g.memberEntries.pop()
@@ -190,8 +226,11 @@
 def count(g):
     """Move the commit to what a majority has synced in our own term."""
     voters = members(g)
-    places = sorted([o.match for i, o in g.others.items() if i in voters]
-                    + ([g.synced] if g.identity in voters else []), reverse=True)
+    places = sorted(
+        [o.match for i, o in g.others.items() if i in voters]
+        + ([g.synced] if g.identity in voters else []),
+        reverse=True,
+    )
     if len(places) < majority(g):
         return []
     place = places[majority(g) - 1]
@@ -212,8 +251,7 @@
 
 
 def on_view(g, nowMs, sender, message):
-    if message.to != g.identity or message.term < g.term or (
-            g.group and message.group != g.group):
+    if message.to != g.identity or message.term < g.term or (g.group and message.group != g.group):
         return []
     effects = _follow(g, nowMs, message)
     if message.index <= g.commit:
@@ -223,8 +261,10 @@
     g.baseIndex, g.baseTerm, g.commit, g.synced = index, term, index, index
     g.viewIndex, g.viewBytes, g.verified = index, 0, index
     g.book = books.open_view(body)
-    return effects + [Install(index, message.body, restart=True),
-                      Send(sender, _ack(g, True, index, 0))]
+    return effects + [
+        Install(index, message.body, restart=True),
+        Send(sender, _ack(g, True, index, 0)),
+    ]
 
 
 def trim(g):
@@ -234,6 +274,6 @@
     body, g.viewIndex, g.viewBytes = view_file(g), g.commit, 0
     keep = max(g.baseIndex, g.commit - 256)
     term = term_at(g, keep)
-    del g.log[:keep - g.baseIndex]
+    del g.log[: keep - g.baseIndex]
     g.baseIndex, g.baseTerm = keep, term
     return [Install(g.viewIndex, body)]
--- a/libs/logbook/src/logbook/depot.py
+++ b/libs/logbook/src/logbook/depot.py
@@ -7,13 +7,14 @@
 
 from dataclasses import dataclass, field
 
-from logbook import copying, election, feed, founding, grants
-from logbook import desk as desks
-from logbook.group import Group, group_card
 from waybill import messages as m
 from waybill.effects import Note, Send, Wake
 from waybill.events import Closing, Received, Tick, Written
 
+from logbook import copying, election, feed, founding, grants
+from logbook import desk as desks
+from logbook.group import Group, group_card
+
 __all__ = ["Depot", "handle", "view_of"]
 
 
@@ -127,8 +128,17 @@
 def view_of(depot):
     """What an operator may see of this depot."""
     g, d = depot.group, depot.desk
-    return {"group": g.group, "identity": g.identity, "term": g.term, "role": g.role,
-            "serving": d.serving, "commit": g.commit, "synced": g.synced,
-            "members": [vars(x) for x in group_card(g).members],
-            "leader": g.leaderAddress, "batches": d.batches, "records": d.records,
-            "flushMs": round(d.flushMs, 3)}
+    return {
+        "group": g.group,
+        "identity": g.identity,
+        "term": g.term,
+        "role": g.role,
+        "serving": d.serving,
+        "commit": g.commit,
+        "synced": g.synced,
+        "members": [vars(x) for x in group_card(g).members],
+        "leader": g.leaderAddress,
+        "batches": d.batches,
+        "records": d.records,
+        "flushMs": round(d.flushMs, 3),
+    }
--- a/libs/logbook/src/logbook/desk.py
+++ b/libs/logbook/src/logbook/desk.py
@@ -9,15 +9,15 @@
 
 from dataclasses import dataclass, field
 
-from logbook import book as books
-from logbook import copying
-from logbook.group import last_index
 from waybill.codec import to_bytes
 from waybill.effects import Send
 from waybill.messages import Batch, Durable, Refused, ShardPlace
 
-__all__ = ["Desk", "Flight", "open_desk", "stage", "stage_own", "write_due",
-           "settle", "wake_at"]
+from logbook import book as books
+from logbook import copying
+from logbook.group import last_index
+
+__all__ = ["Desk", "Flight", "open_desk", "stage", "stage_own", "write_due", "settle", "wake_at"]
 
 _MAX_BATCH_BYTES = 4 << 20
 
@@ -73,8 +73,9 @@
         if known >= len(section.records):
             place = g.book.shards[section.shard].next - 1
             return [Send(sender, Durable(g.term, (ShardPlace(section.shard, epoch, place),)))]
-        section = type(section)(section.shard, epoch, section.kind, expected,
-                                section.records[known:])
+        section = type(section)(
+            section.shard, epoch, section.kind, expected, section.records[known:]
+        )
     d.next[section.shard] = expected + len(section.records)
     d.staged.append(section)
     _learn_turn(d, nowMs, section.shard)
@@ -147,5 +148,4 @@
             if place.shard in d.pipes and place.epoch == d.epochs.get(place.shard):
                 told.setdefault(d.pipes[place.shard], {})[place.shard] = place
                 d.toldMs[place.shard] = nowMs
-    return [Send(pipe, Durable(g.term, tuple(places.values())))
-            for pipe, places in told.items()]
+    return [Send(pipe, Durable(g.term, tuple(places.values()))) for pipe, places in told.items()]
--- a/libs/logbook/src/logbook/disk.py
+++ b/libs/logbook/src/logbook/disk.py
@@ -15,9 +15,10 @@
 import zlib
 from pathlib import Path
 
-from logbook import pages
 from waybill import failures
 
+from logbook import pages
+
 __all__ = ["Disk", "DiskFailed", "Loaded"]
 
 _SEGMENT = re.compile(r"log\.(\d{12})$")
@@ -55,7 +56,7 @@
 def _versions(folder, name):
     found = {}
     for path in folder.glob(name + ".v*"):
-        tail = path.name[len(name) + 2:]
+        tail = path.name[len(name) + 2 :]
         if tail.isdigit():
             found[int(tail)] = path
     return found
@@ -125,8 +126,7 @@
             self._folder.mkdir(parents=True, exist_ok=True)
             self._lock = open(self._folder / "lock", "w", encoding="ascii")
         except OSError as failed:
-            raise DiskFailed(failures.FolderUnwritable(
-                str(folder), failed.strerror)) from failed
+            raise DiskFailed(failures.FolderUnwritable(str(folder), failed.strerror)) from failed
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as failed:
@@ -135,9 +135,14 @@
         files = {n: load(self._folder, n) for n in ("promise", "view", "identity")}
         after = struct.unpack(">Q", files["view"][:8])[0] if files["view"] else 0
         self.loaded = Loaded(files, load_entries(self._folder, after))
-        self._number = max((int(_SEGMENT.match(p.name)[1])
-                            for p in self._folder.iterdir()
-                            if _SEGMENT.match(p.name)), default=0)
+        self._number = max(
+            (
+                int(_SEGMENT.match(p.name)[1])
+                for p in self._folder.iterdir()
+                if _SEGMENT.match(p.name)
+            ),
+            default=0,
+        )
         top = self.loaded.entries[-1].index if self.loaded.entries else after
         for path in self._folder.iterdir():
             if _SEGMENT.match(path.name):
@@ -163,8 +168,7 @@
                 self._roll()
             claim = (self._handle, self._at, data)
             self._at += len(data)
-            self._tops[self._path] = max(self._tops[self._path],
-                                         effect.entries[-1].index)
+            self._tops[self._path] = max(self._tops[self._path], effect.entries[-1].index)
         return claim
 
     def put(self, claim):
--- a/libs/logbook/src/logbook/election.py
+++ b/libs/logbook/src/logbook/election.py
@@ -7,16 +7,23 @@
 rounds, or when its own disk stalls, and names whom it wants to follow it.
 """
 
-from logbook import book as books
-from logbook import copying
-from logbook.group import (Other, last_index, last_term, leader_live, majority,
-                           members, save_promise)
 from waybill.codec import to_bytes
 from waybill.effects import Dump, Note, Send
 from waybill.messages import Ballot, Batch, Canvass, TakeOver
 
-__all__ = ["tick", "on_canvass", "on_ballot", "on_take_over", "hand_over",
-           "step_back", "restart_clock"]
+from logbook import book as books
+from logbook import copying
+from logbook.group import Other, last_index, last_term, leader_live, majority, members, save_promise
+
+__all__ = [
+    "tick",
+    "on_canvass",
+    "on_ballot",
+    "on_take_over",
+    "hand_over",
+    "step_back",
+    "restart_clock",
+]
 
 
 def restart_clock(g, nowMs):
@@ -59,11 +66,14 @@
 
 def _lead_tick(g, nowMs):
     voters = members(g)
-    heard = 1 + sum(1 for i, o in g.others.items()
-                    if i in voters and nowMs - o.heardMs < 1.5 * g.times.electMs)
+    heard = 1 + sum(
+        1 for i, o in g.others.items() if i in voters and nowMs - o.heardMs < 1.5 * g.times.electMs
+    )
     if heard < majority(g) and nowMs - g.ledFromMs > 1.5 * g.times.electMs:
         return step_back(g, g.term, nowMs) + [
-            Note("majority-silent", {"term": g.term}), Dump("majority-silent")]
+            Note("majority-silent", {"term": g.term}),
+            Dump("majority-silent"),
+        ]
     if _stalled(g, nowMs):
         return [Note("disk-stalled", {"term": g.term}), Dump("disk-stalled")] + hand_over(g, nowMs)
     effects = []
@@ -99,22 +109,25 @@
         g.trial, g.ballots = False, {g.identity}
         g.term, g.votedFor, g.verified = g.term + 1, g.identity, 0
         g.leader = g.leaderAddress = ""
-        return ([save_promise(g)] + _canvass(g, g.term, named)
-                + _count(g, nowMs, named))
+        return [save_promise(g)] + _canvass(g, g.term, named) + _count(g, nowMs, named)
     return _lead(g, nowMs)
 
 
 def _lead(g, nowMs):
     g.role, g.leader, g.leaderAddress = "leader", g.identity, g.address
     g.ledFromMs, g.round, g.roundSentMs = nowMs, 0, {}
-    g.others = {i: Other(m.address, m.name, last_index(g) + 1, heardMs=nowMs)
-                for i, m in members(g).items() if i != g.identity}
+    g.others = {
+        i: Other(m.address, m.name, last_index(g) + 1, heardMs=nowMs)
+        for i, m in members(g).items()
+        if i != g.identity
+    }
     first = [books.term_section(g.term)]
     if not g.book.members and not g.memberEntries:
         first.append(books.members_section(members(g)))
     g.termIndex = last_index(g) + 1
-    return ([Note("leads", {"term": g.term, "index": last_index(g)})]
-            + copying.propose(g, nowMs, to_bytes(Batch(tuple(first)))))
+    return [Note("leads", {"term": g.term, "index": last_index(g)})] + copying.propose(
+        g, nowMs, to_bytes(Batch(tuple(first)))
+    )
 
 
 def on_canvass(g, nowMs, sender, ask):
@@ -130,8 +143,9 @@
         granted = ask.term > g.term and fresh and g.role != "leader"
         term = ask.term if granted else g.term
         return effects + [Send(sender, Ballot(term, g.identity, granted, True))]
-    granted = (ask.term == g.term and fresh
-               and g.votedFor in ("", ask.identity) and g.role != "leader")
+    granted = (
+        ask.term == g.term and fresh and g.votedFor in ("", ask.identity) and g.role != "leader"
+    )
     if granted and not g.votedFor:
         g.votedFor = ask.identity
         effects.append(save_promise(g))
--- a/libs/logbook/src/logbook/feed.py
+++ b/libs/logbook/src/logbook/feed.py
@@ -8,11 +8,12 @@
 
 from dataclasses import dataclass, field
 
-from logbook import copying
-from logbook.group import entry_at, term_at, view_file
 from waybill.effects import Send
 from waybill.messages import FeedItems, FeedView, Mark
 
+from logbook import copying
+from logbook.group import entry_at, term_at, view_file
+
 __all__ = ["Asks", "on_ask", "answer", "push"]
 
 _PER_SEND = 128
@@ -43,8 +44,7 @@
     round_ = copying.confirmed_round(g)
     ready = [a for a in asks.waiting if a[2] <= round_]
     asks.waiting = [a for a in asks.waiting if a[2] > round_]
-    effects = [Send(sender, Mark(ask.sentMs, g.term, g.commit, True))
-               for sender, ask, _ in ready]
+    effects = [Send(sender, Mark(ask.sentMs, g.term, g.commit, True)) for sender, ask, _ in ready]
     if asks.waiting and round_ >= g.round:
         effects += copying.new_round(g, nowMs)
         if len(g.others) == 0:
@@ -67,8 +67,9 @@
     node.sentMs = nowMs
     if node.sentPlace < g.baseIndex:
         node.sentPlace = g.commit
-        return [Send(node.address, FeedView(g.term, g.commit, term_at(g, g.commit),
-                                            view_file(g)[16:]))]
+        return [
+            Send(node.address, FeedView(g.term, g.commit, term_at(g, g.commit), view_file(g)[16:]))
+        ]
     first = node.sentPlace + 1
     last = min(g.commit, node.sentPlace + _PER_SEND)
     node.sentPlace = last
--- a/libs/logbook/src/logbook/follow.py
+++ b/libs/logbook/src/logbook/follow.py
@@ -10,12 +10,22 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from logbook import book as books
 from waybill.effects import Send
 from waybill.messages import Ask, FeedItems, FeedView, Mark
 
-__all__ = ["Follow", "News", "ask", "on_items", "on_view", "on_mark", "age",
-           "on_relay_ask", "relay"]
+from logbook import book as books
+
+__all__ = [
+    "Follow",
+    "News",
+    "ask",
+    "on_items",
+    "on_view",
+    "on_mark",
+    "age",
+    "on_relay_ask",
+    "relay",
+]
 
 _RECENT = 512
 
@@ -37,14 +47,25 @@
 @dataclass(frozen=True)
 class News:
     """Sections that counted, in order; or `rebuilt` when a view replaced all."""
+
     sections: tuple = ()
     rebuilt: bool = False
 
 
 def ask(f, nowMs, card, to):
     f.askedMs = nowMs
-    return Send(to, Ask(card.name, card.address, card.incarnation, card.role,
-                        nowMs, f.place, max(-1.0, f.directMs)))
+    return Send(
+        to,
+        Ask(
+            card.name,
+            card.address,
+            card.incarnation,
+            card.role,
+            nowMs,
+            f.place,
+            max(-1.0, f.directMs),
+        ),
+    )
 
 
 def age(f, nowMs):
@@ -113,5 +134,3 @@
         entries = tuple(e for e in f.recent if e.index > place)
         return FeedItems(f.term, f.place, entries)
     return FeedView(f.term, f.place, f.viewTerm, books.view(f.book))
-
-
--- a/libs/logbook/src/logbook/founding.py
+++ b/libs/logbook/src/logbook/founding.py
@@ -12,13 +12,14 @@
 import hashlib
 from dataclasses import dataclass, field
 
-from logbook import book as books
-from logbook import copying
-from logbook.group import last_index, majority, members, save_promise
 from waybill.codec import to_bytes
 from waybill.effects import Note, Send
 from waybill.messages import Batch, FoundAgree, FoundAsk, Member
 
+from logbook import book as books
+from logbook import copying
+from logbook.group import last_index, majority, members, save_promise
+
 __all__ = ["Founding", "tick", "on_ask", "on_agree", "replace_tick"]
 
 
@@ -57,7 +58,7 @@
     if not g.group and not g.times.founds:
         return []
     if not g.group:
-        empties = _empties(g, cards)[:g.times.depots]
+        empties = _empties(g, cards)[: g.times.depots]
         if len(empties) < g.times.depots or empties[0].identity != g.identity:
             return []
         if f.members != empties:
@@ -75,8 +76,12 @@
     if g.identity not in {m.identity for m in ask.members}:
         return []
     effects = []
-    if not g.group and g.times.founds and known in ("", ask.group) and (
-            len(ask.members) == g.times.depots):
+    if (
+        not g.group
+        and g.times.founds
+        and known in ("", ask.group)
+        and (len(ask.members) == g.times.depots)
+    ):
         effects = _adopt(g, nowMs, ask.group, ask.members)
     agreed = g.group == ask.group
     return effects + [Send(sender, FoundAgree(ask.group, g.identity, agreed))]
@@ -120,7 +125,8 @@
         if old is not None:
             seen = g.others.get(old.identity)
             if old.identity == g.identity or (
-                    seen and nowMs - seen.heardMs < _GONE * g.times.electMs):
+                seen and nowMs - seen.heardMs < _GONE * g.times.electMs
+            ):
                 continue
             rest = {i: m for i, m in voters.items() if i != old.identity}
             return _change(g, nowMs, rest, "removes", old.name)
@@ -132,8 +138,11 @@
 
 def _silent(g, nowMs, voters):
     """The member whose place one of another name may take: the longest silent."""
-    silent = [(g.others[i].heardMs, i) for i in voters if i in g.others
-              and nowMs - g.others[i].heardMs >= _GONE * g.times.electMs]
+    silent = [
+        (g.others[i].heardMs, i)
+        for i in voters
+        if i in g.others and nowMs - g.others[i].heardMs >= _GONE * g.times.electMs
+    ]
     return voters[min(silent)[1]] if silent else None
 
 
@@ -151,5 +160,6 @@
 
 def _change(g, nowMs, wanted, verb, name):
     section = books.members_section(wanted)
-    return ([Note("member-" + verb, {"name": name, "majority": majority(g)})]
-            + copying.propose(g, nowMs, to_bytes(Batch((section,)))))
+    return [Note("member-" + verb, {"name": name, "majority": majority(g)})] + copying.propose(
+        g, nowMs, to_bytes(Batch((section,)))
+    )
--- a/libs/logbook/src/logbook/grants.py
+++ b/libs/logbook/src/logbook/grants.py
@@ -3,19 +3,20 @@
 Grants are records of the log, so epochs never go back whoever leads.  A
 holder that is silent too long, that takes in nothing of what it is sent for as
 long (it may still speak), or that restarted, is followed by the live counter
-that a rendezvous hash names, or by the one the holder named.  Time in which this node itself did not run is nobody's silence.
+that a rendezvous hash names, or by the one the holder named.  Time in which this
+node itself did not run is nobody's silence.
 """
 
 from dataclasses import dataclass, field
 
-from logbook import book as books
-from logbook import desk as desks
 from waybill.effects import Note, Send
 from waybill.messages import RecoverPage
 from waybill.rendezvous import weight
 
-__all__ = ["Nodes", "Seen", "heard", "grant_tick", "on_release", "on_recover",
-           "excuse_freeze"]
+from logbook import book as books
+from logbook import desk as desks
+
+__all__ = ["Nodes", "Seen", "heard", "grant_tick", "on_release", "on_recover", "excuse_freeze"]
 
 
 @dataclass
@@ -41,8 +42,16 @@
 def heard(n, nowMs, ask):
     old = n.seen.get(ask.name)
     if old is None or old.incarnation != ask.incarnation:
-        n.seen[ask.name] = Seen(ask.address, ask.incarnation, ask.role, nowMs,
-                                ask.place, ask.answeredMs, nowMs, sentPlace=ask.place)
+        n.seen[ask.name] = Seen(
+            ask.address,
+            ask.incarnation,
+            ask.role,
+            nowMs,
+            ask.place,
+            ask.answeredMs,
+            nowMs,
+            sentPlace=ask.place,
+        )
         return
     old.heardMs, old.address, old.place = nowMs, ask.address, ask.place
     if ask.answeredMs > old.answeredMs:
@@ -60,9 +69,13 @@
 
 
 def _live(g, n, nowMs):
-    return [name for name, s in sorted(n.seen.items())
-            if s.role == g.times.placers and nowMs - s.heardMs < 2.5 * g.times.pingMs
-            and nowMs - s.tookMs < 5 * g.times.pingMs]
+    return [
+        name
+        for name, s in sorted(n.seen.items())
+        if s.role == g.times.placers
+        and nowMs - s.heardMs < 2.5 * g.times.pingMs
+        and nowMs - s.tookMs < 5 * g.times.pingMs
+    ]
 
 
 def _vacant(g, n, nowMs, part):
@@ -129,8 +142,11 @@
     live = [name for name in _live(g, n, nowMs) if name != message.name]
     if not live:
         return []
-    name = message.successor if message.successor in live else max(
-        live, key=lambda other: weight(message.shard, other))
+    name = (
+        message.successor
+        if message.successor in live
+        else max(live, key=lambda other: weight(message.shard, other))
+    )
     return _grant(g, d, n, message.shard, name)
 
 
@@ -145,12 +161,29 @@
     checkpoint = part.checkpoint
     for record in part.records:
         if size + len(record) > g.times.pageBytes and page:
-            effects.append(Send(sender, RecoverPage(
-                ask.shard, ask.epoch, part.checkpointAt, checkpoint, first,
-                tuple(page), False)))
+            effects.append(
+                Send(
+                    sender,
+                    RecoverPage(
+                        ask.shard,
+                        ask.epoch,
+                        part.checkpointAt,
+                        checkpoint,
+                        first,
+                        tuple(page),
+                        False,
+                    ),
+                )
+            )
             first, page, size, checkpoint = first + len(page), [], 0, b""
         page.append(record)
         size += len(record)
-    effects.append(Send(sender, RecoverPage(
-        ask.shard, ask.epoch, part.checkpointAt, checkpoint, first, tuple(page), True)))
+    effects.append(
+        Send(
+            sender,
+            RecoverPage(
+                ask.shard, ask.epoch, part.checkpointAt, checkpoint, first, tuple(page), True
+            ),
+        )
+    )
     return effects
--- a/libs/logbook/src/logbook/group.py
+++ b/libs/logbook/src/logbook/group.py
@@ -9,20 +9,37 @@
 import struct
 from dataclasses import dataclass, field
 
-from logbook import book as books
 from waybill.codec import from_bytes, to_bytes
 from waybill.effects import Save
 from waybill.messages import Batch, GroupCard, Member
 
-__all__ = ["Group", "Times", "Other", "Promise", "term_at", "last_index",
-           "last_term", "members", "majority", "entry_at", "save_promise",
-           "group_card", "learn_members", "open_group", "leader_live",
-           "view_file", "read_view_file"]
+from logbook import book as books
+
+__all__ = [
+    "Group",
+    "Times",
+    "Other",
+    "Promise",
+    "term_at",
+    "last_index",
+    "last_term",
+    "members",
+    "majority",
+    "entry_at",
+    "save_promise",
+    "group_card",
+    "learn_members",
+    "open_group",
+    "leader_live",
+    "view_file",
+    "read_view_file",
+]
 
 
 @dataclass(frozen=True)
 class Times:
     """All in ms, ratios of the bounds in config (see pulleyhitch.config)."""
+
     electMs: float
     heartbeatMs: float
     pingMs: float
@@ -40,6 +57,7 @@
 @dataclass(frozen=True)
 class Promise:
     """What must outlive the process: saved, synced, before it is told."""
+
     group: str
     term: int
     votedFor: str
@@ -49,6 +67,7 @@
 @dataclass
 class Other:
     """What a leader knows of another depot."""
+
     address: str
     name: str
     next: int = 1
@@ -149,8 +168,9 @@
 def group_card(g):
     stamp = g.memberEntries[-1][0] if g.memberEntries else g.book.membersStamp
     leader = g.address if g.role == "leader" else g.leaderAddress
-    return GroupCard(g.group, g.term, stamp, leader,
-                     tuple(m for _, m in sorted(members(g).items())))
+    return GroupCard(
+        g.group, g.term, stamp, leader, tuple(m for _, m in sorted(members(g).items()))
+    )
 
 
 def view_file(g):
--- a/libs/logbook/src/logbook/holder.py
+++ b/libs/logbook/src/logbook/holder.py
@@ -8,12 +8,23 @@
 
 from dataclasses import dataclass, field
 
-from logbook import book as books
 from waybill.effects import Send
 from waybill.messages import Append, RecoverAsk, Section
 
-__all__ = ["Held", "recover", "on_page", "append", "flush", "on_durable",
-           "on_refused", "resend", "offer_checkpoint", "barrier"]
+from logbook import book as books
+
+__all__ = [
+    "Held",
+    "recover",
+    "on_page",
+    "append",
+    "flush",
+    "on_durable",
+    "on_refused",
+    "resend",
+    "offer_checkpoint",
+    "barrier",
+]
 
 
 @dataclass
@@ -74,17 +85,25 @@
     if not h.ready or h.sent >= h.next - 1 or not to:
         return []
     first = h.sent + 1
-    records = tuple(h.unacked[first - h.durable - 1:])
+    records = tuple(h.unacked[first - h.durable - 1 :])
     h.sent, h.sentMs = h.next - 1, nowMs
-    return [Send(to, Append(card.name, card.incarnation, Section(
-        h.shard, h.epoch, books.RECORDS, first, records)))]
+    return [
+        Send(
+            to,
+            Append(
+                card.name,
+                card.incarnation,
+                Section(h.shard, h.epoch, books.RECORDS, first, records),
+            ),
+        )
+    ]
 
 
 def on_durable(h, place, nowMs):
     """Move the durable position; return what was waiting for it."""
     if place.epoch != h.epoch or place.position <= h.durable:
         return []
-    del h.unacked[:place.position - h.durable]
+    del h.unacked[: place.position - h.durable]
     h.durable = place.position
     h.sent = max(h.sent, h.durable)
     h.sentMs = nowMs
--- a/libs/logbook/src/logbook/pages.py
+++ b/libs/logbook/src/logbook/pages.py
@@ -10,15 +10,20 @@
 from dataclasses import dataclass
 
 import construct as c
-
 from waybill.messages import Entry
 
 __all__ = ["BLOCK_BYTES", "Scan", "pack", "scan"]
 
 BLOCK_BYTES = 4096
-_HEAD = c.Struct("magic" / c.Const(b"PHL1"), "index" / c.Int64ub,
-                 "term" / c.Int64ub, "known" / c.Int64ub, "size" / c.Int32ub,
-                 "crc" / c.Int32ub, "headCrc" / c.Int32ub).compile()
+_HEAD = c.Struct(
+    "magic" / c.Const(b"PHL1"),
+    "index" / c.Int64ub,
+    "term" / c.Int64ub,
+    "known" / c.Int64ub,
+    "size" / c.Int32ub,
+    "crc" / c.Int32ub,
+    "headCrc" / c.Int32ub,
+).compile()
 _HEAD_BYTES = 40
 
 
@@ -31,8 +36,13 @@
 
 
 def pack(entry, known):
-    fields = {"index": entry.index, "term": entry.term, "known": known,
-              "size": len(entry.body), "crc": zlib.crc32(entry.body)}
+    fields = {
+        "index": entry.index,
+        "term": entry.term,
+        "known": known,
+        "size": len(entry.body),
+        "crc": zlib.crc32(entry.body),
+    }
     bare = _HEAD.build({**fields, "headCrc": 0})
     head = _HEAD.build({**fields, "headCrc": zlib.crc32(bare[:36])})
     data = head + entry.body
@@ -41,12 +51,12 @@
 
 def _entry_at(data, at):
     """Return (entry, known, end), or None where no whole entry lies."""
-    if data[at:at + 4] != b"PHL1" or len(data) < at + _HEAD_BYTES:
+    if data[at : at + 4] != b"PHL1" or len(data) < at + _HEAD_BYTES:
         return None
-    head = _HEAD.parse(data[at:at + _HEAD_BYTES])
-    if zlib.crc32(data[at:at + 36]) != head.headCrc:
+    head = _HEAD.parse(data[at : at + _HEAD_BYTES])
+    if zlib.crc32(data[at : at + 36]) != head.headCrc:
         return None
-    body = data[at + _HEAD_BYTES:at + _HEAD_BYTES + head.size]
+    body = data[at + _HEAD_BYTES : at + _HEAD_BYTES + head.size]
     if len(body) != head.size or zlib.crc32(body) != head.crc:
         return None
     end = at + _HEAD_BYTES + head.size
--- a/libs/manifest/src/manifest/merging.py
+++ b/libs/manifest/src/manifest/merging.py
@@ -7,9 +7,10 @@
 there is.
 """
 
-from manifest import schema
 from waybill.failures import FieldWrong
 
+from manifest import schema
+
 __all__ = ["patched", "whole"]
 
 
@@ -35,8 +36,11 @@
     if wrong:
         return None, wrong
     merged = {**sections, partner: checked}
-    services = {name: (owner, s) for owner, sec in sorted(merged.items())
-                for name, s in sec["services"].items()}
+    services = {
+        name: (owner, s)
+        for owner, sec in sorted(merged.items())
+        for name, s in sec["services"].items()
+    }
     wrong = list(_clashes(sections, partner, checked))
     wrong += _shares(checked, merged)
     wrong += _weights(checked)
@@ -61,8 +65,7 @@
         if total > 1 + 1e-9:
             wrong.append(FieldWrong(f"services.{name}.shares", "more than 1 in all"))
         for partner in sorted(set(service["shares"]) - set(merged)):
-            wrong.append(FieldWrong(f"services.{name}.shares.{partner}",
-                                    "no such partner"))
+            wrong.append(FieldWrong(f"services.{name}.shares.{partner}", "no such partner"))
     return wrong
 
 
@@ -71,8 +74,7 @@
     for key in ("atOnce", "perMinute"):
         given = sum(s["loads"][key] for s in checked["services"].values())
         if given > checked["weightStore"][key]:
-            wrong.append(FieldWrong(f"weightStore.{key}",
-                                    f"services are given {given} in all"))
+            wrong.append(FieldWrong(f"weightStore.{key}", f"services are given {given} in all"))
     return wrong
 
 
@@ -103,8 +105,11 @@
             at = f"{prefix}.{name}"
             wrong += _target(section, services, at, wish, True, section["models"])
             if owner == partner and zones:
-                wrong += [FieldWrong(f"{at}.zones", f"unknown zone {zone}")
-                          for zone in wish["zones"] if zone not in zones]
+                wrong += [
+                    FieldWrong(f"{at}.zones", f"unknown zone {zone}")
+                    for zone in wish["zones"]
+                    if zone not in zones
+                ]
     return wrong
 
 
@@ -113,6 +118,5 @@
     for owner, section in sorted(merged.items()):
         prefix = "routes" if owner == partner else f"({owner}).routes"
         for name, route in section["routes"].items():
-            wrong += _target(section, services, f"{prefix}.{name}", route, False,
-                             section["models"])
+            wrong += _target(section, services, f"{prefix}.{name}", route, False, section["models"])
     return wrong
--- a/libs/manifest/src/manifest/passages.py
+++ b/libs/manifest/src/manifest/passages.py
@@ -10,7 +10,6 @@
 """
 
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
-
 from waybill.failures import FieldWrong
 
 __all__ = ["check", "section", "OWNER"]
@@ -28,7 +27,7 @@
     return fields.String(required=True, validate=validate.Length(min=1, max=300))
 
 
-def _count(low=0, high=10 ** 9):
+def _count(low=0, high=10**9):
     return fields.Integer(strict=True, validate=validate.Range(min=low, max=high))
 
 
@@ -43,11 +42,15 @@
 
 class _Route(_Loose):
     host = _text()
-    prefix = fields.String(required=True, validate=[
-        validate.Length(min=1, max=1000), validate.Regexp(r"^/(.*/)?$")])
+    prefix = fields.String(
+        required=True, validate=[validate.Length(min=1, max=1000), validate.Regexp(r"^/(.*/)?$")]
+    )
     kind = fields.String(required=True, validate=validate.OneOf(["safe", "unsafe", "stream"]))
-    holdMs = fields.Float(required=True, allow_nan=False,
-                          validate=validate.Range(min=0, max=_MOST, min_inclusive=False))
+    holdMs = fields.Float(
+        required=True,
+        allow_nan=False,
+        validate=validate.Range(min=0, max=_MOST, min_inclusive=False),
+    )
     aimMs = _number(load_default=0.0)
     rank = _count(0, 9)
     split = fields.List(fields.Nested(_Share), required=True, validate=validate.Length(min=1))
@@ -96,8 +99,7 @@
             try:
                 schema.load(facts)
             except (ValidationError, TypeError) as failed:
-                wrong.append(_first(getattr(failed, "messages", "unreadable"),
-                                    f"{part}.{name}"))
+                wrong.append(_first(getattr(failed, "messages", "unreadable"), f"{part}.{name}"))
     return wrong or _clashes(routes, services)
 
 
@@ -112,25 +114,45 @@
             wrong.append(FieldWrong(f"routes.{name}.split", "weights sum to 0"))
         for share in route["split"]:
             if share["service"] not in services:
-                wrong.append(FieldWrong(f"routes.{name}.split",
-                                        f"no such service {share['service']}"))
+                wrong.append(
+                    FieldWrong(f"routes.{name}.split", f"no such service {share['service']}")
+                )
     return wrong
 
 
 def section(routes, services):
     """A section like a partner's, of checked routes and services."""
-    models = {m["name"]: {"roomMb": m.get("roomMb", 0.0), "loadMs": m.get("loadMs", 0.0),
-                          "adapters": _adapters(m)}
-              for facts in services.values() for m in facts.get("models", ())}
+    models = {
+        m["name"]: {
+            "roomMb": m.get("roomMb", 0.0),
+            "loadMs": m.get("loadMs", 0.0),
+            "adapters": _adapters(m),
+        }
+        for facts in services.values()
+        for m in facts.get("models", ())
+    }
     made = {}
     for name, facts in services.items():
         perS = facts.get("loadsPerS", 0.0)
         longestMs = max((m.get("loadMs", 0.0) for m in facts.get("models", ())), default=0.0)
-        made[name] = {**facts, "shares": {}, "byDemand": True, "loads": {
-            "atOnce": max(1, round(perS * longestMs / 1000)), "perMinute": 60 * perS,
-            "burst": int(perS / 2) + 2, "adapters": False}}
-    return {"services": made, "models": models, "wishes": {}, "routes": routes,
-            "weightStore": {"atOnce": 0, "perMinute": 0}}
+        made[name] = {
+            **facts,
+            "shares": {},
+            "byDemand": True,
+            "loads": {
+                "atOnce": max(1, round(perS * longestMs / 1000)),
+                "perMinute": 60 * perS,
+                "burst": int(perS / 2) + 2,
+                "adapters": False,
+            },
+        }
+    return {
+        "services": made,
+        "models": models,
+        "wishes": {},
+        "routes": routes,
+        "weightStore": {"atOnce": 0, "perMinute": 0},
+    }
 
 
 def _adapters(model):
--- a/libs/manifest/src/manifest/registry.py
+++ b/libs/manifest/src/manifest/registry.py
@@ -9,12 +9,29 @@
 import json
 from dataclasses import dataclass, field
 
+from waybill.failures import (
+    FieldWrong,
+    LayoutWrong,
+    NotFound,
+    RefusedBefore,
+    StampStale,
+    WrongPartner,
+    as_json,
+)
+
 from manifest import engine_list, merging, passages, written
-from waybill.failures import (FieldWrong, LayoutWrong, NotFound, RefusedBefore,
-                              StampStale, WrongPartner, as_json)
 
-__all__ = ["Registry", "apply", "decide", "dump", "load", "services", "models",
-           "zone_names", "VERBS"]
+__all__ = [
+    "Registry",
+    "apply",
+    "decide",
+    "dump",
+    "load",
+    "services",
+    "models",
+    "zone_names",
+    "VERBS",
+]
 
 VERBS = ("layout", "zone", "engine", "engines", "written")
 _KEPT_CHANGES = 4096
@@ -50,7 +67,8 @@
         registry.memo[part] = {
             name: {**facts, "partner": partner}
             for partner, section in sorted(registry.sections.items())
-            for name, facts in section[part].items()}
+            for name, facts in section[part].items()
+        }
     return registry.memo[part]
 
 
@@ -146,8 +164,12 @@
     expected = body.get("expect")
     if expected is not None and (not isinstance(expected, int) or isinstance(expected, bool)):
         return None, FieldWrong("expect", "not a whole number")
-    rule = {"layout": _layout, "zone": _zone, "engines": engine_list.judged,
-            "written": _written}.get(verb)
+    rule = {
+        "layout": _layout,
+        "zone": _zone,
+        "engines": engine_list.judged,
+        "written": _written,
+    }.get(verb)
     if rule is None or (verb == "written" and registry.reader is None):
         return None, NotFound(verb)
     return rule(registry, body, expected)
@@ -170,8 +192,7 @@
         return None, StampStale(expected, current)
     if body.get("partial"):
         section = merging.patched(registry.sections.get(partner, {}), section)
-    checked, wrong = merging.whole(registry.sections, partner, section,
-                                   zone_names(registry))
+    checked, wrong = merging.whole(registry.sections, partner, section, zone_names(registry))
     if wrong:
         return None, LayoutWrong(tuple(wrong[:100]))
     return {"k": "layout", "partner": partner, "section": checked}, None
@@ -194,11 +215,9 @@
 
 def dump(registry):
     """The registry as a checkpoint; a written layout is kept as its document only."""
-    fields = {k: v for k, v in vars(registry).items()
-              if k not in ("zonesKnown", "memo", "reader")}
+    fields = {k: v for k, v in vars(registry).items() if k not in ("zonesKnown", "memo", "reader")}
     if registry.document["edition"]:
-        fields["sections"] = {k: v for k, v in registry.sections.items()
-                              if k != passages.OWNER}
+        fields["sections"] = {k: v for k, v in registry.sections.items() if k != passages.OWNER}
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
--- a/libs/manifest/src/manifest/schema.py
+++ b/libs/manifest/src/manifest/schema.py
@@ -8,13 +8,11 @@
 import re
 
 from marshmallow import RAISE, Schema, ValidationError, fields, validate
-
 from waybill.failures import FieldWrong
 
 __all__ = ["check", "CLASSES", "RANK", "rank_of"]
 
-RANK = {"lookup": 0, "reroute": 0, "counter": 0, "update": 1, "draft": 1, "plan": 2,
-        "review": 2}
+RANK = {"lookup": 0, "reroute": 0, "counter": 0, "update": 1, "draft": 1, "plan": 2, "review": 2}
 CLASSES = tuple(RANK)
 
 
@@ -23,18 +21,22 @@
     return RANK[cls] if cls in RANK else int(cls[4:] or 2) if cls[:4] == "rank" else 2
 
 
-_NAME = validate.Regexp(re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$"),
-                        error="not a name: small letters, digits, . _ -")
+_NAME = validate.Regexp(
+    re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$"), error="not a name: small letters, digits, . _ -"
+)
 
 
 def _whole(low, high):
-    return fields.Integer(strict=True, required=True,
-                          validate=validate.Range(min=low, max=high))
+    return fields.Integer(strict=True, required=True, validate=validate.Range(min=low, max=high))
 
 
 def _named(inner, most):
-    return fields.Dict(keys=fields.String(validate=_NAME), values=inner,
-                       validate=validate.Length(max=most), load_default=dict)
+    return fields.Dict(
+        keys=fields.String(validate=_NAME),
+        values=inner,
+        validate=validate.Length(max=most),
+        load_default=dict,
+    )
 
 
 class _Strict(Schema):
@@ -52,13 +54,13 @@
     shares = fields.Dict(
         keys=fields.String(validate=_NAME),
         values=fields.Float(validate=validate.Range(min=0, max=1), allow_nan=False),
-        load_default=dict)
+        load_default=dict,
+    )
     loads = fields.Nested(_Loads, load_default=lambda: {"atOnce": 0, "perMinute": 0})
 
 
 class _Adapter(_Strict):
-    places = fields.Integer(strict=True, load_default=1,
-                            validate=validate.Range(min=1, max=64))
+    places = fields.Integer(strict=True, load_default=1, validate=validate.Range(min=1, max=64))
 
 
 class _Model(_Strict):
@@ -72,16 +74,14 @@
     adapter = fields.String(load_default="", validate=validate.Length(max=63))
     copies = _whole(0, 1000)
     zones = fields.List(fields.String(validate=_NAME), load_default=list)
-    yields = fields.Integer(strict=True, load_default=50,
-                            validate=validate.Range(min=0, max=100))
+    yields = fields.Integer(strict=True, load_default=50, validate=validate.Range(min=0, max=100))
 
 
 class _Route(_Strict):
     service = fields.String(required=True, validate=_NAME)
     model = fields.String(load_default="")
     adapter = fields.String(load_default="")
-    cls = fields.String(data_key="class", load_default="update",
-                        validate=validate.OneOf(CLASSES))
+    cls = fields.String(data_key="class", load_default="update", validate=validate.OneOf(CLASSES))
 
 
 class _Section(_Strict):
--- a/libs/manifest/src/manifest/written.py
+++ b/libs/manifest/src/manifest/written.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 from typing import Callable
 
-from manifest import passages
 from waybill.failures import FieldWrong, LayoutWrong, StampStale
 
+from manifest import passages
+
 __all__ = ["Reader", "EMPTY", "judged", "merged", "as_sent", "read"]
 
 EMPTY = {"edition": 0, "parts": {}, "rest": {}}
@@ -25,6 +26,7 @@
 
     `route(item)` and `service(item)` return facts as in `passages`, raising KeyError,
     TypeError, ValueError or an ArithmeticError on what can't be read."""
+
     edition: str
     routes: str
     services: str
@@ -113,13 +115,11 @@
     if not isinstance(edition, int) or isinstance(edition, bool) or edition < 1:
         return None, LayoutWrong((FieldWrong(reader.edition, "not a whole number from 1"),))
     if expect != document["edition"]:
-        return None, StampStale(expect if isinstance(expect, int) else -1,
-                                document["edition"])
+        return None, StampStale(expect if isinstance(expect, int) else -1, document["edition"])
     if edition <= document["edition"]:
         return None, LayoutWrong((FieldWrong(reader.edition, "not above the current one"),))
     try:
-        made = (_patched(reader, document, told) if body.get("partial")
-                else _whole(reader, told))
+        made = _patched(reader, document, told) if body.get("partial") else _whole(reader, told)
         routes, services = _facts(reader, made)
     except _Unreadable as unreadable:
         return None, LayoutWrong((unreadable.wrong,))
@@ -159,13 +159,15 @@
         kept.update(items)
         if part in told["order"]:
             parts[part] = {name: kept[name] for name in told["order"][part]}
-    return {"edition": told["edition"], "parts": parts,
-            "rest": told.get("rest", document["rest"])}
+    return {"edition": told["edition"], "parts": parts, "rest": told.get("rest", document["rest"])}
 
 
 def as_sent(reader, document):
     """The whole document in its operators' form."""
-    return json.dumps({reader.edition: document["edition"],
-                       **{part: list(items.values())
-                          for part, items in document["parts"].items()},
-                       **document["rest"]})
+    return json.dumps(
+        {
+            reader.edition: document["edition"],
+            **{part: list(items.values()) for part, items in document["parts"].items()},
+            **document["rest"],
+        }
+    )
--- a/libs/pulleyhitch/src/pulleyhitch/asking.py
+++ b/libs/pulleyhitch/src/pulleyhitch/asking.py
@@ -11,7 +11,6 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
-
 from junction import legs
 from junction.engines import Ask, read_json
 from manifest import templates
@@ -19,8 +18,7 @@
 
 __all__ = ["COMMANDS"]
 
-_NODE = option("node", None, "HTTP address of any node", flag=False,
-               default="127.0.0.1:7500")
+_NODE = option("node", None, "HTTP address of any node", flag=False, default="127.0.0.1:7500")
 _PARTNER = option("partner", "p", "Whose operator you are", flag=False, default="")
 _TOKEN = option("token-file", None, "File with that partner's token", flag=False)
 _EXPECT = option("expect", None, "Refuse unless this is the stamp in force", flag=False)
@@ -31,8 +29,7 @@
 def _request(node, method, path, body=None, headers=()):
     """(status, body) from a node; status 0 if there was no answer."""
     data = json.dumps(body).encode() if body is not None else b""
-    ended = legs.call(Ask(method, f"http://{node}{path}", data), 20000,
-                      headers=list(headers))
+    ended = legs.call(Ask(method, f"http://{node}{path}", data), 20000, headers=list(headers))
     return ended.code, read_json(ended.data) or {}
 
 
@@ -64,8 +61,10 @@
         body["change"] = self.option("change") or secrets.token_hex(12)
         code, found = _request(self.option("node"), "POST", f"/operator/{verb}", body, headers)
         if code == 0:
-            found = {**failures.as_json(failures.Unreachable(self.option("node"))),
-                     "change": body["change"]}
+            found = {
+                **failures.as_json(failures.Unreachable(self.option("node"))),
+                "change": body["change"],
+            }
         elif code == 200 and self.option("wait"):
             found["followed"] = self._wait_all(found.get("stamp", 0))
         return _print(code, found)
@@ -85,8 +84,9 @@
                 continue
             name = waiting.pop(0)
             _, seen = _request(http.get(name, node), "GET", "/operator/believes")
-            (followed if seen.get("stamp", 0) >= stamp and seen.get("node") == name
-             else waiting).append(name)
+            (
+                followed if seen.get("stamp", 0) >= stamp and seen.get("node") == name else waiting
+            ).append(name)
         return {"by": sorted(followed), "notYet": sorted(waiting or [])}
 
     def _wrong(self, field, cause):
@@ -95,7 +95,7 @@
 
     def _load(self, path):
         try:
-            with (sys.stdin if path == "-" else open(path, encoding="utf8")) as source:
+            with sys.stdin if path == "-" else open(path, encoding="utf8") as source:
                 return json.load(source)
         except (OSError, ValueError):
             return None
@@ -105,8 +105,15 @@
     name = "layout"
     description = "Read the layout in force, or set a partner's section from a JSON file."
     arguments = [argument("file", "A section to set; - for standard input", optional=True)]
-    options = [_NODE, _PARTNER, _TOKEN, _EXPECT, _CHANGE, _WAIT,
-               option("partial", None, "The file is a merge patch", flag=True)]
+    options = [
+        _NODE,
+        _PARTNER,
+        _TOKEN,
+        _EXPECT,
+        _CHANGE,
+        _WAIT,
+        option("partial", None, "The file is a merge patch", flag=True),
+    ]
 
     def handle(self):
         if not self.argument("file"):
@@ -114,18 +121,30 @@
         section = self._load(self.argument("file"))
         if section is None:
             return self._wrong("file", "not readable as JSON")
-        return self._post("layout", {"partner": self.option("partner"), "section": section,
-                                     "partial": bool(self.option("partial"))})
+        return self._post(
+            "layout",
+            {
+                "partner": self.option("partner"),
+                "section": section,
+                "partial": bool(self.option("partial")),
+            },
+        )
 
 
 class Render(_Asking):
     name = "render"
     description = "Print a section from a template, for `layout -` or a file."
     arguments = [argument("template", "A Jinja2 template of a section")]
-    options = [option("set", "s", "A parameter, NAME=JSON or NAME=TEXT", flag=False,
-                      multiple=True),
-               option("overlay", "o", "A merge patch to lay over it; may be repeated",
-                      flag=False, multiple=True)]
+    options = [
+        option("set", "s", "A parameter, NAME=JSON or NAME=TEXT", flag=False, multiple=True),
+        option(
+            "overlay",
+            "o",
+            "A merge patch to lay over it; may be repeated",
+            flag=False,
+            multiple=True,
+        ),
+    ]
 
     def handle(self):
         try:
@@ -157,8 +176,7 @@
     evacuated = True
 
     def handle(self):
-        return self._post("zone", {"zone": self.argument("zone"),
-                                   "evacuated": self.evacuated})
+        return self._post("zone", {"zone": self.argument("zone"), "evacuated": self.evacuated})
 
 
 class Evacuate(_Zone):
@@ -176,8 +194,15 @@
     name = "engines"
     description = "Read the engines, or set some from a JSON list (the platform's call)."
     arguments = [argument("file", "A JSON list of engines", optional=True)]
-    options = [_NODE, _PARTNER, _TOKEN, _EXPECT, _CHANGE, _WAIT,
-               option("name", None, "Only this engine or service", flag=False, default="")]
+    options = [
+        _NODE,
+        _PARTNER,
+        _TOKEN,
+        _EXPECT,
+        _CHANGE,
+        _WAIT,
+        option("name", None, "Only this engine or service", flag=False, default=""),
+    ]
 
     def handle(self):
         if not self.argument("file"):
@@ -236,8 +261,15 @@
                 same.append(key)
             else:
                 differ[key] = [seen[0].get(key), seen[1].get(key)]
-        return _print(200, {"nodes": [s["node"] for s in seen], "same": same,
-                            "differ": differ, "ageMs": [s["ageMs"] for s in seen]})
+        return _print(
+            200,
+            {
+                "nodes": [s["node"] for s in seen],
+                "same": same,
+                "differ": differ,
+                "ageMs": [s["ageMs"] for s in seen],
+            },
+        )
 
 
 COMMANDS = (Layout, Render, Evacuate, Restore, Engines, Zones, Why, Fleet, Compare)
--- a/libs/pulleyhitch/src/pulleyhitch/believing.py
+++ b/libs/pulleyhitch/src/pulleyhitch/believing.py
@@ -16,20 +16,30 @@
     reg = node.floor.registry
     head = {"stamp": reg.stamp, "place": node.follow.place}
     if what == "layout":
-        return {**head, "partners": {
-            p: {"stamp": reg.stamps.get(p, 0), "section": s}
-            for p, s in sorted(reg.sections.items()) if name in ("", p)}}
+        return {
+            **head,
+            "partners": {
+                p: {"stamp": reg.stamps.get(p, 0), "section": s}
+                for p, s in sorted(reg.sections.items())
+                if name in ("", p)
+            },
+        }
     if what == "zones":
-        return {**head, "evacuated": dict(sorted(reg.zones.items())),
-                "known": sorted(registries.zone_names(reg))}
+        return {
+            **head,
+            "evacuated": dict(sorted(reg.zones.items())),
+            "known": sorted(registries.zone_names(reg)),
+        }
     if what == "engines":
         return {**head, "engines": _engines(node, name)}
     if what == "written":
         return {**head, "document": reg.document}
     if what == "why":
         return {**head, "unmet": _unmet(node, name)}
-    return {**head, "holds": {
-        str(s): ledger.holds for s, ledger in sorted(node.floor.ledgers.items())}}
+    return {
+        **head,
+        "holds": {str(s): ledger.holds for s, ledger in sorted(node.floor.ledgers.items())},
+    }
 
 
 def _engines(node, name):
@@ -39,11 +49,18 @@
             continue
         shard = world.shard_of(engine["service"], node.config.shards)
         ledger = node.floor.ledgers.get(shard, ledgers.Ledger())
-        found.append({**engine, "shard": shard,
-                      "incarnation": ledger.incarnations.get(engine["name"], ""),
-                      "usable": world.usable(node.floor.registry, engine),
-                      "items": {i: {"verb": e["verb"], "state": e["state"]} for i, e in
-                                sorted(ledger.engines.get(engine["name"], {}).items())}})
+        found.append(
+            {
+                **engine,
+                "shard": shard,
+                "incarnation": ledger.incarnations.get(engine["name"], ""),
+                "usable": world.usable(node.floor.registry, engine),
+                "items": {
+                    i: {"verb": e["verb"], "state": e["state"]}
+                    for i, e in sorted(ledger.engines.get(engine["name"], {}).items())
+                },
+            }
+        )
     return sorted(found, key=lambda e: e["name"])
 
 
@@ -60,10 +77,14 @@
 def all_of(node, nowMs):
     """Everything this node believes right now, confirmed or not; for compare."""
     told = {
-        "node": node.card.name, "role": node.card.role, "zone": node.card.zone,
-        "place": node.follow.place, "term": node.follow.term,
+        "node": node.card.name,
+        "role": node.card.role,
+        "zone": node.card.zone,
+        "place": node.follow.place,
+        "term": node.follow.term,
         "ageMs": round(min(follows.age(node.follow, nowMs), 1e9)),
-        "leader": node.circle.group.leader, "group": node.circle.group.group,
+        "leader": node.circle.group.leader,
+        "group": node.circle.group.group,
         "members": [vars(x) for x in node.circle.group.members],
         "stamp": node.floor.registry.stamp,
         "stamps": dict(sorted(node.floor.registry.stamps.items())),
@@ -72,18 +93,31 @@
         "https": {n: c.http for n, c in sorted(node.circle.cards.items())},
         "watches": circles.watched(node.circle),
         "live": sorted(circles.live(node.circle, nowMs)),
-        "holders": {str(s): {"holder": p.holder, "epoch": p.epoch}
-                    for s, p in sorted(node.follow.book.shards.items())},
-        "holds": {str(s): {"epoch": k.epoch, "ready": k.held.ready, "lost": k.held.lost,
-                           "next": k.held.next, "durable": k.held.durable}
-                  for s, k in sorted(node.keepers.keepers.items())},
+        "holders": {
+            str(s): {"holder": p.holder, "epoch": p.epoch}
+            for s, p in sorted(node.follow.book.shards.items())
+        },
+        "holds": {
+            str(s): {
+                "epoch": k.epoch,
+                "ready": k.held.ready,
+                "lost": k.held.lost,
+                "next": k.held.next,
+                "durable": k.held.durable,
+            }
+            for s, k in sorted(node.keepers.keepers.items())
+        },
         "engines": {e["name"]: e["items"] for e in _engines(node, "")},
-        "router": {"busy": dict(sorted(node.router.busy.items())),
-                   "tasks": len(node.router.tasks),
-                   "waiting": sum(t.waiting for t in node.router.tasks.values()),
-                   "served": node.router.served, "refused": node.router.refused,
-                   "retried": node.router.retried,
-                   "resumed": node.router.resumed}}
+        "router": {
+            "busy": dict(sorted(node.router.busy.items())),
+            "tasks": len(node.router.tasks),
+            "waiting": sum(t.waiting for t in node.router.tasks.values()),
+            "served": node.router.served,
+            "refused": node.router.refused,
+            "retried": node.router.retried,
+            "resumed": node.router.resumed,
+        },
+    }
     if node.depot is not None:
         told["depot"] = depots.view_of(node.depot)
     return told
@@ -92,10 +126,21 @@
 def fleet(node, nowMs):
     """The log node's view of everyone who pings it."""
     depot = node.depot
-    return {"term": depot.group.term, "commit": depot.group.commit,
-            "members": [vars(x) for x in depots.group_card(depot.group).members],
-            "holders": {str(s): {"holder": p.holder, "epoch": p.epoch}
-                        for s, p in sorted(depot.group.book.shards.items())},
-            "nodes": {n: {"role": s.role, "address": s.address, "place": s.place,
-                          "silentMs": round(nowMs - s.heardMs)}
-                      for n, s in sorted(depot.nodes.seen.items())}}
+    return {
+        "term": depot.group.term,
+        "commit": depot.group.commit,
+        "members": [vars(x) for x in depots.group_card(depot.group).members],
+        "holders": {
+            str(s): {"holder": p.holder, "epoch": p.epoch}
+            for s, p in sorted(depot.group.book.shards.items())
+        },
+        "nodes": {
+            n: {
+                "role": s.role,
+                "address": s.address,
+                "place": s.place,
+                "silentMs": round(nowMs - s.heardMs),
+            }
+            for n, s in sorted(depot.nodes.seen.items())
+        },
+    }
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -8,17 +8,18 @@
 import tomllib
 from dataclasses import dataclass, field
 
-from marshmallow import RAISE, Schema, ValidationError, fields, validate, validates_schema
-
 from dispatch import state as dispatching
 from junction import router
 from logbook.group import Times
+from marshmallow import RAISE, Schema, ValidationError, fields, validate, validates_schema
 from waybill import failures
 
 __all__ = ["Config", "read", "check", "times", "terms", "routing", "Bounds"]
 
-_ADDRESS = validate.Regexp(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$",
-                           error="not an IP number and port, like 10.0.0.5:7400")
+_ADDRESS = validate.Regexp(
+    r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$",
+    error="not an IP number and port, like 10.0.0.5:7400",
+)
 _FEW, _MANY, _PER_CORE = 48, 192, 180
 _NAME = validate.Regexp(r"^[a-z0-9][a-z0-9._-]{0,62}$", error="not a name")
 
@@ -75,10 +76,10 @@
     layoutMs = fields.Integer(strict=True, load_default=2000, validate=validate.Range(min=100))
     leavingMs = fields.Integer(strict=True, load_default=3000, validate=validate.Range(min=100))
     evacuateMs = fields.Integer(strict=True, load_default=5000, validate=validate.Range(min=100))
-    serviceBackMs = fields.Integer(strict=True, load_default=12000,
-                                   validate=validate.Range(min=500))
-    acknowledgeMs = fields.Integer(strict=True, load_default=9000,
-                                   validate=validate.Range(min=100))
+    serviceBackMs = fields.Integer(
+        strict=True, load_default=12000, validate=validate.Range(min=500)
+    )
+    acknowledgeMs = fields.Integer(strict=True, load_default=9000, validate=validate.Range(min=100))
     turnMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
     graceMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
 
@@ -90,36 +91,42 @@
     address = fields.String(required=True, validate=_ADDRESS)
     http = fields.String(required=True, validate=_ADDRESS)
     listen = fields.String(validate=_ADDRESS)
-    seeds = fields.List(fields.String(validate=_ADDRESS), required=True,
-                        validate=validate.Length(min=1, max=16))
+    seeds = fields.List(
+        fields.String(validate=_ADDRESS), required=True, validate=validate.Length(min=1, max=16)
+    )
     zones = fields.List(fields.String(validate=_NAME), load_default=list)
     folder = fields.String(load_default="")
     shards = fields.Integer(strict=True, load_default=8, validate=validate.Range(min=2, max=256))
     depots = fields.Integer(strict=True, load_default=3, validate=validate.OneOf([1, 3, 5]))
     httpThreads = fields.Integer(strict=True, validate=validate.Range(min=4, max=4096))
     cores = fields.Float(load_default=0.0, validate=validate.Range(min=0))
-    deadlineMs = fields.Integer(strict=True, load_default=30000,
-                                validate=validate.Range(min=1, max=3_600_000))
+    deadlineMs = fields.Integer(
+        strict=True, load_default=30000, validate=validate.Range(min=1, max=3_600_000)
+    )
     bounds = fields.Nested(_BoundsSchema, load_default=lambda: _BoundsSchema().load({}))
-    tokens = fields.Dict(keys=fields.String(validate=_NAME),
-                         values=fields.String(validate=validate.Length(min=8)),
-                         load_default=dict)
+    tokens = fields.Dict(
+        keys=fields.String(validate=_NAME),
+        values=fields.String(validate=validate.Length(min=8)),
+        load_default=dict,
+    )
     groupWait = fields.Boolean(load_default=True)
     retryRatio = fields.Float(load_default=0.1, validate=validate.Range(min=0, max=1))
     retryAllowance = fields.Float(load_default=1.0, validate=validate.Range(min=0))
     retryWindowMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
-    placers = fields.String(load_default="counter",
-                            validate=validate.OneOf(["counter", "depot"]))
+    placers = fields.String(load_default="counter", validate=validate.OneOf(["counter", "depot"]))
     founds = fields.Boolean(load_default=True)
     revokeRatio = fields.Float(load_default=0.25, validate=validate.Range(min=0.08, max=0.5))
     worksUnheard = fields.Boolean(load_default=False)
-    doors = fields.Dict(keys=fields.String(validate=validate.OneOf(
-        ["callers", "status", "operators"])), values=fields.String(validate=_ADDRESS),
-        load_default=dict)
+    doors = fields.Dict(
+        keys=fields.String(validate=validate.OneOf(["callers", "status", "operators"])),
+        values=fields.String(validate=_ADDRESS),
+        load_default=dict,
+    )
     provider = fields.String(load_default="")
     providerLagMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
-    providerPerS = fields.Float(load_default=1.0,
-                                validate=validate.Range(min=0, min_inclusive=False))
+    providerPerS = fields.Float(
+        load_default=1.0, validate=validate.Range(min=0, min_inclusive=False)
+    )
 
     @validates_schema
     def _depot_needs_folder(self, data, **_):
@@ -171,28 +178,46 @@
 
 def times(config):
     backMs = config.bounds.serviceBackMs
-    return Times(electMs=0.04 * backMs, heartbeatMs=0.01 * backMs,
-                 pingMs=0.02 * backMs, revokeMs=config.revokeRatio * backMs,
-                 groupWait=config.groupWait, depots=config.depots,
-                 placers=config.placers, founds=config.founds)
+    return Times(
+        electMs=0.04 * backMs,
+        heartbeatMs=0.01 * backMs,
+        pingMs=0.02 * backMs,
+        revokeMs=config.revokeRatio * backMs,
+        groupWait=config.groupWait,
+        depots=config.depots,
+        placers=config.placers,
+        founds=config.founds,
+    )
 
 
 def terms(config):
     backMs = config.bounds.serviceBackMs
-    return dispatching.Terms(callMs=0.08 * backMs, reportMs=0.15 * config.bounds.leavingMs,
-                             darkMs=config.bounds.leavingMs, turnMs=config.bounds.turnMs,
-                             listMs=max(1000.0 / config.providerPerS,
-                                        0.25 * config.bounds.leavingMs),
-                             lagMs=config.providerLagMs)
+    return dispatching.Terms(
+        callMs=0.08 * backMs,
+        reportMs=0.15 * config.bounds.leavingMs,
+        darkMs=config.bounds.leavingMs,
+        turnMs=config.bounds.turnMs,
+        listMs=max(1000.0 / config.providerPerS, 0.25 * config.bounds.leavingMs),
+        lagMs=config.providerLagMs,
+    )
 
 
 def routing(config):
     backMs = config.bounds.serviceBackMs
     return router.Terms(
-        staleMs=float("inf") if config.worksUnheard else 0.9 * min(
-            config.bounds.layoutMs, config.bounds.leavingMs, config.bounds.evacuateMs,
-            config.bounds.serviceBackMs),
-        rampMs=0.5 * backMs, pauseMs=0.04 * backMs,
+        staleMs=float("inf")
+        if config.worksUnheard
+        else 0.9
+        * min(
+            config.bounds.layoutMs,
+            config.bounds.leavingMs,
+            config.bounds.evacuateMs,
+            config.bounds.serviceBackMs,
+        ),
+        rampMs=0.5 * backMs,
+        pauseMs=0.04 * backMs,
         retryRatio=config.retryRatio,
         retryAllowance=config.retryAllowance,
-        retryWindowMs=config.retryWindowMs or 0.8 * backMs, legMs=10 * backMs)
+        retryWindowMs=config.retryWindowMs or 0.8 * backMs,
+        legMs=10 * backMs,
+    )
--- a/libs/pulleyhitch/src/pulleyhitch/door.py
+++ b/libs/pulleyhitch/src/pulleyhitch/door.py
@@ -18,9 +18,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
-from pulleyhitch import knocking
 from waybill import failures
 
+from pulleyhitch import knocking
+
 __all__ = ["Door", "Caller"]
 
 _HELD_BYTES = 64 << 20
@@ -30,6 +31,7 @@
 @dataclass
 class Caller:
     """One connection: what came of its request, and what it waits for."""
+
     sock: socket.socket
     address: tuple
     sinceS: float
@@ -89,8 +91,11 @@
 
     def empty(self):
         """Whether nobody who was let in still waits for an answer."""
-        return self._stopping and not self._listening and not any(
-            c.kind or c.data for c in list(self._open.values()))
+        return (
+            self._stopping
+            and not self._listening
+            and not any(c.kind or c.data for c in list(self._open.values()))
+        )
 
     def _shut_out(self):
         """Let in who has come already, then nobody any more."""
@@ -225,9 +230,11 @@
         for caller in [c for c in self._line if nowS - c.sinceS > self._arriveS / 8]:
             self._line.remove(caller)
             self._refuse(caller, "threads", knocking.PATIENCE_S[caller.kind])
-        for caller in [c for c in self._open.values()
-                       if not c.kind and nowS - c.sinceS > (
-                           self._arriveS if c.data else self._idleS)]:
+        for caller in [
+            c
+            for c in self._open.values()
+            if not c.kind and nowS - c.sinceS > (self._arriveS if c.data else self._idleS)
+        ]:
             if caller.data:
                 failure = failures.BodyMalformed("not whole in time")
                 knocking.answer(caller.sock, 408, json.dumps(failures.as_json(failure)))
--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -8,14 +8,14 @@
 import secrets
 import threading
 
+from junction.relaying import Relaying
+from waybill import failures
 from werkzeug.serving import WSGIRequestHandler, make_server
 from werkzeug.wrappers import Request, Response
 
-from junction.relaying import Relaying
 from pulleyhitch.door import Door
 from pulleyhitch.handling import Front, Handler
 from pulleyhitch.operating import Answered
-from waybill import failures
 
 __all__ = ["Gateway", "Desk", "Status"]
 
@@ -28,8 +28,11 @@
 
 
 def _front(process, address, app):
-    return Front(_split(address), app, lambda *what: process.ring.note(
-        "http", {"what": str(what)[:2000]}, why="http"))
+    return Front(
+        _split(address),
+        app,
+        lambda *what: process.ring.note("http", {"what": str(what)[:2000]}, why="http"),
+    )
 
 
 class Gateway:
@@ -41,8 +44,14 @@
         self._relaying = Relaying(process.ask, process.pool, process.dialect, 500)
         self._front = _front(process, config.doors["callers"], self._app)
         backS = config.bounds.serviceBackMs / 1000
-        self._door = Door(*_split(config.doors["callers"]), config.httpThreads, self._begin,
-                          lambda data: "rank0", 0.4 * backS, 1.5 * backS)
+        self._door = Door(
+            *_split(config.doors["callers"]),
+            config.httpThreads,
+            self._begin,
+            lambda data: "rank0",
+            0.4 * backS,
+            1.5 * backS,
+        )
 
     def run(self):
         self._door.run()
@@ -77,6 +86,7 @@
 
         def left():
             self._process.tell(token, "ended", {"proof": "gone"})
+
         if future.done():
             finish(future.result())
             return None
@@ -100,8 +110,13 @@
         self._process, self._dialect = process, process.dialect
         self._front = _front(process, config.doors["operators"], self._app)
         backS = config.bounds.serviceBackMs / 1000
-        self._door = Door(*_split(config.doors["operators"]), config.httpThreads,
-                          self._begin, lambda data: "operator", 0.4 * backS)
+        self._door = Door(
+            *_split(config.doors["operators"]),
+            config.httpThreads,
+            self._begin,
+            lambda data: "operator",
+            0.4 * backS,
+        )
 
     def run(self):
         self._door.run()
@@ -128,8 +143,11 @@
             body = {**body, "since": known.body["since"], "change": secrets.token_hex(8)}
         waitS = self._process.config.bounds.acknowledgeMs / 1000
         outcome = self._process.ask(secrets.token_hex(8), verb, body, waitS)
-        return outcome if isinstance(outcome, (Answered, failures.Failure)) else (
-            Answered(200, outcome))
+        return (
+            outcome
+            if isinstance(outcome, (Answered, failures.Failure))
+            else (Answered(200, outcome))
+        )
 
 
 class Status:
@@ -138,8 +156,7 @@
     def __init__(self, process):
         self._process = process
         host, port = _split(process.config.doors["status"])
-        self._http = make_server(host, port, self._app, threaded=False,
-                                 request_handler=_Quiet)
+        self._http = make_server(host, port, self._app, threaded=False, request_handler=_Quiet)
 
     def run(self):
         threading.current_thread().name = "status"
--- a/libs/pulleyhitch/src/pulleyhitch/keeping.py
+++ b/libs/pulleyhitch/src/pulleyhitch/keeping.py
@@ -17,8 +17,19 @@
 from waybill.effects import Note, Reply, Send
 from waybill.messages import Release
 
-__all__ = ["Keeping", "Office", "tick", "on_durable", "on_page", "on_refused",
-           "on_called", "command", "grant_end", "release_all", "flush"]
+__all__ = [
+    "Keeping",
+    "Office",
+    "tick",
+    "on_durable",
+    "on_page",
+    "on_refused",
+    "on_called",
+    "command",
+    "grant_end",
+    "release_all",
+    "flush",
+]
 
 _ENDS = 0.8
 
@@ -26,6 +37,7 @@
 @dataclass
 class Office:
     """Shard 0: the layout and the engine list."""
+
     shard: int
     epoch: int
     held: holder.Held
@@ -55,8 +67,15 @@
         if mine and (kept is None or kept.epoch < part.epoch):
             held = holder.Held(shard, part.epoch)
             k.keepers[shard] = (
-                Office(shard, part.epoch, held, registries.Registry(zonesKnown=k.zones, reader=k.reader))
-                if shard == 0 else Placer(shard, part.epoch, held, own=part.before == card.name))
+                Office(
+                    shard,
+                    part.epoch,
+                    held,
+                    registries.Registry(zonesKnown=k.zones, reader=k.reader),
+                )
+                if shard == 0
+                else Placer(shard, part.epoch, held, own=part.before == card.name)
+            )
             effects.append(Note("holds", {"shard": shard, "epoch": part.epoch}))
         elif kept and not mine and part.epoch > kept.epoch:
             del k.keepers[shard]
@@ -76,11 +95,9 @@
         holder.resend(held, nowMs, follow.term, 2 * times.pingMs)
         if kept.shard == 0:
             if nowMs < endMs and not held.lost:
-                effects += rosters.tick(kept.roster, nowMs, terms, k.provider,
-                                       f"0|{kept.epoch}")
+                effects += rosters.tick(kept.roster, nowMs, terms, k.provider, f"0|{kept.epoch}")
         else:
-            effects += placer.tick(kept, nowMs, floor.registry, k.shards, terms, endMs,
-                                   lost)
+            effects += placer.tick(kept, nowMs, floor.registry, k.shards, terms, endMs, lost)
         effects += _checkpoint(kept, card, terms, leader)
     return effects + flush(k, nowMs, card, leader)
 
@@ -95,12 +112,10 @@
 
 def _checkpoint(kept, card, terms, leader):
     held = kept.held
-    if not leader or held.unacked or (
-            held.durable - held.checkpointAt < terms.checkpointRecords):
+    if not leader or held.unacked or (held.durable - held.checkpointAt < terms.checkpointRecords):
         return []
     held.checkpointAt = held.durable
-    body = (registries.dump(kept.registry) if kept.shard == 0
-            else ledgers.dump(kept.ledger))
+    body = registries.dump(kept.registry) if kept.shard == 0 else ledgers.dump(kept.ledger)
     return holder.offer_checkpoint(held, card, leader, body)
 
 
@@ -115,8 +130,7 @@
     else:
         placer.taken_over(kept, nowMs, terms)
     kept.held.pages = []
-    return [Note("recovered", {"shard": page.shard, "epoch": page.epoch,
-                               "next": kept.held.next})]
+    return [Note("recovered", {"shard": page.shard, "epoch": page.epoch, "next": kept.held.next})]
 
 
 def on_durable(k, nowMs, message, follow, floor, times, terms):
@@ -129,8 +143,9 @@
             if kept.shard == 0:
                 effects.append(Reply(then[1], then[2]))
             else:
-                effects += placer.on_durable(kept, nowMs, then, floor.registry, terms,
-                                             grant_end(follow, times))
+                effects += placer.on_durable(
+                    kept, nowMs, then, floor.registry, terms, grant_end(follow, times)
+                )
     return effects
 
 
@@ -153,8 +168,9 @@
 
 def _listed(k, nowMs, kept, id_, called, terms):
     """A page of the platform's list came: what has changed is logged for all."""
-    effects, changed = rosters.on_called(kept.roster, nowMs, id_, called, kept.registry,
-                                        terms, k.provider, f"0|{kept.epoch}")
+    effects, changed = rosters.on_called(
+        kept.roster, nowMs, id_, called, kept.registry, terms, k.provider, f"0|{kept.epoch}"
+    )
     if changed and not kept.held.lost:
         record, _, failure = registries.decide(kept.registry, "engines", {"engines": changed})
         if record is not None:
@@ -168,8 +184,7 @@
 def command(k, nowMs, token, shard, verb, body, follow, floor, times, terms):
     """A command for a shard that this node is thought to hold."""
     kept = k.keepers.get(shard)
-    if kept is None or not kept.held.ready or kept.held.lost or (
-            nowMs >= grant_end(follow, times)):
+    if kept is None or not kept.held.ready or kept.held.lost or (nowMs >= grant_end(follow, times)):
         return [Reply(token, failures.NoHolder(1000, shard))]
     if shard != 0:
         return placer.command(kept, nowMs, token, verb, body, floor.registry, terms)
--- a/libs/pulleyhitch/src/pulleyhitch/knocking.py
+++ b/libs/pulleyhitch/src/pulleyhitch/knocking.py
@@ -6,16 +6,18 @@
 
 from manifest.schema import RANK
 
-__all__ = ["parts", "whole", "kind", "answer", "shut", "peek", "MAY_USE", "ORDER",
-           "PATIENCE_S"]
+__all__ = ["parts", "whole", "kind", "answer", "shut", "peek", "MAY_USE", "ORDER", "PATIENCE_S"]
 
 _HEAD_BYTES = 32 << 10
 _BODY_BYTES = {"operator": 8 << 20}
-_SHARES = {"operator": 0.0625, "lookup": 0.25, "rank0": 0.375, "rank1": 0.1875,
-           "rank2": 0.125}
-MAY_USE = {"operator": ("operator",), "lookup": ("lookup", "rank2", "rank1"),
-           "rank0": ("rank0", "rank2", "rank1"), "rank1": ("rank1", "rank2"),
-           "rank2": ("rank2",)}
+_SHARES = {"operator": 0.0625, "lookup": 0.25, "rank0": 0.375, "rank1": 0.1875, "rank2": 0.125}
+MAY_USE = {
+    "operator": ("operator",),
+    "lookup": ("lookup", "rank2", "rank1"),
+    "rank0": ("rank0", "rank2", "rank1"),
+    "rank1": ("rank1", "rank2"),
+    "rank2": ("rank2",),
+}
 ORDER = {"operator": 0, "lookup": 1, "rank0": 1, "rank1": 2, "rank2": 3}
 PATIENCE_S = {"operator": 1, "lookup": 1, "rank0": 1, "rank1": 2, "rank2": 5}
 _LENGTH = re.compile(rb"\r\ncontent-length:\s*(\d{1,12})\s*\r\n", re.I)
@@ -79,9 +81,12 @@
     words = {503: "Service Unavailable", 408: "Request Timeout"}[status]
     data = body.encode() + b"\n"
     try:
-        sock.send(f"HTTP/1.1 {status} {words}\r\n{again}Content-Type: application/json\r\n"
-                  f"Connection: close\r\nContent-Length: {len(data)}\r\n\r\n".encode()
-                  + data, socket.MSG_DONTWAIT)
+        sock.send(
+            f"HTTP/1.1 {status} {words}\r\n{again}Content-Type: application/json\r\n"
+            f"Connection: close\r\nContent-Length: {len(data)}\r\n\r\n".encode()
+            + data,
+            socket.MSG_DONTWAIT,
+        )
     except OSError:
         pass
 
--- a/libs/pulleyhitch/src/pulleyhitch/lifetime.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifetime.py
@@ -12,10 +12,11 @@
 import threading
 import time
 
+from waybill import failures
+
 from pulleyhitch.gateway import Desk, Gateway, Status
 from pulleyhitch.process import CannotStart, Process
 from pulleyhitch.server import Server
-from waybill import failures
 
 __all__ = ["run", "say"]
 
@@ -58,8 +59,12 @@
     process.start()
     for name, door in doors:
         threading.Thread(target=door.run, name=name, daemon=True).start()
-    print(json.dumps({"up": config.name, "role": config.role, "address": config.address,
-                      "http": config.http}), flush=True)
+    print(
+        json.dumps(
+            {"up": config.name, "role": config.role, "address": config.address, "http": config.http}
+        ),
+        flush=True,
+    )
     if not config.tokens and dialect is None:
         say(failures.NoTokens("whoever says they are a partner is believed; see [tokens]"))
     code = _wait(process, asked, look, news)
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -13,17 +13,29 @@
 from junction import router
 from logbook import depot as depots
 from logbook import follow as follows
-from pulleyhitch import config as configs
-from pulleyhitch import keeping, operating
 from waybill import events as e
 from waybill import messages as m
 from waybill.effects import Send
 
+from pulleyhitch import config as configs
+from pulleyhitch import keeping, operating
+
 __all__ = ["Node", "make", "handle", "leader_of"]
 
 _LOST = 0.25
-_DEPOT_TALK = (m.Entries, m.EntriesAck, m.ViewPart, m.Canvass, m.Ballot, m.TakeOver,
-               m.FoundAsk, m.FoundAgree, m.Append, m.RecoverAsk, m.Release)
+_DEPOT_TALK = (
+    m.Entries,
+    m.EntriesAck,
+    m.ViewPart,
+    m.Canvass,
+    m.Ballot,
+    m.TakeOver,
+    m.FoundAsk,
+    m.FoundAgree,
+    m.Append,
+    m.RecoverAsk,
+    m.Release,
+)
 
 
 @dataclass
@@ -50,18 +62,32 @@
     platform's shapes, if it has its own."""
     reader = dialect.reader if dialect else None
     identity = group.identity if group else ""
-    card = m.Card(config.name, config.role, config.zone, config.address, config.http,
-                  incarnation, identity, bool(group) and not group.group)
+    card = m.Card(
+        config.name,
+        config.role,
+        config.zone,
+        config.address,
+        config.http,
+        incarnation,
+        identity,
+        bool(group) and not group.group,
+    )
     times = configs.times(config)
     rng = random.Random(seed)
     node = Node(
-        card, config,
-        circles.Circle(card, config.seeds, rng, times.pingMs * 1.5,
-                       _LOST * config.bounds.serviceBackMs),
-        follows.Follow(), floors.Floor(config.shards, config.zones, reader),
+        card,
+        config,
+        circles.Circle(
+            card, config.seeds, rng, times.pingMs * 1.5, _LOST * config.bounds.serviceBackMs
+        ),
+        follows.Follow(),
+        floors.Floor(config.shards, config.zones, reader),
         keeping.Keeping(config.shards, config.zones, reader, config.provider),
-        router.Router(configs.routing(config)), operating.Operating(),
-        times=times, terms=configs.terms(config))
+        router.Router(configs.routing(config)),
+        operating.Operating(),
+        times=times,
+        terms=configs.terms(config),
+    )
     node.floor.registry.zonesKnown = config.zones
     node.floor.registry.reader = reader
     if group is not None:
@@ -93,12 +119,10 @@
 
 
 def _depot(node, nowMs, event):
-    if isinstance(event, e.Received) and not isinstance(
-            event.message, _DEPOT_TALK + (m.Ask,)):
+    if isinstance(event, e.Received) and not isinstance(event.message, _DEPOT_TALK + (m.Ask,)):
         return []
     served = node.depot.desk.serving
-    effects = depots.handle(node.depot, nowMs, event, node.circle.cards,
-                            node.circle.group.group)
+    effects = depots.handle(node.depot, nowMs, event, node.circle.cards, node.circle.group.group)
     group = node.depot.group
     if node.card.empty and group.group:
         node.card = m.Card(**{**vars(node.card), "empty": False})
@@ -113,9 +137,17 @@
     effects = circles.tick(node.circle, nowMs)
     if not node.closing:
         effects += _ask(node, nowMs)
-        effects += keeping.tick(node.keepers, nowMs, node.card, node.follow, node.floor,
-                                node.times, node.terms, leader_of(node),
-                                lambda name, life: circles.lost(node.circle, nowMs, name, life))
+        effects += keeping.tick(
+            node.keepers,
+            nowMs,
+            node.card,
+            node.follow,
+            node.floor,
+            node.times,
+            node.terms,
+            leader_of(node),
+            lambda name, life: circles.lost(node.circle, nowMs, name, life),
+        )
     effects += router.tick(node.router, nowMs)
     effects += _wake(node, nowMs)
     return effects + operating.tick(node, nowMs)
@@ -145,8 +177,9 @@
 
 
 def _wake(node, nowMs):
-    return router.wake(node.router, nowMs, node.floor,
-                       follows.age(node.follow, nowMs), operating.crew(node, nowMs))
+    return router.wake(
+        node.router, nowMs, node.floor, follows.age(node.follow, nowMs), operating.crew(node, nowMs)
+    )
 
 
 def _news(node, nowMs, news):
@@ -176,8 +209,9 @@
             return follows.on_relay_ask(node.follow, nowMs, sender, message)
         return []
     if isinstance(message, m.Durable):
-        return keeping.on_durable(node.keepers, nowMs, message, node.follow, node.floor,
-                                  node.times, node.terms)
+        return keeping.on_durable(
+            node.keepers, nowMs, message, node.follow, node.floor, node.times, node.terms
+        )
     if isinstance(message, m.Refused):
         return keeping.on_refused(node.keepers, message)
     if isinstance(message, m.RecoverPage):
@@ -192,6 +226,9 @@
 def _close(node, nowMs):
     """Orderly stop: no new work, grants back with a successor named."""
     node.closing = True
-    names = [n for n in circles.live(node.circle, nowMs)
-             if node.circle.cards[n].role == node.config.placers]
+    names = [
+        n
+        for n in circles.live(node.circle, nowMs)
+        if node.circle.cards[n].role == node.config.placers
+    ]
     return keeping.release_all(node.keepers, node.card, leader_of(node), sorted(names))
--- a/libs/pulleyhitch/src/pulleyhitch/operating.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operating.py
@@ -13,13 +13,23 @@
 from junction import choice, resuming, router
 from logbook import follow as follows
 from manifest.schema import RANK
-from pulleyhitch import believing, keeping, passages
 from waybill import failures
 from waybill.effects import Reply, Send
 from waybill.messages import Command, CommandAnswer
 
-__all__ = ["Operating", "asked", "tick", "current", "on_command", "on_answer",
-           "translate", "Answered", "crew"]
+from pulleyhitch import believing, keeping, passages
+
+__all__ = [
+    "Operating",
+    "asked",
+    "tick",
+    "current",
+    "on_command",
+    "on_answer",
+    "translate",
+    "Answered",
+    "crew",
+]
 
 _LOG_SHARD = -1
 
@@ -54,25 +64,42 @@
     if verb == "task":
         return _task(node, nowMs, event.token, body)
     if verb == "ended":
-        effects = router.ended(node.router, nowMs, node.floor,
-                               follows.age(node.follow, nowMs),
-                               crew(node, nowMs), event.token, body["proof"])
-        return effects + router.wake(node.router, nowMs, node.floor,
-                                     follows.age(node.follow, nowMs),
-                                     crew(node, nowMs))
+        effects = router.ended(
+            node.router,
+            nowMs,
+            node.floor,
+            follows.age(node.follow, nowMs),
+            crew(node, nowMs),
+            event.token,
+            body["proof"],
+        )
+        return effects + router.wake(
+            node.router, nowMs, node.floor, follows.age(node.follow, nowMs), crew(node, nowMs)
+        )
     if verb == "silent":
-        return router.silent(node.router, nowMs, node.floor, follows.age(node.follow, nowMs),
-                             crew(node, nowMs), event.token)
+        return router.silent(
+            node.router,
+            nowMs,
+            node.floor,
+            follows.age(node.follow, nowMs),
+            crew(node, nowMs),
+            event.token,
+        )
     if verb == "resume":
-        return resuming.resume(node.router, nowMs, node.floor, crew(node, nowMs),
-                             event.token, body["incarnation"])
+        return resuming.resume(
+            node.router, nowMs, node.floor, crew(node, nowMs), event.token, body["incarnation"]
+        )
     if verb == "believes":
         return [Reply(event.token, Answered(200, believing.all_of(node, nowMs)))]
     if verb == "read":
-        node.operator.reads.append((event.token, body, nowMs,
-                                     nowMs + 0.5 * node.config.bounds.serviceBackMs))
-        return [follows.ask(node.follow, nowMs, node.card, node.circle.group.leader)] \
-            if node.circle.group.leader else []
+        node.operator.reads.append(
+            (event.token, body, nowMs, nowMs + 0.5 * node.config.bounds.serviceBackMs)
+        )
+        return (
+            [follows.ask(node.follow, nowMs, node.card, node.circle.group.leader)]
+            if node.circle.group.leader
+            else []
+        )
     if verb == "passage":
         return passages.begin(node, nowMs, event.token, body, crew(node, nowMs))
     if verb == "ready":
@@ -89,8 +116,15 @@
     if verb == "route":
         return [Reply(event.token, _route(node, body["name"]))]
     shard = _LOG_SHARD if verb == "fleet" else 0
-    return _send(node, nowMs, event.token, shard, verb, body,
-                 body.get("id") or f"{node.card.incarnation}.{_next(node)}")
+    return _send(
+        node,
+        nowMs,
+        event.token,
+        shard,
+        verb,
+        body,
+        body.get("id") or f"{node.card.incarnation}.{_next(node)}",
+    )
 
 
 def crew(node, nowMs):
@@ -112,21 +146,29 @@
 def _task(node, nowMs, token, told):
     if node.closing:
         return [Reply(token, failures.Overloaded(1000, "closing"))]
-    task = router.Task(token, told["id"], told["service"], told["model"],
-                       told["adapter"], told["class"], told["prompt"][:64],
-                       told["repeatable"], told["stream"], nowMs + told["deadlineMs"],
-                       rank=RANK[told["class"]])
-    return router.begin(node.router, nowMs, node.floor,
-                        follows.age(node.follow, nowMs),
-                        crew(node, nowMs), task)
+    task = router.Task(
+        token,
+        told["id"],
+        told["service"],
+        told["model"],
+        told["adapter"],
+        told["class"],
+        told["prompt"][:64],
+        told["repeatable"],
+        told["stream"],
+        nowMs + told["deadlineMs"],
+        rank=RANK[told["class"]],
+    )
+    return router.begin(
+        node.router, nowMs, node.floor, follows.age(node.follow, nowMs), crew(node, nowMs), task
+    )
 
 
 def _send(node, nowMs, token, shard, verb, body, id_):
     """Offer a command to its holder, until it answers or time is up."""
     if verb in ("layout", "zone", "engines", "written") and not body.get("change"):
         body = {**body, "change": id_}
-    endMs = nowMs + min(0.75 * node.config.bounds.serviceBackMs,
-                        node.config.bounds.acknowledgeMs)
+    endMs = nowMs + min(0.75 * node.config.bounds.serviceBackMs, node.config.bounds.acknowledgeMs)
     node.operator.pending[id_] = _Pending(token, shard, verb, body, endMs)
     return _offer(node, nowMs, id_)
 
@@ -149,8 +191,18 @@
     if not to:
         return []
     pending.sentMs = nowMs
-    return [Send(to, Command(id_, pending.shard, node.card.address, pending.verb,
-                             json.dumps(pending.body).encode()))]
+    return [
+        Send(
+            to,
+            Command(
+                id_,
+                pending.shard,
+                node.card.address,
+                pending.verb,
+                json.dumps(pending.body).encode(),
+            ),
+        )
+    ]
 
 
 def tick(node, nowMs):
@@ -189,8 +241,18 @@
         if node.depot is None or not node.depot.desk.serving:
             return []
         return [Reply(token, believing.fleet(node, nowMs))]
-    return keeping.command(node.keepers, nowMs, token, message.shard, message.verb, body,
-                           node.follow, node.floor, node.times, node.terms)
+    return keeping.command(
+        node.keepers,
+        nowMs,
+        token,
+        message.shard,
+        message.verb,
+        body,
+        node.follow,
+        node.floor,
+        node.times,
+        node.terms,
+    )
 
 
 def on_answer(node, nowMs, message):
@@ -207,9 +269,11 @@
 def _finish(node, nowMs, pending, outcome):
     if pending.verb == "hold":
         if isinstance(outcome, Answered) and outcome.status != 200:
-            outcome = failures.NoRoom(int(outcome.body.get("retryMs", 3000)),
-                                      pending.body["model"],
-                                      str(outcome.body.get("cause", "waitlist")))
+            outcome = failures.NoRoom(
+                int(outcome.body.get("retryMs", 3000)),
+                pending.body["model"],
+                str(outcome.body.get("cause", "waitlist")),
+            )
         elif isinstance(outcome, Answered):
             outcome = outcome.body
         return router.held(node.router, nowMs, pending.body["id"], outcome)
@@ -222,8 +286,11 @@
     while queue:
         effect = queue.pop(0)
         if isinstance(effect, router.Hold):
-            shard = effect.shard if effect.shard >= 0 else world.shard_of(
-                effect.body["service"], node.config.shards)
+            shard = (
+                effect.shard
+                if effect.shard >= 0
+                else world.shard_of(effect.body["service"], node.config.shards)
+            )
             id_ = f"{effect.verb}.{effect.body['id']}"
             body = {**effect.body, "node": node.card.name, "life": node.card.incarnation}
             queue = _send(node, nowMs, "", shard, effect.verb, body, id_) + queue
@@ -240,5 +307,3 @@
     if isinstance(outcome, failures.Failure):
         outcome, status = failures.as_json(outcome), outcome.status
     return Send(address, CommandAnswer(id_, status, json.dumps(outcome).encode()))
-
-
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -22,8 +22,13 @@
 
 def ready(node, nowMs):
     """Whether callers may come: not stopping, and the layout and engines are known."""
-    return (not node.closing and not node.leaving and bool(registries.services(node.floor.registry))
-            and bool(node.floor.registry.engines) and node.follow.currentMs > -1e11)
+    return (
+        not node.closing
+        and not node.leaving
+        and bool(registries.services(node.floor.registry))
+        and bool(node.floor.registry.engines)
+        and node.follow.currentMs > -1e11
+    )
 
 
 def begin(node, nowMs, token, told, crew):
@@ -37,10 +42,15 @@
         return [Reply(token, failures.NotFound("route"))]
     name, route = found
     task = _task(token, told, route, nowMs)
-    told.update(route=name, kind=route["kind"], repeatable=task.repeatable,
-                resumable=route.get("resumable", False), rank=task.rank, aimMs=task.aimMs)
-    return router.begin(node.router, nowMs, node.floor, follows.age(node.follow, nowMs),
-                        crew, task)
+    told.update(
+        route=name,
+        kind=route["kind"],
+        repeatable=task.repeatable,
+        resumable=route.get("resumable", False),
+        rank=task.rank,
+        aimMs=task.aimMs,
+    )
+    return router.begin(node.router, nowMs, node.floor, follows.age(node.follow, nowMs), crew, task)
 
 
 def _task(token, told, route, nowMs):
@@ -48,11 +58,23 @@
     repeatable = route["kind"] == "safe" or (stream and route.get("resumable", False))
     rank = route.get("rank", 5)
     holdMs = min(told["deadlineMs"], route["holdMs"])
-    return router.Task(token, f"{token}.{told['id']}"[:80],
-                       routes.service_for(route, told["id"]), told["model"],
-                       told["adapter"], f"rank{rank}", "|".join(told["opening"][:_OPENING]),
-                       repeatable, stream, nowMs + holdMs, rank=rank, aimMs=route["aimMs"],
-                       tries=route.get("tries", 1), tokens=told["tokens"], told=True)
+    return router.Task(
+        token,
+        f"{token}.{told['id']}"[:80],
+        routes.service_for(route, told["id"]),
+        told["model"],
+        told["adapter"],
+        f"rank{rank}",
+        "|".join(told["opening"][:_OPENING]),
+        repeatable,
+        stream,
+        nowMs + holdMs,
+        rank=rank,
+        aimMs=route["aimMs"],
+        tries=route.get("tries", 1),
+        tokens=told["tokens"],
+        told=True,
+    )
 
 
 def tell_wanted(node, nowMs, holder_address):
@@ -64,5 +86,8 @@
     for (service, item), count in node.router.wanted.items():
         by.setdefault(world.shard_of(service, node.config.shards), {})[item] = count
     node.router.wanted = {}
-    return [Send(to, Command("", shard, "", "wanted", json.dumps({"items": items}).encode()))
-            for shard, items in by.items() if (to := holder_address(node, shard))]
+    return [
+        Send(to, Command("", shard, "", "wanted", json.dumps({"items": items}).encode()))
+        for shard, items in by.items()
+        if (to := holder_address(node, shard))
+    ]
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -16,8 +16,6 @@
 from junction.pool import Pool
 from logbook import disk as disks
 from logbook import group as groups
-from pulleyhitch import config as configs
-from pulleyhitch import node as nodes
 from waybill import events as e
 from waybill import failures
 from waybill.effects import Call, Dump, Install, Note, Reply, Save, Send, Wake, Write
@@ -25,6 +23,9 @@
 from waybill.pipes import Pipes
 from waybill.ring import Ring
 
+from pulleyhitch import config as configs
+from pulleyhitch import node as nodes
+
 __all__ = ["Process", "CannotStart"]
 
 _TICKS_PER_PING = 6
@@ -53,13 +54,15 @@
         self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
         self._disk, group = self._open_disk(config)
-        self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group,
-                                dialect)
+        self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group, dialect)
         try:
             self._pipes = Pipes(
-                config.listen, lambda: Greet(self._node.card, False, (), self._node.circle.group),
+                config.listen,
+                lambda: Greet(self._node.card, False, (), self._node.circle.group),
                 lambda sender, message: self._queue.put(e.Received(sender, message)),
-                self._note, configs.times(config).electMs)
+                self._note,
+                configs.times(config).electMs,
+            )
         except OSError as failed:
             raise CannotStart(failures.AddressTaken(config.listen)) from failed
         self._owner = threading.Thread(target=self._own, name="owner", daemon=True)
@@ -75,8 +78,13 @@
         if identity is None:
             identity = secrets.token_hex(8).encode()
             disk.write(Save("identity", identity))
-        group = groups.Group(config.name, identity.decode(), config.address,
-                             configs.times(config), random.Random(secrets.randbits(64)))
+        group = groups.Group(
+            config.name,
+            identity.decode(),
+            config.address,
+            configs.times(config),
+            random.Random(secrets.randbits(64)),
+        )
         groups.open_group(group, disk.loaded.files, disk.loaded.entries)
         group.electAtMs = _now() + _FIRST_ELECT * group.times.electMs * (1 + random.random())
         return disk, group
--- a/libs/pulleyhitch/src/pulleyhitch/running.py
+++ b/libs/pulleyhitch/src/pulleyhitch/running.py
@@ -6,10 +6,10 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import option
+from waybill import failures
 
 from pulleyhitch import config as configs
 from pulleyhitch import lifetime
-from waybill import failures
 
 __all__ = ["COMMANDS"]
 
@@ -32,8 +32,13 @@
 class _Role(Command):
     options = [
         option("config", "c", "A TOML file of config", flag=False),
-        option("seed", "s", "Address of another process; give it three times",
-               flag=False, multiple=True),
+        option(
+            "seed",
+            "s",
+            "Address of another process; give it three times",
+            flag=False,
+            multiple=True,
+        ),
         option("zones", None, "All zones, with commas between", flag=False),
         option("shards", None, "How many shards there are", flag=False),
         option("depots", None, "How many depots found the log", flag=False),
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -14,30 +14,32 @@
 import hmac
 import secrets
 
+from junction import callers, serving
+from junction.router import Done
+from manifest.schema import RANK
+from waybill import failures
 from werkzeug.exceptions import HTTPException
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request
 
-from junction import callers, serving
-from junction.router import Done
-from manifest.schema import RANK
 from pulleyhitch import knocking
 from pulleyhitch.door import Door
 from pulleyhitch.handling import Front, Handler
 from pulleyhitch.operating import Answered
-from waybill import failures
 
 __all__ = ["Server"]
 
-_RULES = Map([
-    Rule("/v1/task", endpoint="task", methods=["POST"]),
-    Rule("/v1/route/<name>", endpoint="route", methods=["POST"]),
-    Rule("/v1/lookup/<service>/<path:key>", endpoint="lookup", methods=["GET"]),
-    Rule("/operator/read/<what>", endpoint="read", methods=["GET"]),
-    Rule("/operator/<any(layout,zone,engines):verb>", endpoint="change", methods=["POST"]),
-    Rule("/operator/fleet", endpoint="fleet", methods=["GET"]),
-    Rule("/operator/believes", endpoint="believes", methods=["GET"]),
-])
+_RULES = Map(
+    [
+        Rule("/v1/task", endpoint="task", methods=["POST"]),
+        Rule("/v1/route/<name>", endpoint="route", methods=["POST"]),
+        Rule("/v1/lookup/<service>/<path:key>", endpoint="lookup", methods=["GET"]),
+        Rule("/operator/read/<what>", endpoint="read", methods=["GET"]),
+        Rule("/operator/<any(layout,zone,engines):verb>", endpoint="change", methods=["POST"]),
+        Rule("/operator/fleet", endpoint="fleet", methods=["GET"]),
+        Rule("/operator/believes", endpoint="believes", methods=["GET"]),
+    ]
+)
 _READS = ("layout", "zones", "engines", "why", "holds")
 _LAYOUT_BYTES = 8 << 20
 _PLATFORM = "platform"
@@ -53,12 +55,20 @@
         self._serving = serving.Serving(process.ask, 500)
         self._classes = {}
         host, _, port = self._config.http.rpartition(":")
-        self._front = Front((host, int(port)), self._app, lambda *what: process.ring.note(
-            "http", {"what": str(what)[:2000]}, why="http"))
+        self._front = Front(
+            (host, int(port)),
+            self._app,
+            lambda *what: process.ring.note("http", {"what": str(what)[:2000]}, why="http"),
+        )
         try:
-            self._door = Door(host.strip("[]"), int(port), self._config.httpThreads,
-                              self._begin, lambda data: knocking.kind(data, self._rank_of),
-                              0.4 * self._config.bounds.serviceBackMs / 1000)
+            self._door = Door(
+                host.strip("[]"),
+                int(port),
+                self._config.httpThreads,
+                self._begin,
+                lambda data: knocking.kind(data, self._rank_of),
+                0.4 * self._config.bounds.serviceBackMs / 1000,
+            )
         except OSError as failed:
             raise OSError(self._config.http) from failed
 
@@ -88,6 +98,7 @@
 
         def left():
             self._process.tell(token, "ended", {"proof": "gone"})
+
         if future.done():
             finish(future.result())
             return None
@@ -138,8 +149,13 @@
             endpoint, values = _RULES.bind_to_environ(environ).match()
             response = getattr(self, "_" + endpoint)(request, **values)
         except HTTPException as wrong:
-            response = callers.answer({"failure": "not-found" if wrong.code == 404
-                                       else "http-wrong", "cause": wrong.name}, wrong.code)
+            response = callers.answer(
+                {
+                    "failure": "not-found" if wrong.code == 404 else "http-wrong",
+                    "cause": wrong.name,
+                },
+                wrong.code,
+            )
         return response(environ, start_response)
 
     def _ask(self, verb, body):
@@ -182,8 +198,9 @@
         actor = request.headers.get("X-Partner", "")
         wanted = self._config.tokens.get(actor)
         given = request.headers.get("Authorization", "").removeprefix("Bearer ")
-        if self._config.tokens and (wanted is None or not hmac.compare_digest(
-                wanted.encode(), given.encode())):
+        if self._config.tokens and (
+            wanted is None or not hmac.compare_digest(wanted.encode(), given.encode())
+        ):
             return callers.refusal(failures.WrongPartner(actor, "(token)"))
         if _PLATFORM in self._config.tokens and (verb == "engines") != (actor == _PLATFORM):
             return callers.refusal(failures.WrongPartner(actor, f"({verb})"))
--- a/libs/rehearsal/src/rehearsal/breaking.py
+++ b/libs/rehearsal/src/rehearsal/breaking.py
@@ -5,14 +5,27 @@
 from junction import pieces
 from logbook import follow
 
-__all__ = ["eager", "trusting", "any_run", "fearless", "lazy", "forgetful",
-           "older", "no_canvass", "own_floor", "never_lingers", "shareless", "stale"]
+__all__ = [
+    "eager",
+    "trusting",
+    "any_run",
+    "fearless",
+    "lazy",
+    "forgetful",
+    "older",
+    "no_canvass",
+    "own_floor",
+    "never_lingers",
+    "shareless",
+    "stale",
+]
 
 
 def eager(real):
     def ended(r, nowMs, floor, ageMs, crew, token, proof):
         proof = "not-run" if proof == "unknown" else proof
         return real(r, nowMs, floor, ageMs, crew, token, proof)
+
     return ended
 
 
@@ -31,13 +44,16 @@
 def fearless(real):
     def begin(r, nowMs, floor, ageMs, crew, task):
         return real(r, nowMs, floor, 0.0, crew, task)
+
     return begin
 
 
 def lazy(real):
     """A feed that sends only once in a long while."""
+
     def push_to(g, node, nowMs):
         return real(g, node, nowMs) if nowMs - node.sentMs > 6000 else []
+
     return push_to
 
 
@@ -45,6 +61,7 @@
     def on_view(f, message):
         f.place = 0
         return real(f, message)
+
     return on_view
 
 
@@ -54,8 +71,10 @@
 
 def no_canvass(real):
     """Nobody canvasses after the first leader."""
+
     def tick(g, nowMs):
         return [] if g.role != "leader" and g.term >= 1 else real(g, nowMs)
+
     return tick
 
 
@@ -68,8 +87,11 @@
 
 def never_lingers(entry):
     """Open loads count, but not in the record of an engine called gone."""
-    return (sys._getframe(1).f_code.co_name != "apply" and entry["verb"] == "load"
-            and entry["state"] in ("intended", "taken", "unknown"))
+    return (
+        sys._getframe(1).f_code.co_name != "apply"
+        and entry["verb"] == "load"
+        and entry["state"] in ("intended", "taken", "unknown")
+    )
 
 
 def shareless(real):
@@ -80,4 +102,5 @@
     def routing(c):
         found = real(c)
         return type(found)(**{**vars(found), "staleMs": 3000.0})
+
     return routing
--- a/libs/rehearsal/src/rehearsal/calling.py
+++ b/libs/rehearsal/src/rehearsal/calling.py
@@ -15,8 +15,9 @@
     host, _, port = http.rpartition(":")
     data = json.dumps(body).encode()
     with socket.create_connection((host, int(port)), timeout=timeoutS) as sock:
-        sock.sendall(b"POST /v1/task HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
-                     % (len(data), data))
+        sock.sendall(
+            b"POST /v1/task HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data)
+        )
         got = b""
         try:
             while chunk := sock.recv(65536):
@@ -47,5 +48,5 @@
         body += data[:count]
         if len(data) < count:
             return body, False
-        data = data[count + 2:]
+        data = data[count + 2 :]
     return body, False
