--- a/libs/rehearsal/src/rehearsal/hollow/show.py
+++ b/libs/simulation/src/simulation/hollow/show.py
@@ -1,9 +1,9 @@
-"""`pulleyhitch-rehearsal hollow`: runs made, kept in a file, tabled and drawn."""
+"""`pulleyhitch-simulation hollow`: runs made, kept in a file, tabled and drawn."""
 
 import json
 import pathlib
 
-from rehearsal.hollow import plan, plot, run, table
+from simulation.hollow import plan, plot, run, table
 
 __all__ = ["show", "kept"]
 
@@ -27,11 +27,11 @@
         "loads": figures.loads,
         "rssMb": round(figures.rssMb),
         "pace": round(figures.pace, 3),
-        "tookS": round(figures.tookS, 1),
+        "tookS": round(figures.took_s, 1),
     }
 
 
-def show(names, path, plotPath, say=print):
+def show(names, path, plot_path, say=print):
     """Make the runs named, add them to the file at `path`, print the tables."""
     sizes = {**plan.RUNS, **plan.CHECKS}
     file = pathlib.Path(path)
@@ -48,8 +48,8 @@
     if all(name in told for name in plan.RUNS):
         for title, found in table.marked(told).items():
             say(f"\n{title}\n" + "\n".join(found))
-        if plotPath:
-            plot.draw(told, plotPath)
+        if plot_path:
+            plot.draw(told, plot_path)
     else:
         say("not every run of the fit is there yet: no table")
     return 0
--- a/libs/rehearsal/src/rehearsal/hollow/table.py
+++ b/libs/simulation/src/simulation/hollow/table.py
@@ -1,6 +1,6 @@
 """The table that docs/CAPACITY.md holds, worked out from measured runs."""
 
-from rehearsal.hollow import fit, plan
+from simulation.hollow import fit, plan
 
 __all__ = ["ALLOWED", "TITLES", "lines", "coefficient_lines", "check_lines", "marked"]
 
--- a/libs/rehearsal/src/rehearsal/hollow/world.py
+++ b/libs/simulation/src/simulation/hollow/world.py
@@ -11,14 +11,14 @@
 import time
 from dataclasses import dataclass, field
 
-from logbook import group as groups
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
-from waybill import events as e
-from waybill import frames
-from waybill.effects import Call, Reply, Send, Wake, Write
+from replication import group as groups
+from transport import events as e
+from transport import frames
+from transport.effects import Call, Reply, Send, Wake, Write
 
-from rehearsal.hollow import meter as meters
+from simulation.hollow import meter as meters
 
 __all__ = ["World", "Host", "HANDLE", "MAKE", "after", "spin", "boot", "post", "restart_meters"]
 
@@ -39,28 +39,28 @@
 @dataclass
 class World:
     random: random.Random
-    nowMs: float = 1000.0
+    now_ms: float = 1000.0
     heap: list = field(default_factory=list)
     count: int = 0
     hosts: dict = field(default_factory=dict)
-    byAddress: dict = field(default_factory=dict)
-    lastMs: dict = field(default_factory=dict)
+    by_address: dict = field(default_factory=dict)
+    last_ms: dict = field(default_factory=dict)
     waiting: dict = field(default_factory=dict)
-    onCall: object = None
-    onStep: object = None
+    on_call: object = None
+    on_step: object = None
 
 
-def after(world, waitMs, action):
+def after(world, wait_ms, action):
     world.count += 1
-    heapq.heappush(world.heap, (world.nowMs + waitMs, world.count, action))
+    heapq.heappush(world.heap, (world.now_ms + wait_ms, world.count, action))
 
 
-def spin(world, forMs):
-    untilMs = world.nowMs + forMs
-    while world.heap and world.heap[0][0] <= untilMs:
-        world.nowMs, _, action = heapq.heappop(world.heap)
+def spin(world, for_ms):
+    until_ms = world.now_ms + for_ms
+    while world.heap and world.heap[0][0] <= until_ms:
+        world.now_ms, _, action = heapq.heappop(world.heap)
         action()
-    world.nowMs = untilMs
+    world.now_ms = until_ms
 
 
 def restart_meters(world):
@@ -73,44 +73,44 @@
         host.meter = meters.Meter()
 
 
-def boot(world, host, dialect, electMs=None):
-    """Start a core; `electMs`: when a depot first canvasses."""
+def boot(world, host, dialect, elect_ms=None):
+    """Start a core; `elect_ms`: when a depot first canvasses."""
     group = None
     if host.config.role == "depot":
-        group = groups.Group(
+        group = groups.Replica(
             host.name,
             f"{host.name}-disk",
             host.config.address,
             configs.times(host.config),
             random.Random(world.random.getrandbits(32)),
         )
-        groups.open_group(group, {}, [])
-        group.electAtMs = world.nowMs + electMs
+        groups.open_replica(group, {}, [])
+        group.elect_at_ms = world.now_ms + elect_ms
     host.node = MAKE(host.config, f"{host.name}.1", world.random.getrandbits(32), group, dialect)
-    world.hosts[host.name] = world.byAddress[host.config.address] = host
-    after(world, world.random.random() * host.node.times.pingMs, lambda: _tick(world, host))
+    world.hosts[host.name] = world.by_address[host.config.address] = host
+    after(world, world.random.random() * host.node.times.ping_ms, lambda: _tick(world, host))
 
 
 def _tick(world, host):
     post(world, host, e.Tick(), "Tick")
-    after(world, host.node.times.pingMs / 6, lambda: _tick(world, host))
+    after(world, host.node.times.ping_ms / 6, lambda: _tick(world, host))
 
 
 def post(world, host, event, kind):
     """An event for a host's core; what it costs is counted under `kind`."""
-    begunS = time.process_time()
-    effects = HANDLE(host.node, world.nowMs, event)
+    begun_s = time.process_time()
+    effects = HANDLE(host.node, world.now_ms, event)
     packed = [
         (effect, frames.pack(effect.message)) for effect in effects if isinstance(effect, Send)
     ]
-    meters.spent(host.meter, kind, time.process_time() - begunS)
+    meters.spent(host.meter, kind, time.process_time() - begun_s)
     for effect, data in packed:
         _carry(world, host, effect.to, type(effect.message).__name__, data)
     for effect in effects:
         if not isinstance(effect, Send):
             _do(world, host, effect)
-    if world.onStep is not None:
-        world.onStep(host)
+    if world.on_step is not None:
+        world.on_step(host)
 
 
 def _do(world, host, effect):
@@ -126,34 +126,36 @@
         if waiter is not None:
             waiter(effect.outcome)
     elif isinstance(effect, Call):
-        world.onCall(host, effect)
+        world.on_call(host, effect)
     elif isinstance(effect, Wake):
         after(
-            world, max(0.01, effect.atMs - world.nowMs), lambda: post(world, host, e.Tick(), "Wake")
+            world,
+            max(0.01, effect.at_ms - world.now_ms),
+            lambda: post(world, host, e.Tick(), "Wake"),
         )
 
 
 def _carry(world, host, to, kind, data):
-    target = world.byAddress.get(to)
+    target = world.by_address.get(to)
     if target is None:
         return
     if target is not host:
         meters.sent(host.meter, kind, len(data))
     low, high = _LATENCY_MS
-    atMs = max(
-        world.lastMs.get((host.name, to), 0.0),
-        world.nowMs + low + (high - low) * world.random.random(),
+    at_ms = max(
+        world.last_ms.get((host.name, to), 0.0),
+        world.now_ms + low + (high - low) * world.random.random(),
     )
-    world.lastMs[host.name, to] = atMs
-    after(world, atMs - world.nowMs, lambda: _arrive(world, host, target, kind, data))
+    world.last_ms[host.name, to] = at_ms
+    after(world, at_ms - world.now_ms, lambda: _arrive(world, host, target, kind, data))
 
 
 def _arrive(world, host, target, kind, data):
     if target is not host:
         meters.took(target.meter, kind, len(data))
-    begunS = time.process_time()
+    begun_s = time.process_time()
     found, broken = frames.feed(target.intakes.setdefault(host.name, frames.Intake()), data)
-    meters.spent(target.meter, kind, time.process_time() - begunS)
+    meters.spent(target.meter, kind, time.process_time() - begun_s)
     assert broken is None
     for message in found:
         post(world, target, e.Received(host.config.address, message), kind)
--- a/libs/rehearsal/src/rehearsal/judging.py
+++ b/libs/simulation/src/simulation/judging.py
@@ -6,7 +6,7 @@
 
 from concurrent.futures import ProcessPoolExecutor
 
-from rehearsal import deployments, mutants
+from simulation import deployments, mutants
 
 __all__ = ["judge"]
 
--- a/libs/rehearsal/src/rehearsal/measure.py
+++ b/libs/simulation/src/simulation/measure.py
@@ -12,13 +12,13 @@
 import time
 
 import pycurl
-from fellows import circle as circles
-from logbook import follow, holder
-from waybill import messages as m
-from waybill.pipes import Pipes
+from membership import peer_table
+from replication import follower, shard_log
+from transport import messages as m
+from transport.connections import Connections
 
-from rehearsal import deployments
-from rehearsal.fleet import Fleet, free_ports
+from simulation import deployments
+from simulation.fleet import Fleet, free_ports
 
 __all__ = ["batches", "spread", "leader_loss", "window", "comeback"]
 
@@ -57,48 +57,48 @@
         address = f"127.0.0.1:{free_ports(1)[0]}"
         self._card = m.Card("driver", "counter", "north", address, address, "driver.1")
         self._got = queue.SimpleQueue()
-        self._pipes = Pipes(
+        self._pipes = Connections(
             address,
-            lambda: m.Greet(self._card, False, (), circles.NO_GROUP),
+            lambda: m.Greet(self._card, False, (), peer_table.NO_GROUP),
             lambda _, message: self._got.put(message),
             lambda *_: None,
             2000,
         )
         self._leader = fleet.address[_leader(fleet)]
-        self._follow = follow.Follow()
+        self._follow = follower.Follow()
         self._held = {}
 
     def run(self, shards, seconds):
         """Append one record a shard at a time; returns records made durable."""
-        done, endS, askedMs = 0, None, -1e9
-        while endS is None or time.monotonic() < endS:
-            nowMs = time.monotonic() * 1000
-            if nowMs - askedMs > 200:
-                askedMs = nowMs
-                ask = follow.ask(self._follow, nowMs, self._card, self._leader)
+        done, end_s, asked_ms = 0, None, -1e9
+        while end_s is None or time.monotonic() < end_s:
+            now_ms = time.monotonic() * 1000
+            if now_ms - asked_ms > 200:
+                asked_ms = now_ms
+                ask = follower.ask(self._follow, now_ms, self._card, self._leader)
                 self._pipes.send(ask.to, ask.message)
             try:
                 done += self._take(self._got.get(timeout=0.05), shards)
             except queue.Empty:
                 pass
-            if endS is None and self._ready(shards, nowMs):
-                endS, done = time.monotonic() + seconds, 0
+            if end_s is None and self._ready(shards, now_ms):
+                end_s, done = time.monotonic() + seconds, 0
                 for held in list(self._held.values())[:shards]:
                     self._append(held)
         return done
 
-    def _ready(self, shards, nowMs):
-        for shard, part in self._follow.book.shards.items():
+    def _ready(self, shards, now_ms):
+        for shard, part in self._follow.state.shards.items():
             held = self._held.get(shard)
             if part.holder == "driver" and held is None:
-                held = self._held[shard] = holder.Held(shard, part.epoch)
-            if held and not held.ready and nowMs - held.askedMs > 500:
-                self._out(holder.recover(held, nowMs, self._card, self._leader))
+                held = self._held[shard] = shard_log.ShardLog(shard, part.epoch)
+            if held and not held.ready and now_ms - held.asked_ms > 500:
+                self._out(shard_log.recover(held, now_ms, self._card, self._leader))
         return sum(h.ready for h in self._held.values()) == 8
 
     def _append(self, held):
-        holder.append(held, _RECORD)
-        self._out(holder.flush(held, time.monotonic() * 1000, self._card, self._leader))
+        shard_log.append(held, _RECORD)
+        self._out(shard_log.flush(held, time.monotonic() * 1000, self._card, self._leader))
 
     def _out(self, effects):
         for effect in effects:
@@ -106,17 +106,17 @@
 
     def _take(self, message, shards):
         if isinstance(message, m.FeedItems):
-            follow.on_items(self._follow, message)
-        elif isinstance(message, m.FeedView):
-            follow.on_view(self._follow, message)
+            follower.on_items(self._follow, message)
+        elif isinstance(message, m.FeedSnapshot):
+            follower.on_view(self._follow, message)
         elif isinstance(message, m.RecoverPage):
-            holder.on_page(self._held[message.shard], message)
+            shard_log.on_page(self._held[message.shard], message)
         elif isinstance(message, m.Durable):
             moved = 0
             for place in message.places:
                 held = self._held[place.shard]
                 before = held.durable
-                holder.on_durable(held, place, 0.0)
+                shard_log.on_durable(held, place, 0.0)
                 moved += held.durable - before
                 if not held.unacked:
                     self._append(held)
@@ -124,9 +124,9 @@
         return 0
 
 
-def _drive(shards, seconds, groupWait):
+def _drive(shards, seconds, group_wait):
     folder = tempfile.mkdtemp()
-    fleet = _up(folder, groupWait=groupWait)
+    fleet = _up(folder, group_wait=group_wait)
     try:
         driver = _Driver(fleet)
         driver.run(shards, 0.5)
@@ -182,14 +182,14 @@
         )
         if code != 200:
             continue
-        startS = time.monotonic()
+        start_s = time.monotonic()
         for node in fleet.counters:
             fleet.until(
                 lambda n=node: (
                     fleet.call(n, "GET", "/operator/believes")[1].get("stamp", 0) >= told["stamp"]
                 )
             )
-        worst.append((time.monotonic() - startS) * 1000)
+        worst.append((time.monotonic() - start_s) * 1000)
     worst.sort()
     say(
         f"{len(worst)} changes to {len(fleet.counters)} counters: all seen following after "
@@ -205,7 +205,7 @@
     for _ in range(runs):
         lead = _leader(fleet)
         fleet.kill(lead)
-        startS = time.monotonic()
+        start_s = time.monotonic()
 
         def changed():
             return (
@@ -214,13 +214,13 @@
                     "POST",
                     "/operator/zone",
                     {"zone": fleet.deployment.zones[0], "evacuated": False},
-                    timeoutMs=15000,
+                    timeout_ms=15000,
                 )[0]
                 == 200
             )
 
         fleet.until(changed)
-        gaps.append((time.monotonic() - startS) * 1000)
+        gaps.append((time.monotonic() - start_s) * 1000)
         fleet.start(lead)
         fleet.until(lambda: fleet.call(lead, "GET", "/operator/read/zones")[0] == 200)
     gaps.sort()
@@ -237,13 +237,13 @@
     port = fleet.engine_port["e0"]
     took = []
     for _ in range(runs):
-        checkedS = time.monotonic()
+        checked_s = time.monotonic()
         curl = pycurl.Curl()
         curl.setopt(pycurl.URL, f"http://127.0.0.1:{port}/report")
         curl.setopt(pycurl.WRITEFUNCTION, lambda data: None)
-        beforeS = time.monotonic() - checkedS
+        before_s = time.monotonic() - checked_s
         curl.perform()
-        took.append((beforeS + curl.getinfo(pycurl.PRETRANSFER_TIME)) * 1000)
+        took.append((before_s + curl.getinfo(pycurl.PRETRANSFER_TIME)) * 1000)
         curl.close()
     took.sort()
     say(
@@ -260,7 +260,7 @@
     for number in range(runs):
         for name in nodes:
             fleet.kill(name)
-        startS = time.monotonic()
+        start_s = time.monotonic()
         for name in nodes:
             fleet.start(name)
         fleet.until(
@@ -270,7 +270,7 @@
                     "POST",
                     "/operator/zone",
                     {"zone": d.zones[0], "evacuated": number % 2 == 0},
-                    timeoutMs=3000,
+                    timeout_ms=3000,
                 )[0]
                 == 200
             )
@@ -278,10 +278,11 @@
         for node in fleet.counters:
             fleet.until(
                 lambda n=node: (
-                    fleet.call(n, "GET", f"/v1/lookup/{d.plainService}/x", timeoutMs=2000)[0] == 200
+                    fleet.call(n, "GET", f"/v1/lookup/{d.plain_service}/x", timeout_ms=2000)[0]
+                    == 200
                 )
             )
-        took.append((time.monotonic() - startS) * 1000)
+        took.append((time.monotonic() - start_s) * 1000)
     took.sort()
     say(
         f"{runs} returns of {len(nodes)} processes: service back after "
--- a/libs/rehearsal/src/rehearsal/mutants.py
+++ b/libs/simulation/src/simulation/mutants.py
@@ -9,15 +9,15 @@
 import dataclasses
 from dataclasses import dataclass, field
 
-from dispatch import ledger, line, orders, placement, settle, world
-from junction import choice, pieces, router
-from logbook import copying, election, feed, follow
-from pulleyhitch import config, keeping
-from waybill import failures
+from placement import ledger, line, orders, placement, settle, world
+from pulleyhitch import config, shard_ownership
+from replication import election, feed, follower, log_replication
+from routing import choice, pieces, router
+from transport import failures
 
-from rehearsal import breaking
-from rehearsal.sim import faults, harm, run
-from rehearsal.sim import world as worlds
+from simulation import breaking
+from simulation.sim import faults, harm, run
+from simulation.sim import world as worlds
 
 __all__ = ["Mutant", "MUTANTS", "simulate", "applied"]
 
@@ -36,14 +36,14 @@
     change: dict = field(default_factory=dict)
 
 
-def _s(atMs, fault, target="", forMs=3000.0):
-    return faults.Step(float(atMs), fault, target, float(forMs))
+def _s(at_ms, fault, target="", for_ms=3000.0):
+    return faults.Step(float(at_ms), fault, target, float(for_ms))
 
 
-def _deaf(run_, name, forMs):
+def _deaf(run_, name, for_ms):
     """A counter that still reaches all, but hears of nothing."""
     others = [n for n in run_.world.hosts if n != name]
-    harm.cut(run_, [(a, name) for a in others], forMs, [name])
+    harm.cut(run_, [(a, name) for a in others], for_ms, [name])
 
 
 faults.FAULTS["deaf"] = ("counter", _deaf)
@@ -64,7 +64,7 @@
 
 
 def _down(d):
-    return [_s(1500, "engine-restart", f"p{i}", 6000) for i in range(d.plainEngines - 1)] + [
+    return [_s(1500, "engine-restart", f"p{i}", 6000) for i in range(d.plain_engines - 1)] + [
         _s(2000 + 700 * i, "crowd") for i in range(5)
     ]
 
@@ -145,7 +145,7 @@
         "layout-followed",
         lambda d: [_s(2000, "race"), _s(9000, "race")],
         lambda: [
-            (feed, "push", lambda g, n, nowMs: []),
+            (feed, "push", lambda g, n, now_ms: []),
             (feed, "push_to", breaking.lazy(feed.push_to)),
         ],
     ),
@@ -154,8 +154,8 @@
         "never-back",
         lambda d: [_s(2000, "cut-one-way", f"c{i}", 6000) for i in (0, 1)],
         lambda: [
-            (follow, "on_view", breaking.forgetful(follow.on_view)),
-            (follow, "_catch_up", breaking.older),
+            (follower, "on_view", breaking.forgetful(follower.on_view)),
+            (follower, "_catch_up", breaking.older),
         ],
     ),
     Mutant(
@@ -166,9 +166,9 @@
         ),
         lambda: [
             (
-                copying,
+                log_replication,
                 "count",
-                lambda g: copying.advance(g, g.synced) if g.synced > g.commit else [],
+                lambda g: log_replication.advance(g, g.synced) if g.synced > g.commit else [],
             )
         ],
     ),
@@ -178,9 +178,9 @@
         lambda d: [_s(1000, "lone-leader", "", 4000), _s(1100, "wipe-yes-leader")],
         lambda: [
             (
-                copying,
+                log_replication,
                 "count",
-                lambda g: copying.advance(g, g.synced) if g.synced > g.commit else [],
+                lambda g: log_replication.advance(g, g.synced) if g.synced > g.commit else [],
             )
         ],
         seeds=(3, 4, 8, 11),
@@ -189,7 +189,7 @@
         "a grant never ends",
         "one-owner",
         _ordering,
-        lambda: [(keeping, "grant_end", lambda f, t: float("inf"))],
+        lambda: [(shard_ownership, "lease_end", lambda f, t: float("inf"))],
         more={"fencing": False},
     ),
     Mutant(
@@ -265,7 +265,7 @@
         "nobody gives up",
         "final-answers",
         _dark,
-        lambda: [(router, "tick", lambda r, nowMs: []), (router, "wake", lambda *a: [])],
+        lambda: [(router, "tick", lambda r, now_ms: []), (router, "wake", lambda *a: [])],
     ),
     Mutant(
         "held back towards the deadline",
@@ -312,5 +312,5 @@
 def simulate(mutant, deployment, seed):
     deployment = dataclasses.replace(deployment, **mutant.change)
     return run.simulate(
-        seed, deployment, steps=mutant.steps(deployment), spanMs=20000.0, **mutant.more
+        seed, deployment, steps=mutant.steps(deployment), span_ms=20000.0, **mutant.more
     )
--- a/libs/rehearsal/src/rehearsal/placing.py
+++ b/libs/simulation/src/simulation/placing.py
@@ -3,14 +3,14 @@
 
 from dataclasses import dataclass, field
 
-from dispatch import placer, state, world
-from logbook.holder import Held
-from waybill.effects import Call, Reply
-from waybill.events import Called
+from placement import placer, state, world
+from replication.shard_log import ShardLog
+from transport.effects import Call, Reply
+from transport.events import Called
 
 __all__ = ["TERMS", "PlainEngine", "Scene", "engine_facts"]
 
-TERMS = state.Terms(callMs=960.0, reportMs=450.0, darkMs=3000.0, turnMs=0.0, lagMs=300.0)
+TERMS = state.Terms(call_ms=960.0, report_ms=450.0, dark_ms=3000.0, turnMs=0.0, lagMs=300.0)
 SHARDS = 4
 _TICK_MS = 40.0
 _REPORT_LAG_MS = TERMS.lagMs - _TICK_MS
@@ -28,9 +28,9 @@
     items: set = field(default_factory=set)
     known: set = field(default_factory=set)
     order: tuple = ()
-    doneMs: float = 0.0
+    done_ms: float = 0.0
     reports: list = field(default_factory=list)
-    storeMs: list = field(default_factory=list)
+    store_ms: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     broken: list = field(default_factory=list)
 
@@ -49,22 +49,22 @@
     }
 
 
-def _advance(e, nowMs):
+def _advance(e, now_ms):
     """Finish what is due; keep what reports with lag may still say."""
-    if e.order and nowMs >= e.doneMs:
+    if e.order and now_ms >= e.done_ms:
         verb, item = e.order
         e.order = ()
         if verb == "load":
             e.items.add(item)
             e.known.add(item)
-    kept = [r for r in e.reports if r[0] <= nowMs - _REPORT_LAG_MS]
-    e.reports = [r for r in e.reports if r[0] > nowMs - 2000] or kept[-1:]
-    e.reports.append((nowMs, tuple(sorted(e.items)), bool(e.order)))
+    kept = [r for r in e.reports if r[0] <= now_ms - _REPORT_LAG_MS]
+    e.reports = [r for r in e.reports if r[0] > now_ms - 2000] or kept[-1:]
+    e.reports.append((now_ms, tuple(sorted(e.items)), bool(e.order)))
 
 
-def _told(e, nowMs):
+def _told(e, now_ms):
     """A report as things stood some while ago."""
-    old = [r for r in e.reports if r[0] <= nowMs - _REPORT_LAG_MS] or e.reports[:1]
+    old = [r for r in e.reports if r[0] <= now_ms - _REPORT_LAG_MS] or e.reports[:1]
     _, items, busy = old[-1]
     return {
         "incarnation": e.name,
@@ -75,9 +75,9 @@
     }
 
 
-def _ordered(e, nowMs, verb, item):
+def _ordered(e, now_ms, verb, item):
     """An order's answer; what it breaks is kept."""
-    e.orders.append((nowMs, verb, item))
+    e.orders.append((now_ms, verb, item))
     if (verb == "load") == (item in e.items):
         return 200
     if e.order:
@@ -91,11 +91,11 @@
     if sum(e.sizes[i][0] for i in there) > e.roomMb or (
         sum(e.sizes[i][1] for i in there) > e.places
     ):
-        e.broken.append((nowMs, item, "room"))
+        e.broken.append((now_ms, item, "room"))
     if "/" not in item and item not in e.known:
-        e.storeMs.append(nowMs)
-    tookMs = 15.0 if "/" in item else e.loadMs * (0.3 if item in e.known else 1.0)
-    e.order, e.doneMs = (verb, item), nowMs + tookMs
+        e.store_ms.append(now_ms)
+    took_ms = 15.0 if "/" in item else e.loadMs * (0.3 if item in e.known else 1.0)
+    e.order, e.done_ms = (verb, item), now_ms + took_ms
     return 202
 
 
@@ -104,32 +104,32 @@
     the engine's place, or say that it is "lost" or that the order is "unsent"."""
 
     def __init__(self, registry, service, engines, answers=None):
-        self.registry, self.service, self.nowMs = registry, service, 10000.0
+        self.registry, self.service, self.now_ms = registry, service, 10000.0
         self.shard = world.shard_of(service, SHARDS)
-        self.p = state.Placer(self.shard, 1, Held(self.shard, 1, ready=True))
-        self.p.notBeforeMs = 0.0
+        self.p = state.Placer(self.shard, 1, ShardLog(self.shard, 1, ready=True))
+        self.p.not_before_ms = 0.0
         self.engines = {e.name: e for e in engines}
         self.calls, self.told, self._answers = [], [], answers or (lambda call: None)
 
     def step(self):
-        self.nowMs += _TICK_MS
+        self.now_ms += _TICK_MS
         for engine in self.engines.values():
-            _advance(engine, self.nowMs)
+            _advance(engine, self.now_ms)
         self._do(
             placer.tick(
                 self.p,
-                self.nowMs,
+                self.now_ms,
                 self.registry,
                 SHARDS,
                 TERMS,
-                self.nowMs + 10000,
+                self.now_ms + 10000,
                 lambda name, life: False,
             )
         )
         self.durable()
 
     def command(self, verb, body):
-        self._do(placer.command(self.p, self.nowMs, "t", verb, body, self.registry, TERMS))
+        self._do(placer.command(self.p, self.now_ms, "t", verb, body, self.registry, TERMS))
         self.durable()
 
     def durable(self):
@@ -139,7 +139,7 @@
             for _, then in waiting:
                 self._do(
                     placer.on_durable(
-                        self.p, self.nowMs, then, self.registry, TERMS, self.nowMs + 10000
+                        self.p, self.now_ms, then, self.registry, TERMS, self.now_ms + 10000
                     )
                 )
         self.p.held.unacked.clear()
@@ -152,14 +152,14 @@
                 self._call(effect)
 
     def _call(self, call):
-        self.calls.append((self.nowMs, call))
+        self.calls.append((self.now_ms, call))
         engine, id_ = self.engines[call.engine], call.id.split("|", 2)[2]
         told = self._answers(call)
         if told is None and call.verb == "report":
-            told = Called(call.id, 200, _told(engine, self.nowMs))
+            told = Called(call.id, 200, _told(engine, self.now_ms))
         elif told == "unsent":
             told = Called(call.id, 0, {}, False)
         elif told in (None, "lost"):
-            code = _ordered(engine, self.nowMs, call.verb, call.body["item"])
+            code = _ordered(engine, self.now_ms, call.verb, call.body["item"])
             told = Called(call.id, code if told is None else 0)
-        placer.on_called(self.p, self.nowMs, id_, told, self.registry, SHARDS, TERMS)
+        placer.on_called(self.p, self.now_ms, id_, told, self.registry, SHARDS, TERMS)
--- a/libs/rehearsal/src/rehearsal/platform_callers.py
+++ b/libs/simulation/src/simulation/platform_callers.py
@@ -52,7 +52,7 @@
     )
 
 
-def send(address, request, timeoutS=20.0):
+def send(address, request, timeout_s=20.0):
     """One try on a connection of its own; the body has a length, or comes in chunks."""
     answer = Answer(f"{random.SystemRandom().getrandbits(64):016x}")
     head = [
@@ -65,7 +65,7 @@
     host, _, port = address.rpartition(":")
     got = b""
     try:
-        with socket.create_connection((host, int(port)), timeout=timeoutS) as sock:
+        with socket.create_connection((host, int(port)), timeout=timeout_s) as sock:
             sock.sendall("\r\n".join(head).encode() + _body(request.body))
             while part := sock.recv(65536):
                 got += part
@@ -116,10 +116,10 @@
     return body, False
 
 
-def ask(addresses, request, limitS=30.0, rng=random):
+def ask(addresses, request, limit_s=30.0, rng=random):
     """All tries of one request until one is answered: the answers, the last one last.
     What may not be repeated is tried again only after a promise."""
-    endS, tries = time.monotonic() + limitS, []
+    end_s, tries = time.monotonic() + limit_s, []
     while True:
         answer = send(rng.choice(addresses()), request)
         tries.append(answer)
@@ -131,10 +131,10 @@
         ):
             return tries
         again = answer.status in _PROMISES or request.kind in ("safe", "resumable")
-        if not again or time.monotonic() > endS:
+        if not again or time.monotonic() > end_s:
             return tries
-        waitS = float(answer.headers.get("retry-after", 0.05))
-        time.sleep(min(waitS, _PATIENCE_S))
+        wait_s = float(answer.headers.get("retry-after", 0.05))
+        time.sleep(min(wait_s, _PATIENCE_S))
 
 
 def wrong(request, answer):
--- a/libs/rehearsal/src/rehearsal/platform_engine.py
+++ b/libs/simulation/src/simulation/platform_engine.py
@@ -32,14 +32,14 @@
     roomMb: float
     places: int
     loadMs: float
-    stepMs: float
-    readPerMs: float
-    eventTokens: int
-    warmupMs: float
+    step_ms: float
+    read_per_ms: float
+    event_tokens: int
+    warmup_ms: float
     warmupPerS: float
     models: dict
     insertMb: float
-    workMs: float = 5.0
+    work_ms: float = 5.0
     lagMs: float = 200.0
 
 
@@ -47,10 +47,10 @@
 class Store:
     """Where all engines' weights come from; more than `atOnce` slow each other."""
 
-    perS: float
+    per_s: float
     atOnce: int
-    beganMs: list = field(default_factory=list)
-    endsMs: list = field(default_factory=list)
+    began_ms: list = field(default_factory=list)
+    ends_ms: list = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -69,7 +69,7 @@
     most: int
     rank: int
     after: int
-    endMs: float
+    end_ms: float
 
 
 @dataclass
@@ -83,47 +83,47 @@
     bornMs: float
     plain: bool
     state: str = "open"
-    coldMs: float = 0.0
+    cold_ms: float = 0.0
     disk: set = field(default_factory=set)
     items: dict = field(default_factory=dict)
     order: tuple = ()
-    doneMs: float = 0.0
+    done_ms: float = 0.0
     callSeq: int = 0
     fence: int = -1
     running: dict = field(default_factory=dict)
     waiting: list = field(default_factory=list)
     kept: dict = field(default_factory=dict)
-    arrivedMs: deque = field(default_factory=deque)
+    arrived_ms: deque = field(default_factory=deque)
     ran: list = field(default_factory=list)
     reports: list = field(default_factory=list)
     wrong: list = field(default_factory=list)
 
 
-def warm_left(e, nowMs):
-    return max(0.0, e.coldMs - nowMs)
+def warm_left(e, now_ms):
+    return max(0.0, e.cold_ms - now_ms)
 
 
-def _arrived(e, nowMs):
+def _arrived(e, now_ms):
     """Count what a cold engine bears."""
-    e.arrivedMs.append(nowMs)
-    while nowMs - e.arrivedMs[0] > 1000:
-        e.arrivedMs.popleft()
-    if warm_left(e, nowMs) and len(e.arrivedMs) > 1.5 * e.sizes.warmupPerS + 5:
-        e.wrong.append((nowMs, "overrun", len(e.arrivedMs)))
+    e.arrived_ms.append(now_ms)
+    while now_ms - e.arrived_ms[0] > 1000:
+        e.arrived_ms.popleft()
+    if warm_left(e, now_ms) and len(e.arrived_ms) > 1.5 * e.sizes.warmupPerS + 5:
+        e.wrong.append((now_ms, "overrun", len(e.arrived_ms)))
 
 
 def _has(e, model, adapter):
     return model in e.items and (not adapter or adapter in e.items[model])
 
 
-def admit(e, nowMs, asked):
+def admit(e, now_ms, asked):
     """0 and a place in the queue, or a status that says that it has not run."""
-    _advance(e, nowMs)
+    _advance(e, now_ms)
     if asked.engine not in ("", e.id) or e.state == "gone":
         return 421
     if not e.plain and not _has(e, asked.model, asked.adapter):
         return 503 if e.order[:2] == ("load", asked.model) else 421
-    _arrived(e, nowMs)
+    _arrived(e, now_ms)
     if not asked.id:
         return 400
     if e.order and e.order[1] == asked.model and e.order[2] in ("", asked.adapter):
@@ -137,19 +137,19 @@
 
 def may_start(e, asked):
     """Whether it is this request's turn, and there is a slot and memory."""
-    usedTokens = sum(a.tokens for a in e.running.values())
+    used_tokens = sum(a.tokens for a in e.running.values())
     return (
         e.waiting[0] is asked
         and len(e.running) < e.sizes.slots
-        and (usedTokens + asked.tokens <= e.sizes.cacheTokens)
+        and (used_tokens + asked.tokens <= e.sizes.cacheTokens)
     )
 
 
-def start(e, nowMs, asked):
+def start(e, now_ms, asked):
     """It runs from now on; how many tokens of its prompt must be read."""
     e.waiting.remove(asked)
     e.running[id(asked)] = asked
-    e.ran.append((nowMs, asked))
+    e.ran.append((now_ms, asked))
     missing, key, known = 0, (asked.model, asked.adapter), True
     for part, tokens in asked.parts:
         key += (part,)
@@ -162,8 +162,8 @@
 
 
 def _give_way(e):
-    roomTokens = e.sizes.cacheTokens - sum(a.tokens for a in e.running.values())
-    while e.kept and sum(e.kept.values()) > roomTokens:
+    room_tokens = e.sizes.cacheTokens - sum(a.tokens for a in e.running.values())
+    while e.kept and sum(e.kept.values()) > room_tokens:
         del e.kept[next(iter(e.kept))]
 
 
@@ -174,15 +174,15 @@
 
 
 def read_ms(e, missing):
-    return missing / e.sizes.readPerMs
+    return missing / e.sizes.read_per_ms
 
 
 def event_ms(e):
-    return e.sizes.eventTokens * e.sizes.stepMs * (1 + 0.03 * len(e.running))
+    return e.sizes.event_tokens * e.sizes.step_ms * (1 + 0.03 * len(e.running))
 
 
-def _advance(e, nowMs):
-    if not e.order or nowMs < e.doneMs:
+def _advance(e, now_ms):
+    if not e.order or now_ms < e.done_ms:
         return
     verb, model, adapter = e.order
     if verb == "unload" and any(
@@ -202,9 +202,9 @@
         e.kept = {k: t for k, t in e.kept.items() if k[0] != model}
 
 
-def order(e, nowMs, told, engine):
+def order(e, now_ms, told, engine):
     """An order's status."""
-    _advance(e, nowMs)
+    _advance(e, now_ms)
     verb, model, adapter = told.get("order"), told.get("parcel"), told.get("insert", "")
     if engine not in ("", e.id) or e.state == "gone":
         return 421
@@ -225,35 +225,35 @@
     if (verb == "load") == _has(e, model, adapter):
         return 200
     e.callSeq += 1
-    e.order, e.doneMs = (verb, model, adapter), nowMs + _took_ms(e, nowMs, verb, model, adapter)
+    e.order, e.done_ms = (verb, model, adapter), now_ms + _took_ms(e, now_ms, verb, model, adapter)
     return 202
 
 
-def _took_ms(e, nowMs, verb, model, adapter):
+def _took_ms(e, now_ms, verb, model, adapter):
     if verb == "unload":
         return 1.0
     usedMb = sum(e.sizes.models[m][0] + e.sizes.insertMb * len(a) for m, a in e.items.items())
-    ownMb = e.sizes.insertMb if adapter else e.sizes.models[model][0]
+    own_mb = e.sizes.insertMb if adapter else e.sizes.models[model][0]
     places = sum(len(a) for a in e.items.values()) + bool(adapter)
-    if usedMb + ownMb > e.sizes.roomMb or places > e.sizes.places:
-        e.wrong.append((nowMs, "beyond room", f"{model}/{adapter}"))
+    if usedMb + own_mb > e.sizes.roomMb or places > e.sizes.places:
+        e.wrong.append((now_ms, "beyond room", f"{model}/{adapter}"))
     if adapter:
         return 10.0
     if model in e.disk:
         return 0.4 * e.sizes.loadMs
-    return _fetch(e, nowMs)
+    return _fetch(e, now_ms)
 
 
-def _fetch(e, nowMs):
+def _fetch(e, now_ms):
     """Weights from the store, which keeps count over five seconds."""
     s = e.store
-    s.beganMs.append(nowMs)
-    if sum(1 for ms in s.beganMs if nowMs - ms <= 5000) > 5 * s.perS * 1.1 + 3:
-        e.wrong.append((nowMs, "beyond the store's rate", ""))
-    s.endsMs = [ms for ms in s.endsMs if ms > nowMs]
-    tookMs = e.sizes.loadMs * max(1.0, (len(s.endsMs) + 1) / s.atOnce)
-    s.endsMs.append(nowMs + tookMs)
-    return tookMs
+    s.began_ms.append(now_ms)
+    if sum(1 for ms in s.began_ms if now_ms - ms <= 5000) > 5 * s.per_s * 1.1 + 3:
+        e.wrong.append((now_ms, "beyond the store's rate", ""))
+    s.ends_ms = [ms for ms in s.ends_ms if ms > now_ms]
+    took_ms = e.sizes.loadMs * max(1.0, (len(s.ends_ms) + 1) / s.atOnce)
+    s.ends_ms.append(now_ms + took_ms)
+    return took_ms
 
 
 def parcels(e):
@@ -262,12 +262,12 @@
     ]
 
 
-def report(e, nowMs):
+def report(e, now_ms):
     """How things stood `lagMs` ago."""
-    _advance(e, nowMs)
+    _advance(e, now_ms)
     e.reports.append(
         (
-            nowMs,
+            now_ms,
             {
                 "leg": "both",
                 "parcels": parcels(e),
@@ -281,6 +281,6 @@
             },
         )
     )
-    old = [r for r in e.reports if r[0] <= nowMs - e.sizes.lagMs]
-    e.reports = old[-1:] + [r for r in e.reports if r[0] > nowMs - e.sizes.lagMs]
+    old = [r for r in e.reports if r[0] <= now_ms - e.sizes.lagMs]
+    e.reports = old[-1:] + [r for r in e.reports if r[0] > now_ms - e.sizes.lagMs]
     return e.reports[0][1]
--- a/libs/rehearsal/src/rehearsal/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -11,13 +11,13 @@
 import time
 from pathlib import Path
 
-from junction import legs
-from junction.engines import Ask, read_json
+from routing import legs
+from routing.engines import Ask, read_json
 
-from rehearsal import platform_engine as core
-from rehearsal.platform_made import word
-from rehearsal.platform_serving import now_ms
-from rehearsal.platform_standin import Platform
+from simulation import platform_engine as core
+from simulation.platform_made import word
+from simulation.platform_serving import now_ms
+from simulation.platform_standin import Platform
 
 __all__ = ["PlatformFleet"]
 
@@ -98,7 +98,7 @@
             store,
             now_ms(),
             plain,
-            coldMs=now_ms() + warmMs,
+            cold_ms=now_ms() + warmMs,
             disk=set(disk),
             items={m: set() for m in disk},
         )
@@ -215,14 +215,14 @@
         by = {f"{self.ip[n]}:{self.ports[3]}": n for n in self.depots if n in self.running}
         return by.get(told.pop()) if len(told) == 1 else None
 
-    def until(self, what, limitS=60.0):
+    def until(self, what, limit_s=60.0):
         """Ask again and again until `what()` is true; its value, or a failure."""
-        endS = time.monotonic() + limitS
+        end_s = time.monotonic() + limit_s
         while True:
             found = what()
             if found:
                 return found
-            if time.monotonic() > endS:
+            if time.monotonic() > end_s:
                 raise TimeoutError(getattr(what, "__name__", "condition"))
             time.sleep(0.05)
 
--- a/libs/rehearsal/src/rehearsal/platform_serving.py
+++ b/libs/simulation/src/simulation/platform_serving.py
@@ -5,7 +5,7 @@
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from rehearsal import platform_engine as core
+from simulation import platform_engine as core
 
 __all__ = ["Answering", "EngineDoor", "now_ms", "reply"]
 
@@ -120,15 +120,15 @@
         """Wait for a slot; tokens to be read, or None if the deadline passed before."""
         with self._changed:
             while not core.may_start(self.engine, asked):
-                leftMs = asked.endMs - now_ms()
-                if leftMs <= 0 or self.engine.state == "gone":
+                left_ms = asked.end_ms - now_ms()
+                if left_ms <= 0 or self.engine.state == "gone":
                     return None
-                self._changed.wait(leftMs / 1000)
+                self._changed.wait(left_ms / 1000)
             return core.start(self.engine, now_ms(), asked)
 
     def _run(self, handler, asked, body, stamp, missing):
         if self.engine.plain:
-            self._pause(self.engine.sizes.workMs)
+            self._pause(self.engine.sizes.work_ms)
             told = f"{asked.id} {handler.command} {handler.path} {body.hex()}".encode()
             return reply(handler, 200, stamp, told)
         self._pause(core.read_ms(self.engine, missing))
@@ -143,7 +143,7 @@
             ),
             length=False,
         )
-        events = -(-asked.most // self.engine.sizes.eventTokens)
+        events = -(-asked.most // self.engine.sizes.event_tokens)
         for number in range(asked.after + 1, events + 1):
             if number > asked.after + 1:
                 self._pause(core.event_ms(self.engine))
--- a/libs/rehearsal/src/rehearsal/platform_standin.py
+++ b/libs/simulation/src/simulation/platform_standin.py
@@ -5,8 +5,8 @@
 import threading
 from urllib.parse import parse_qs, urlsplit
 
-from rehearsal import platform_engine as core
-from rehearsal.platform_serving import Answering, EngineDoor, now_ms, reply
+from simulation import platform_engine as core
+from simulation.platform_serving import Answering, EngineDoor, now_ms, reply
 
 __all__ = ["Platform"]
 
@@ -16,10 +16,10 @@
 class Platform:
     """`add`, `leave` and `crash` change which engines there are; `close` ends all."""
 
-    def __init__(self, address, lagMs, perS):
-        self.lagMs, self.perS, self.turnedAway = lagMs, perS, 0
+    def __init__(self, address, lagMs, per_s):
+        self.lagMs, self.per_s, self.turned_away = lagMs, per_s, 0
         self.doors, self.past = {}, []
-        self._entries, self._history, self._callsMs = {}, [], []
+        self._entries, self._history, self._calls_ms = {}, [], []
         self._lock = threading.Lock()
         self._answering = Answering(address, self._list)
 
@@ -62,16 +62,16 @@
     def _list(self, handler, body):
         parts = urlsplit(handler.path)
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
-        nowMs = now_ms()
+        at_ms = now_ms()
         with self._lock:
-            self._callsMs = [ms for ms in self._callsMs if nowMs - ms < 1000] + [nowMs]
-            busy = len(self._callsMs) > self.perS
-            self.turnedAway += busy
-            shown = next((e for ms, e in reversed(self._history) if ms <= nowMs - self.lagMs), {})
+            self._calls_ms = [ms for ms in self._calls_ms if at_ms - ms < 1000] + [at_ms]
+            busy = len(self._calls_ms) > self.per_s
+            self.turned_away += busy
+            shown = next((e for ms, e in reversed(self._history) if ms <= at_ms - self.lagMs), {})
         if parts.path != "/engines" or busy:
             return reply(handler, 429 if busy else 404)
         found = [
-            _shown(engine, state, nowMs)
+            _shown(engine, state, at_ms)
             for _, (engine, state) in sorted(shown.items())
             if query.get("zone", engine.zone) == engine.zone
         ]
@@ -81,7 +81,7 @@
         return reply(handler, 200, ("Content-Type: application/json",), json.dumps(told).encode())
 
 
-def _shown(engine, state, nowMs):
+def _shown(engine, state, now_ms):
     return {
         "id": engine.id,
         "service": engine.service,
@@ -90,7 +90,7 @@
         "edition": "v1",
         "slots": engine.sizes.slots,
         "state": state,
-        "warmupLeftMs": int(core.warm_left(engine, nowMs)),
+        "warmupLeftMs": int(core.warm_left(engine, now_ms)),
         "leg": "both",
         "parcels": core.parcels(engine),
     }
--- a/libs/rehearsal/src/rehearsal/prefixes.py
+++ b/libs/simulation/src/simulation/prefixes.py
@@ -8,10 +8,10 @@
 import random
 from concurrent.futures import ProcessPoolExecutor
 
-from junction import choice
+from routing import choice
 
-from rehearsal import deployments
-from rehearsal.sim import faults, run
+from simulation import deployments
+from simulation.sim import faults, run
 
 __all__ = ["prefixes"]
 
@@ -22,12 +22,12 @@
     name, seed, way = job
     real, rng = choice.choose, random.Random(seed)
 
-    def other(r, nowMs, engines, crew, task, rank):
+    def other(r, now_ms, engines, crew, task, rank):
         free = [
-            e for e in engines if r.busy.get(e["name"], 0) < choice.limit(r, nowMs, e, crew, rank)
+            e for e in engines if r.busy.get(e["name"], 0) < choice.limit(r, now_ms, e, crew, rank)
         ]
         if not free or not task.model:
-            return real(r, nowMs, engines, crew, task, rank)
+            return real(r, now_ms, engines, crew, task, rank)
         return (
             rng.choice(free)
             if way == "random"
@@ -44,7 +44,7 @@
     sections = deployments.sections
     deployments.sections = lambda d, crowded=False: _many(sections(d, False))
     try:
-        found = run.simulate(seed, deployments.BY_NAME[name], steps=steps, spanMs=60000.0)
+        found = run.simulate(seed, deployments.BY_NAME[name], steps=steps, span_ms=60000.0)
         return found.facts["hits"], found.facts["misses"], found.facts["busiest"]
     finally:
         choice.choose, deployments.sections = real, sections
--- a/libs/rehearsal/src/rehearsal/records.py
+++ b/libs/simulation/src/simulation/records.py
@@ -7,8 +7,8 @@
 import json
 from types import SimpleNamespace
 
-from rehearsal.sim import engines
-from rehearsal.sim.floor import Begun
+from simulation.sim import engines
+from simulation.sim.floor import Begun
 
 __all__ = ["read", "CHECKED", "LOAD_MS"]
 
@@ -40,7 +40,7 @@
             if told["k"] == "born":
                 for load in history.loads:
                     if load.engine == name:
-                        load.endMs = min(load.endMs, told["atMs"])
+                        load.end_ms = min(load.end_ms, told["atMs"])
                 born = 0.0 if born is None else told["atMs"]
                 incarnation = told["incarnation"]
             elif told["k"] == "begun":
--- a/libs/rehearsal/src/rehearsal/show.py
+++ b/libs/simulation/src/simulation/show.py
@@ -5,19 +5,19 @@
 import threading
 import time
 
-from rehearsal.calling import read_stream
-from rehearsal.fleet import Fleet
+from simulation.calling import read_stream
+from simulation.fleet import Fleet
 
 __all__ = ["show"]
 
 
-def _caller(fleet, number, endS, counts, lock):
+def _caller(fleet, number, end_s, counts, lock):
     """One caller: mostly the first class of the deployment, now and then a lookup."""
     d, rng = fleet.deployment, random.Random(number)
     node = fleet.counters[number % len(fleet.counters)]
-    while time.monotonic() < endS:
+    while time.monotonic() < end_s:
         if rng.random() < 0.3:
-            code, _ = fleet.call(node, "GET", f"/v1/lookup/{d.plainService}/{rng.random()}")
+            code, _ = fleet.call(node, "GET", f"/v1/lookup/{d.plain_service}/{rng.random()}")
             kind, good = "lookup", code == 200
         else:
             kind, _, stream, deadlineMs = rng.choices(d.classes, [c[1] for c in d.classes])[0]
@@ -42,17 +42,17 @@
     shutil.rmtree(folder, ignore_errors=True)
     fleet = Fleet(deployment, folder)
     try:
-        startS = time.monotonic()
+        start_s = time.monotonic()
         fleet.start_all()
         fleet.until(lambda: fleet.call("c0", "GET", "/operator/fleet")[0] == 200)
-        print(f"up after {time.monotonic() - startS:.1f} s; nodes answer operators at:")
+        print(f"up after {time.monotonic() - start_s:.1f} s; nodes answer operators at:")
         for name in fleet.depots + fleet.counters:
             print(f"  {name}  {fleet.http[name]}  {fleet.zone(name)}")
         print("stamp in force:", fleet.furnish())
         counts, lock = {}, threading.Lock()
-        endS = time.monotonic() + seconds
+        end_s = time.monotonic() + seconds
         callers = [
-            threading.Thread(target=_caller, args=(fleet, n, endS, counts, lock))
+            threading.Thread(target=_caller, args=(fleet, n, end_s, counts, lock))
             for n in range(2 * deployment.counters)
         ]
         for caller in callers:
--- a/libs/rehearsal/src/rehearsal/sim/checkers.py
+++ b/libs/simulation/src/simulation/sim/checkers.py
@@ -7,10 +7,10 @@
 
 import bisect
 
-from junction.router import Done
-from waybill import failures
+from routing.router import Done
+from transport import failures
 
-from rehearsal.sim import limits
+from simulation.sim import limits
 
 __all__ = ["ALL", "check"]
 
@@ -64,11 +64,11 @@
     return found
 
 
-def _shut_since(news, key, atMs):
+def _shut_since(news, key, at_ms):
     """Since when a zone or engine is surely shut for new work at a time: told so
     at some stamp, and nobody has asked to open it that might come after."""
-    shut = [n for n in news if n["key"] == key and n["shut"] and n["atMs"] <= atMs]
-    opened = [n for n in news if n["key"] == key and not n["shut"] and n["atMs"] <= atMs]
+    shut = [n for n in news if n["key"] == key and n["shut"] and n["atMs"] <= at_ms]
+    opened = [n for n in news if n["key"] == key and not n["shut"] and n["atMs"] <= at_ms]
     sure = [
         s["atMs"]
         for s in shut
@@ -77,27 +77,27 @@
     return min(sure, default=None)
 
 
-def _late_work(run, news, of, boundMs, tag):
+def _late_work(run, news, of, bound_ms, tag):
     """Work given out later than the bound after news that forbade it."""
     found = []
     for b in run.history.begun:
-        sinceMs = _shut_since(news, b.engine if of == "engine" else b.zone, b.givenMs)
-        if sinceMs is not None and b.givenMs - sinceMs > boundMs + _SLACK_MS:
+        since_ms = _shut_since(news, b.engine if of == "engine" else b.zone, b.given_ms)
+        if since_ms is not None and b.given_ms - since_ms > bound_ms + _SLACK_MS:
             found.append(
-                (tag, {"task": b.task, "engine": b.engine, "lateMs": round(b.givenMs - sinceMs)})
+                (tag, {"task": b.task, "engine": b.engine, "lateMs": round(b.given_ms - since_ms)})
             )
     return found
 
 
 def leaving(run):
     return _late_work(
-        run, run.history.engineNews, "engine", run.bounds.leavingMs, "leaving-engine-got-work"
+        run, run.history.engine_news, "engine", run.bounds.leavingMs, "leaving-engine-got-work"
     )
 
 
 def evacuated(run):
     return _late_work(
-        run, run.history.zoneNews, "zone", run.bounds.evacuateMs, "evacuated-zone-got-work"
+        run, run.history.zone_news, "zone", run.bounds.evacuateMs, "evacuated-zone-got-work"
     )
 
 
@@ -107,14 +107,14 @@
     found = [
         ("not-followed", facts) for facts in run.history.wrong if facts["what"] == "not-followed"
     ]
-    acked = sorted((atMs, stamp) for _, stamp, atMs in run.history.acked)
+    acked = sorted((at_ms, stamp) for _, stamp, at_ms in run.history.acked)
     times, top, tops = [], 0, []
-    for atMs, stamp in acked:
+    for at_ms, stamp in acked:
         top = max(top, stamp)
-        times.append(atMs + run.bounds.layoutMs + _SLACK_MS / 4)
+        times.append(at_ms + run.bounds.layoutMs + _SLACK_MS / 4)
         tops.append(top)
     for b in run.history.begun:
-        place = bisect.bisect_left(times, b.givenMs)
+        place = bisect.bisect_left(times, b.given_ms)
         if place and b.stamp < tops[place - 1]:
             found.append(
                 (
@@ -124,7 +124,7 @@
                         "node": b.node,
                         "stamp": b.stamp,
                         "inForce": tops[place - 1],
-                        "atMs": round(b.givenMs),
+                        "atMs": round(b.given_ms),
                     },
                 )
             )
@@ -141,8 +141,8 @@
     """An acknowledged change that some node's final state does not hold."""
     found = []
     for change, stamp, _ in run.history.acked:
-        lack = [n for n, known in run.finalChanges.items() if known.get(change) != stamp]
-        if lack or not run.finalChanges:
+        lack = [n for n, known in run.final_changes.items() if known.get(change) != stamp]
+        if lack or not run.final_changes:
             found.append(("acked-lost", {"change": change, "stamp": stamp, "by": lack}))
     stamps = [s for _, s, _ in run.history.acked]
     if len(set(stamps)) != len(stamps):
@@ -153,10 +153,10 @@
 def two_owners(run):
     """An order sent after a newer epoch's, or obeyed after one."""
     newest, found = {}, []
-    for atMs, engine, incarnation, shard, epoch, _, _, code, sentMs in run.history.orders:
+    for at_ms, engine, incarnation, shard, epoch, _, _, code, sent_ms in run.history.orders:
         key = (engine, incarnation, shard)
-        top, topSentMs = newest.get(key, (0, 0.0))
-        if epoch < top and (code == 202 or sentMs > topSentMs):
+        top, top_sent_ms = newest.get(key, (0, 0.0))
+        if epoch < top and (code == 202 or sent_ms > top_sent_ms):
             found.append(
                 (
                     "old-owner",
@@ -165,20 +165,20 @@
                         "epoch": epoch,
                         "newest": top,
                         "obeyed": code == 202,
-                        "atMs": round(atMs),
+                        "atMs": round(at_ms),
                     },
                 )
             )
         if epoch > top:
-            newest[key] = (epoch, sentMs)
+            newest[key] = (epoch, sent_ms)
     return found
 
 
 def returned(run):
     return (
         []
-        if run.backMs is not None and run.backMs <= run.bounds.serviceBackMs
-        else [("not-back", {"afterMs": run.backMs, "missing": run.missing})]
+        if run.back_ms is not None and run.back_ms <= run.bounds.serviceBackMs
+        else [("not-back", {"afterMs": run.back_ms, "missing": run.missing})]
     )
 
 
--- a/libs/rehearsal/src/rehearsal/sim/disk.py
+++ b/libs/simulation/src/simulation/sim/disk.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from waybill.effects import Install, Save
+from transport.effects import Install, Save
 
 __all__ = ["SimDisk", "sync", "load", "begin_write", "end_write", "crash", "delay"]
 
--- a/libs/rehearsal/src/rehearsal/sim/engines.py
+++ b/libs/simulation/src/simulation/sim/engines.py
@@ -7,10 +7,10 @@
 
 from dataclasses import dataclass
 
-from waybill import events as e
+from transport import events as e
 
-from rehearsal import engine as engines
-from rehearsal.sim import world as worlds
+from simulation import engine as engines
+from simulation.sim import world as worlds
 
 __all__ = ["SimEngine", "Load", "add_engine", "call", "restart", "stop"]
 
@@ -30,8 +30,8 @@
 
 @dataclass
 class Load:
-    atMs: float
-    endMs: float
+    at_ms: float
+    end_ms: float
     engine: str
     item: str
 
@@ -49,12 +49,12 @@
         gullible=gullible,
         resumes=facts["name"][1:] in ("0", "2", "4", "6", "8"),
     )
-    world.engines[facts["name"]] = SimEngine(core, facts["zone"], born=world.nowMs)
+    world.engines[facts["name"]] = SimEngine(core, facts["zone"], born=world.now_ms)
 
 
 def call(world, history, host, effect, life):
     """A placer's order or report, there and back."""
-    if effect.notAfterMs < worlds.local(world, host):
+    if effect.not_after_ms < worlds.local(world, host):
         worlds.post(world, host, e.Called(effect.id, 0, {}, False))
         return
     done = []
@@ -68,11 +68,11 @@
     if engine is None or not engine.up:
         worlds.after(world, 1.0, lambda: answer(0, {}, False))
         return
-    worlds.after(world, effect.timeoutMs, lambda: answer(0, {}))
+    worlds.after(world, effect.timeout_ms, lambda: answer(0, {}))
     if not worlds.reaches(world, host.name, effect.engine):
         return
 
-    sentMs = world.nowMs
+    sent_ms = world.now_ms
 
     def arrive():
         if not engine.up:
@@ -80,20 +80,20 @@
         elif engine.frozen:
             worlds.after(world, 50.0, arrive)
         else:
-            code, body = _serve(world, history, engine, effect, sentMs)
+            code, body = _serve(world, history, engine, effect, sent_ms)
             if not engine.silent and worlds.reaches(world, effect.engine, host.name):
                 worlds.after(world, worlds.latency(world), lambda: answer(code, body))
 
     worlds.after(world, worlds.latency(world), arrive)
 
 
-def _serve(world, history, engine, effect, sentMs):
+def _serve(world, history, engine, effect, sent_ms):
     if effect.verb == "report":
-        return 200, engines.report(engine.core, world.nowMs)
-    code, body = engines.order(engine.core, world.nowMs, effect.verb, effect.body)
+        return 200, engines.report(engine.core, world.now_ms)
+    code, body = engines.order(engine.core, world.now_ms, effect.verb, effect.body)
     history.orders.append(
         (
-            world.nowMs,
+            world.now_ms,
             engine.core.name,
             engine.core.incarnation,
             effect.body["shard"],
@@ -101,13 +101,16 @@
             effect.verb,
             effect.body["item"],
             code,
-            sentMs,
+            sent_ms,
         )
     )
     if code == 202 and effect.verb == "load":
         history.loads.append(
             Load(
-                world.nowMs, world.nowMs + engine.core.loadMs, engine.core.name, effect.body["item"]
+                world.now_ms,
+                world.now_ms + engine.core.loadMs,
+                engine.core.name,
+                effect.body["item"],
             )
         )
     return code, body
@@ -115,7 +118,7 @@
 
 def restart(world, history, engine):
     """The engine is back, empty; what it was loading asks the store no more."""
-    engine.up, engine.born = True, world.nowMs
+    engine.up, engine.born = True, world.now_ms
     engines.restart(engine.core, f"{engine.core.name}.{engine.life + 1}")
 
 
@@ -123,4 +126,4 @@
     engine.up, engine.life = False, engine.life + 1
     for load in history.loads:
         if load.engine == engine.core.name:
-            load.endMs = min(load.endMs, world.nowMs)
+            load.end_ms = min(load.end_ms, world.now_ms)
--- a/libs/rehearsal/src/rehearsal/sim/faults.py
+++ b/libs/simulation/src/simulation/sim/faults.py
@@ -1,34 +1,34 @@
 """The brief's faults, as steps that a seeded script is made of.
 
-A script is a list of (atMs, fault, arguments); each fault knows how to begin
+A script is a list of (at_ms, fault, arguments); each fault knows how to begin
 and how it heals.  Scripts can also be written by hand; an impossible one is a
 typed failure before anything runs.
 """
 
 from dataclasses import dataclass
 
-from waybill import failures
+from transport import failures
 
-from rehearsal.sim import harm, unrest
-from rehearsal.sim import world as worlds
+from simulation.sim import harm, unrest
+from simulation.sim import world as worlds
 
 __all__ = ["Step", "FAULTS", "script", "checked", "begin"]
 
 
 @dataclass(frozen=True)
 class Step:
-    atMs: float
+    at_ms: float
     fault: str
     target: str
-    forMs: float
+    for_ms: float
 
 
-def _wiped(run, name, forMs):
-    harm.kill(run, name, forMs, wipe=True, move=True)
+def _wiped(run, name, for_ms):
+    harm.kill(run, name, for_ms, wipe=True, move=True)
 
 
-def _powerless(run, name, forMs):
-    harm.kill(run, name, forMs, power=True)
+def _powerless(run, name, for_ms):
+    harm.kill(run, name, for_ms, power=True)
 
 
 FAULTS = {
@@ -62,7 +62,7 @@
     "yes-evacuated-zone": (
         "zone",
         lambda r, n, ms: (
-            r.afterYes.append(lambda: harm.zone(r, n, ms)),
+            r.after_yes.append(lambda: harm.zone(r, n, ms)),
             r.evacuate(n, True),
             worlds.after(r.world, ms + 4000.0, lambda: r.evacuate(n, False)),
         ),
@@ -99,10 +99,10 @@
         name = run.leader() or "d0"
     elif kind == "holder":
         name = run.holder(int(step.target or 0)) or "c0"
-    fault(run, name, step.forMs)
+    fault(run, name, step.for_ms)
 
 
-def script(rng, deployment, count, spanMs):
+def script(rng, deployment, count, span_ms):
     """A seeded script.  Faults overlap freely, but while a depot's disk is lost
     and until it is replaced no other depot is touched: a second disk lost then
     would be a majority's."""
@@ -110,20 +110,20 @@
     for _ in range(count):
         fault = rng.choice(sorted(FAULTS))
         kind = FAULTS[fault][0]
-        atMs, forMs = rng.random() * spanMs, 500 + rng.random() * 6000
+        at_ms, for_ms = rng.random() * span_ms, 500 + rng.random() * 6000
         target = _target(rng, kind, deployment)
-        forMs = _LENGTHS.get(fault, forMs)
+        for_ms = _LENGTHS.get(fault, for_ms)
         if fault.startswith("wipe"):
-            forMs = max(500.0, _LENGTHS.get(fault, 0.0))
-            atMs = max([atMs] + [toMs + 2000 for _, toMs in wipes + depots])
-            wipes.append((atMs - 1000, atMs + forMs + 10000))
+            for_ms = max(500.0, _LENGTHS.get(fault, 0.0))
+            at_ms = max([at_ms] + [to_ms + 2000 for _, to_ms in wipes + depots])
+            wipes.append((at_ms - 1000, at_ms + for_ms + 10000))
         elif _at_depots(fault, kind, target):
-            for fromMs, toMs in wipes:
-                if atMs < toMs and atMs + forMs > fromMs:
-                    atMs = toMs
-            depots.append((atMs, atMs + forMs))
-        steps.append(Step(atMs, fault, target, forMs))
-    return checked(sorted(steps, key=lambda s: s.atMs), deployment)
+            for from_ms, to_ms in wipes:
+                if at_ms < to_ms and at_ms + for_ms > from_ms:
+                    at_ms = to_ms
+            depots.append((at_ms, at_ms + for_ms))
+        steps.append(Step(at_ms, fault, target, for_ms))
+    return checked(sorted(steps, key=lambda s: s.at_ms), deployment)
 
 
 def _at_depots(fault, kind, target):
@@ -156,7 +156,7 @@
         "counter": names,
         "any": names,
         "engine": {f"e{i}" for i in range(deployment.engines)}
-        | {f"p{i}" for i in range(deployment.plainEngines)},
+        | {f"p{i}" for i in range(deployment.plain_engines)},
     }
     for number, step in enumerate(steps):
         if step.fault not in FAULTS:
@@ -164,6 +164,6 @@
         kind = FAULTS[step.fault][0]
         if kind in known and step.target not in known[kind]:
             return failures.FieldWrong(f"script.{number}.target", f"no {kind} {step.target}")
-        if step.atMs < 0 or step.forMs < 0:
+        if step.at_ms < 0 or step.for_ms < 0:
             return failures.FieldWrong(f"script.{number}.atMs", "before the start")
     return steps
--- a/libs/rehearsal/src/rehearsal/sim/floor.py
+++ b/libs/simulation/src/simulation/sim/floor.py
@@ -7,13 +7,13 @@
 
 from dataclasses import dataclass, field
 
-from junction import pieces
-from junction.router import Done, Leg
-from waybill import events as e
-from waybill import failures
+from routing import pieces
+from routing.router import Done, Leg
+from transport import events as e
+from transport import failures
 
-from rehearsal import engine as engines
-from rehearsal.sim import world as worlds
+from simulation import engine as engines
+from simulation.sim import world as worlds
 
 __all__ = ["History", "Begun", "caller"]
 
@@ -23,17 +23,17 @@
 
 @dataclass(frozen=True)
 class Begun:
-    """A task began to run on an engine; `givenMs` and `stamp` are of the node
+    """A task began to run on an engine; `given_ms` and `stamp` are of the node
     that gave it out, when it did."""
 
-    atMs: float
+    at_ms: float
     engine: str
     zone: str
     task: str
     born: float
     repeatable: bool
     running: int
-    givenMs: float
+    given_ms: float
     node: str
     stamp: int
 
@@ -44,24 +44,24 @@
     ended: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     loads: list = field(default_factory=list)
-    engineNews: list = field(default_factory=list)
-    zoneNews: list = field(default_factory=list)
+    engine_news: list = field(default_factory=list)
+    zone_news: list = field(default_factory=list)
     acked: list = field(default_factory=list)
     asked: int = 0
-    askedMs: list = field(default_factory=list)
-    retriesMs: list = field(default_factory=list)
+    asked_ms: list = field(default_factory=list)
+    retries_ms: list = field(default_factory=list)
     resumed: int = 0
     wrong: list = field(default_factory=list)
 
 
-def caller(world, history, host, told, then=None, leavesMs=None):
+def caller(world, history, host, told, then=None, leaves_ms=None):
     """One task through a counter; its ending goes into the history.  With
-    `leavesMs` the caller hangs up after that long, wherever its task is."""
+    `leaves_ms` the caller hangs up after that long, wherever its task is."""
     history.asked += 1
-    history.askedMs.append(world.nowMs)
+    history.asked_ms.append(world.now_ms)
     task = {
         "id": told["id"],
-        "atMs": world.nowMs,
+        "atMs": world.now_ms,
         "told": told,
         "node": host.name,
         "legs": 0,
@@ -71,7 +71,7 @@
 
     def end(outcome, seen=()):
         if "outcome" not in task:
-            task.update(outcome=outcome, seen=list(seen), endMs=world.nowMs)
+            task.update(outcome=outcome, seen=list(seen), endMs=world.now_ms)
             history.ended.append(task)
             if then:
                 then(task)
@@ -86,7 +86,7 @@
     def step(outcome):
         if isinstance(outcome, Leg):
             if task["legs"]:
-                history.retriesMs.append(world.nowMs)
+                history.retries_ms.append(world.now_ms)
             task["legs"] += 1
             _run_leg(world, history, host, life, task, outcome, finish, ask)
         elif isinstance(outcome, Done) and task["left"]:
@@ -113,13 +113,13 @@
             if not task["legs"]:
                 worlds.post(world, host, e.Asked(token, "ended", {"proof": "gone"}))
 
-    if leavesMs is not None:
-        worlds.after(world, leavesMs, leave)
+    if leaves_ms is not None:
+        worlds.after(world, leaves_ms, leave)
 
     def watch():
         if "outcome" not in task and host.life != life:
             end(failures.OutcomeUnknown("node-gone"))
-        elif "outcome" not in task and world.nowMs < task["atMs"] + told["deadlineMs"] + 20000:
+        elif "outcome" not in task and world.now_ms < task["atMs"] + told["deadlineMs"] + 20000:
             worlds.after(world, 500.0, watch)
 
     watch()
@@ -138,7 +138,7 @@
         return
     run, seen, made = pieces.Run(told["id"]), [], []
     state = {"open": True, "pipe": 1}
-    givenMs, stamp = world.nowMs, host.node.floor.registry.stamp
+    given_ms, stamp = world.now_ms, host.node.floor.registry.stamp
 
     def close(proof, answer=None):
         if state["open"]:
@@ -151,7 +151,7 @@
         else:
             close("unknown")
 
-    worlds.after(world, leg.timeoutMs, cut)
+    worlds.after(world, leg.timeout_ms, cut)
 
     def broken():
         """The pipe is gone; what the engine still makes is lost, unless resumed."""
@@ -180,31 +180,31 @@
         if engine.frozen:
             return worlds.after(world, 50.0, arrive)
         item = (told["model"], told["adapter"])
-        why = engines.can_run(engine.core, world.nowMs, *item)
+        why = engines.can_run(engine.core, world.now_ms, *item)
         if why:
             return worlds.after(world, worlds.latency(world), lambda: close("not-run"))
-        name = engines.begin(engine.core, world.nowMs, told["id"], _prefix(told))
+        name = engines.begin(engine.core, world.now_ms, told["id"], _prefix(told))
         history.begun.append(
             Begun(
-                world.nowMs,
+                world.now_ms,
                 leg.engine,
                 engine.zone,
                 told["id"],
                 engine.born,
                 told["repeatable"],
                 engine.core.running,
-                givenMs,
+                given_ms,
                 host.name,
                 stamp,
             )
         )
         emit(name, 0, engine.life, engine.core.incarnation)
 
-    def emit(name, n, engineLife, incarnation):
-        if engine.life != engineLife:
+    def emit(name, n, engine_life, incarnation):
+        if engine.life != engine_life:
             return broken()
         if engine.frozen:
-            return worlds.after(world, 50.0, lambda: emit(name, n, engineLife, incarnation))
+            return worlds.after(world, 50.0, lambda: emit(name, n, engine_life, incarnation))
         last = n == _PIECES - 1
         piece = {
             "task": "someone-else" if engine.foreign else told["id"],
@@ -222,7 +222,7 @@
         if last:
             engines.finish(engine.core)
         else:
-            worlds.after(world, _PIECE_MS, lambda: emit(name, n + 1, engineLife, incarnation))
+            worlds.after(world, _PIECE_MS, lambda: emit(name, n + 1, engine_life, incarnation))
 
     def send(piece):
         pipe = state["pipe"]
--- a/libs/rehearsal/src/rehearsal/sim/harm.py
+++ b/libs/simulation/src/simulation/sim/harm.py
@@ -3,9 +3,9 @@
 
 import dataclasses
 
-from rehearsal.sim import disk as disks
-from rehearsal.sim import engines
-from rehearsal.sim import world as worlds
+from simulation.sim import disk as disks
+from simulation.sim import engines
+from simulation.sim import world as worlds
 
 __all__ = [
     "kill",
@@ -32,17 +32,17 @@
     return run.world.hosts[name]
 
 
-def kill(run, name, forMs, power=False, wipe=False, move=False):
+def kill(run, name, for_ms, power=False, wipe=False, move=False):
     host, world = _host(run, name), run.world
     if host.node is None:
         return
     worlds.kill(world, host, power)
-    run.disturbed(name, forMs)
+    run.disturbed(name, for_ms)
     if wipe:
         host.disk = disks.SimDisk(slowMs=host.disk.slowMs) if host.disk else None
     if move:
         run.move(host)
-    worlds.after(world, forMs, lambda: _back(run, host))
+    worlds.after(world, for_ms, lambda: _back(run, host))
 
 
 def _back(run, host):
@@ -51,135 +51,137 @@
         worlds.boot(run.world, host)
 
 
-def zone(run, name, forMs, wipe=False, back=True):
+def zone(run, name, for_ms, wipe=False, back=True):
     """A zone loses power: depot, counters and engines at once; with `wipe` its
     machines return empty, at new addresses."""
     for host in [h for h in run.world.hosts.values() if h.config.zone == name]:
-        kill(run, host.name, forMs if back else 1e9, power=True, wipe=wipe, move=wipe)
+        kill(run, host.name, for_ms if back else 1e9, power=True, wipe=wipe, move=wipe)
     for engine in [x for x in run.world.engines.values() if x.zone == name and x.up]:
         engines.stop(run.world, run.history, engine)
         if back:
             worlds.after(
-                run.world, forMs, lambda e=engine: engines.restart(run.world, run.history, e)
+                run.world, for_ms, lambda e=engine: engines.restart(run.world, run.history, e)
             )
 
 
 def after_yes(harmed):
     """Strikes at the very moment the next change is acknowledged."""
 
-    def fault(run, name, forMs):
-        run.afterYes.append(lambda: harmed(run, name or run.leader() or "d0", forMs))
+    def fault(run, name, for_ms):
+        run.after_yes.append(lambda: harmed(run, name or run.leader() or "d0", for_ms))
         run.change_layout(0)
 
     return fault
 
 
-def both_in_turn(run, name, forMs):
+def both_in_turn(run, name, for_ms):
     """The leader's disk is lost just after a yes, and once it is replaced, the
     disk of whoever leads then, just after the next."""
 
     def second():
-        run.afterYes.append(lambda: kill(run, run.leader() or "d0", 500.0, wipe=True, move=True))
+        run.after_yes.append(lambda: kill(run, run.leader() or "d0", 500.0, wipe=True, move=True))
         run.change_layout(0)
 
-    run.afterYes.append(lambda: kill(run, run.leader() or "d0", 500.0, wipe=True, move=True))
+    run.after_yes.append(lambda: kill(run, run.leader() or "d0", 500.0, wipe=True, move=True))
     run.change_layout(0)
     worlds.after(run.world, 12000.0, second)
 
 
-def flap(run, name, forMs):
+def flap(run, name, for_ms):
     """Whoever leads is killed, again and again; each is back soon."""
     for number in range(4):
         worlds.after(run.world, 2500.0 * number, lambda: kill(run, run.leader() or "d0", 700.0))
 
 
-def freeze(run, name, forMs):
+def freeze(run, name, for_ms):
     host = _host(run, name)
     worlds.freeze(host)
-    run.disturbed(name, forMs)
-    run.frozenSpans.append((name, run.world.nowMs, run.world.nowMs + forMs))
-    worlds.after(run.world, forMs, lambda: worlds.thaw(run.world, host))
+    run.disturbed(name, for_ms)
+    run.frozen_spans.append((name, run.world.now_ms, run.world.now_ms + for_ms))
+    worlds.after(run.world, for_ms, lambda: worlds.thaw(run.world, host))
 
 
-def cut(run, pairs, forMs, victims):
+def cut(run, pairs, for_ms, victims):
     for pair in pairs:
         worlds.cut(run.world, *pair)
     for name in victims:
-        run.disturbed(name, forMs)
-    worlds.after(run.world, forMs, lambda: [run.world.cuts.discard(p) for p in pairs])
+        run.disturbed(name, for_ms)
+    worlds.after(run.world, for_ms, lambda: [run.world.cuts.discard(p) for p in pairs])
 
 
 def _both(some, others):
     return [p for a in some for b in others for p in ((a, b), (b, a))]
 
 
-def cut_off(run, name, forMs):
+def cut_off(run, name, for_ms):
     others = [n for n in list(run.world.hosts) + list(run.world.engines) if n != name]
-    cut(run, _both([name], others), forMs, [name])
+    cut(run, _both([name], others), for_ms, [name])
 
 
-def cut_one_way(run, name, forMs):
-    cut(run, [(name, o) for o in run.world.hosts if o != name], forMs, [name])
+def cut_one_way(run, name, for_ms):
+    cut(run, [(name, o) for o in run.world.hosts if o != name], for_ms, [name])
 
 
-def cut_leader_holder(run, name, forMs):
+def cut_leader_holder(run, name, for_ms):
     """The log node's words no longer reach one holder, while the holder's do."""
-    cut(run, [(run.leader() or "d0", name)], forMs, [name])
+    cut(run, [(run.leader() or "d0", name)], for_ms, [name])
 
 
-def lone_leader(run, name, forMs):
+def lone_leader(run, name, for_ms):
     """The leader loses the other depots, while counters still reach it."""
     depots = [n for n in run.world.hosts if n[0] == "d" and n != name]
-    cut(run, _both([name], depots), forMs, [name])
+    cut(run, _both([name], depots), for_ms, [name])
 
 
-def freeze_ordering(run, name, forMs):
+def freeze_ordering(run, name, for_ms):
     """The holder of a shard freezes between logging an order and sending it."""
-    run.ordering[int(name)] = lambda holder: freeze(run, holder, forMs)
+    run.ordering[int(name)] = lambda holder: freeze(run, holder, for_ms)
 
 
-def split(run, name, forMs):
+def split(run, name, for_ms):
     """The core in two: one depot, and half of the counters, from the rest."""
     names = sorted(run.world.hosts)
     part = {name} | {n for i, n in enumerate(names) if n.startswith("c") and i % 2}
-    cut(run, _both(sorted(part), [n for n in names if n not in part]), forMs, sorted(part))
-    run.smallPart = part
+    cut(run, _both(sorted(part), [n for n in names if n not in part]), for_ms, sorted(part))
+    run.small_part = part
 
 
-def disk(run, name, forMs, **how):
+def disk(run, name, for_ms, **how):
     disk = _host(run, name).disk
     for key, value in how.items():
         setattr(disk, key, value)
-    run.disturbed(name, forMs)
+    run.disturbed(name, for_ms)
 
     def mend():
         disk.slowMs, disk.stalled = 1.0, False
 
-    worlds.after(run.world, forMs, mend)
+    worlds.after(run.world, for_ms, mend)
 
 
-def fading_disk(run, name, forMs):
+def fading_disk(run, name, for_ms):
     """A disk that gets slower and slower, then is itself again."""
     host = _host(run, name)
-    run.disturbed(name, forMs)
+    run.disturbed(name, for_ms)
     for number in range(8):
         worlds.after(
-            run.world, forMs * number / 8, lambda n=number: setattr(host.disk, "slowMs", 3.0 * 2**n)
+            run.world,
+            for_ms * number / 8,
+            lambda n=number: setattr(host.disk, "slowMs", 3.0 * 2**n),
         )
-    worlds.after(run.world, forMs, lambda: setattr(host.disk, "slowMs", 1.0))
+    worlds.after(run.world, for_ms, lambda: setattr(host.disk, "slowMs", 1.0))
 
 
-def clock(run, name, forMs):
+def clock(run, name, for_ms):
     """The wall clock of a machine jumps an hour on, and later two back."""
     host = _host(run, name)
     host.wallMs += 3.6e6
-    worlds.after(run.world, forMs, lambda: setattr(host, "wallMs", host.wallMs - 7.2e6))
+    worlds.after(run.world, for_ms, lambda: setattr(host, "wallMs", host.wallMs - 7.2e6))
 
 
-def swap_seeds(run, name, forMs):
+def swap_seeds(run, name, for_ms):
     """Other machines are the seeds now, and a node starts knowing only those."""
     hosts = [h for n, h in sorted(run.world.hosts.items()) if n != name and h.node]
     seeds = tuple(h.config.address for h in run.world.random.sample(hosts, min(3, len(hosts))))
     host = _host(run, name)
     host.config = dataclasses.replace(host.config, seeds=seeds or host.config.seeds)
-    kill(run, name, forMs)
+    kill(run, name, for_ms)
--- a/libs/rehearsal/src/rehearsal/sim/limits.py
+++ b/libs/simulation/src/simulation/sim/limits.py
@@ -6,10 +6,10 @@
 so that they mean something at the deployments' real sizes.
 """
 
-from dispatch import ledger as ledgers
-from dispatch import placement, world
-from manifest import registry as registries
-from waybill import failures
+from configuration import registry as registries
+from placement import ledger as ledgers
+from placement import placement, world
+from transport import failures
 
 __all__ = ["over_room", "flooded", "retries", "finals", "partners"]
 
@@ -28,14 +28,14 @@
         if e.core.overRoom
     ]
     atOnce, perMinute = run.deployment.loads
-    times = sorted(x.atMs for x in run.history.loads)
+    times = sorted(x.at_ms for x in run.history.loads)
     for i, first in enumerate(times):
         inside = sum(1 for t in times[i:] if t < first + 60000)
         if inside > perMinute:
             found.append(("store-rate", {"loads": inside, "fromMs": round(first)}))
             break
     marks = sorted(
-        [(x.atMs, 1) for x in run.history.loads] + [(x.endMs, -1) for x in run.history.loads]
+        [(x.at_ms, 1) for x in run.history.loads] + [(x.end_ms, -1) for x in run.history.loads]
     )
     now, most = 0, 0
     for _, step in marks:
@@ -50,7 +50,7 @@
     """When an engine that started at `born` could first be given work."""
     if run.world.engines[engine].core.plain:
         return born
-    done = [x.endMs for x in run.history.loads if x.engine == engine and x.atMs >= born]
+    done = [x.end_ms for x in run.history.loads if x.engine == engine and x.at_ms >= born]
     return min(done, default=None)
 
 
@@ -63,7 +63,7 @@
         key = (b.engine, b.born)
         if key not in since:
             since[key] = _servable(run, *key)
-        if since[key] is not None and b.atMs - since[key] < _FRESH_MS:
+        if since[key] is not None and b.at_ms - since[key] < _FRESH_MS:
             most[key] = max(most.get(key, 0), b.running)
     for (engine, born), running in most.items():
         slots = run.world.engines[engine].core.slots
@@ -81,12 +81,12 @@
     """Legs after the first, against the tasks of the same moment: at any time, over
     ten seconds, a tenth of the tasks asked then and shortly before, and one or
     two for each counter."""
-    asked, again = run.history.askedMs, run.history.retriesMs
-    for endMs in again:
-        count = sum(1 for t in again if endMs - _WINDOW_MS < t <= endMs)
-        tasks = sum(1 for t in asked if endMs - 2 * _WINDOW_MS < t <= endMs)
+    asked, again = run.history.asked_ms, run.history.retries_ms
+    for end_ms in again:
+        count = sum(1 for t in again if end_ms - _WINDOW_MS < t <= end_ms)
+        tasks = sum(1 for t in asked if end_ms - 2 * _WINDOW_MS < t <= end_ms)
         if count > 0.1 * tasks + 2 * run.deployment.counters:
-            return [("retries", {"retries": count, "asked": tasks, "atMs": round(endMs)})]
+            return [("retries", {"retries": count, "asked": tasks, "atMs": round(end_ms)})]
     return []
 
 
@@ -99,25 +99,25 @@
         else []
     )
     for task in run.history.ended:
-        tookMs = task["endMs"] - task["atMs"]
+        took_ms = task["endMs"] - task["atMs"]
         if any(
-            name == task["node"] and fromMs < task["endMs"] and toMs > task["atMs"]
-            for name, fromMs, toMs in run.frozenSpans
+            name == task["node"] and from_ms < task["endMs"] and to_ms > task["atMs"]
+            for name, from_ms, to_ms in run.frozen_spans
         ):
             continue
-        if tookMs - task["told"]["deadlineMs"] > 1000 and not task["seen"]:
-            found.append(("late-answer", {"task": task["id"], "tookMs": round(tookMs)}))
+        if took_ms - task["told"]["deadlineMs"] > 1000 and not task["seen"]:
+            found.append(("late-answer", {"task": task["id"], "tookMs": round(took_ms)}))
         refused = isinstance(task["outcome"], _REFUSED) and not task["legs"]
         if refused and not getattr(task["outcome"], "retryMs", 0) > 0:
             found.append(("no-retry-after", {"task": task["id"]}))
-        lastMs = task["told"]["deadlineMs"] - _LAST_MS
-        if refused and tookMs > lastMs and not _hoped(run, task):
+        last_ms = task["told"]["deadlineMs"] - _LAST_MS
+        if refused and took_ms > last_ms and not _hoped(run, task):
             found.append(
                 (
                     "held-back",
                     {
                         "task": task["id"],
-                        "tookMs": round(tookMs),
+                        "tookMs": round(took_ms),
                         "outcome": type(task["outcome"]).__name__,
                     },
                 )
@@ -128,21 +128,21 @@
 def _hoped(run, task):
     """Whether any engine was loading what a task waited for in the second half of
     its wait, or a node that must say so was out of reach then."""
-    midMs = (task["atMs"] + task["endMs"]) / 2
+    mid_ms = (task["atMs"] + task["endMs"]) / 2
     told = task["told"]
     items = {told["model"], placement.item_name(told["model"], told["adapter"])}
     return any(
-        x.item in items and x.atMs < task["endMs"] and x.endMs > midMs for x in run.history.loads
-    ) or any(f < task["endMs"] and t > midMs for _, f, t in run.disturbances)
+        x.item in items and x.at_ms < task["endMs"] and x.end_ms > mid_ms for x in run.history.loads
+    ) or any(f < task["endMs"] and t > mid_ms for _, f, t in run.disturbances)
 
 
 def partners(run):
     """Once all is settled: a partner lacks a copy within its own share only if
     `why` says so, and never while another's borrowed copy stands where that
     copy could be."""
-    d, reg = run.deployment, run.finalRegistry
+    d, reg = run.deployment, run.final_registry
     service = registries.services(reg).get(d.service) if reg else None
-    if service is None or run.backMs is None:
+    if service is None or run.back_ms is None:
         return []
     engines = {
         n: e
@@ -162,7 +162,7 @@
     for wish in world.wishes_of(reg, d.service, ledgers.Ledger()):
         item = placement.item_name(wish.model, wish.adapter)
         has = sum(item in items for items in here.values())
-        told = run.finalUnmet.get(wish.id)
+        told = run.final_unmet.get(wish.id)
         if has >= wish.copies or wish.yields >= placement.LAST:
             continue
         if told is None and run.settled:
--- a/libs/rehearsal/src/rehearsal/sim/network.py
+++ b/libs/simulation/src/simulation/sim/network.py
@@ -7,16 +7,16 @@
 
 @dataclass
 class NetworkTerms:
-    lowMs: float = 0.2
-    highMs: float = 3.0
+    low_ms: float = 0.2
+    high_ms: float = 3.0
     loss: float = 0.0
 
 
 def latency(world):
     net = world.network
-    spreadMs = net.highMs - net.lowMs
+    spread_ms = net.high_ms - net.low_ms
     slow = 20 if world.random.random() < 0.01 else 1
-    return slow * (net.lowMs + spreadMs * world.random.random() ** 2)
+    return slow * (net.low_ms + spread_ms * world.random.random() ** 2)
 
 
 def reaches(world, sender, to):
--- a/libs/rehearsal/src/rehearsal/sim/operators.py
+++ b/libs/simulation/src/simulation/sim/operators.py
@@ -1,13 +1,13 @@
 """Operators and the platform of a simulated run, and its samples."""
 
-from dispatch import floor as floors
-from logbook import follow
-from waybill import events as e
-from waybill import failures
+from placement import floor as floors
+from replication import follower
+from transport import events as e
+from transport import failures
 
-from rehearsal import deployments
-from rehearsal.sim import floor
-from rehearsal.sim import world as worlds
+from simulation import deployments
+from simulation.sim import floor
+from simulation.sim import world as worlds
 
 __all__ = ["Operators"]
 
@@ -57,9 +57,11 @@
 
         def done(outcome):
             if outcome.status == 200 and not outcome.body.get("same"):
-                self.history.acked.append((body["change"], outcome.body["stamp"], self.world.nowMs))
+                self.history.acked.append(
+                    (body["change"], outcome.body["stamp"], self.world.now_ms)
+                )
                 self._watch(outcome.body["stamp"])
-                struck, self.afterYes = self.afterYes, []
+                struck, self.after_yes = self.after_yes, []
                 for strike in struck:
                     strike()
             if then and outcome.status == 200:
@@ -68,19 +70,19 @@
         self._ask(verb, body, done)
 
     def _watch(self, stamp):
-        atMs = self.world.nowMs
+        at_ms = self.world.now_ms
         for name in self.world.hosts:
             worlds.after(
-                self.world, self.bounds.layoutMs, lambda n=name: self._look(n, stamp, atMs)
+                self.world, self.bounds.layoutMs, lambda n=name: self._look(n, stamp, at_ms)
             )
 
-    def _look(self, name, stamp, atMs):
+    def _look(self, name, stamp, at_ms):
         """Has a node got there?  Only its own disturbance, or that of a majority
         of depots, gives it more time, and only as much as its return takes."""
-        host, dueMs = self.world.hosts[name], self._due(name, atMs)
-        if dueMs > self.world.nowMs + 1.0:
+        host, due_ms = self.world.hosts[name], self._due(name, at_ms)
+        if due_ms > self.world.now_ms + 1.0:
             worlds.after(
-                self.world, dueMs - self.world.nowMs, lambda: self._look(name, stamp, atMs)
+                self.world, due_ms - self.world.now_ms, lambda: self._look(name, stamp, at_ms)
             )
         elif host.node is not None and not host.frozen and (host.node.floor.registry.stamp < stamp):
             self.history.wrong.append(
@@ -89,12 +91,12 @@
                     "node": name,
                     "stamp": stamp,
                     "has": host.node.floor.registry.stamp,
-                    "ackedMs": round(atMs),
-                    "dueMs": round(dueMs),
+                    "ackedMs": round(at_ms),
+                    "dueMs": round(due_ms),
                 }
             )
 
-    def _due(self, name, atMs):
+    def _due(self, name, at_ms):
         """When a node must follow a change acknowledged at a time: in the layout's
         bound and half of it from its own return, which may fall into an election;
         with no majority of depots, when service must
@@ -107,27 +109,27 @@
             for g, u in depots[:i]
             if max(f, g) < min(t, u)
         ]
-        dueMs = atMs + self.bounds.layoutMs
-        for backMs, told in (
+        due_ms = at_ms + self.bounds.layoutMs
+        for back_ms, told in (
             (1.5 * self.bounds.layoutMs, spans),
             (self.bounds.serviceBackMs, lost),
         ):
-            for fromMs, toMs in sorted(told):
-                if fromMs < dueMs and toMs > atMs:
-                    dueMs = max(dueMs, toMs + backMs)
-        return dueMs
+            for from_ms, to_ms in sorted(told):
+                if from_ms < due_ms and to_ms > at_ms:
+                    due_ms = max(due_ms, to_ms + back_ms)
+        return due_ms
 
     def furnish(self):
-        facts = list(self.engineFacts.values())
+        facts = list(self.engine_facts.values())
         worlds.after(self.world, 4000, lambda: self.change("engines", {"engines": facts}))
         self._set_sections(deployments.sections(self.deployment, self.crowded), 4500)
 
-    def _set_sections(self, sections, waitMs):
+    def _set_sections(self, sections, wait_ms):
         """One section after another: each needs the one before it."""
         partner, section = sections[0]
         worlds.after(
             self.world,
-            waitMs,
+            wait_ms,
             lambda: self.change(
                 "layout",
                 {"partner": partner, "actor": partner, "section": section},
@@ -153,39 +155,39 @@
         )
 
     def engine_state(self, name, state):
-        facts = {**self.engineFacts[name], "state": state}
+        facts = {**self.engine_facts[name], "state": state}
         self._shut_or_open(
-            self.history.engineNews, name, state != "join", "engines", {"engines": [facts]}
+            self.history.engine_news, name, state != "join", "engines", {"engines": [facts]}
         )
 
     def evacuate(self, zone, evacuated):
         self._shut_or_open(
-            self.history.zoneNews, zone, evacuated, "zone", {"zone": zone, "evacuated": evacuated}
+            self.history.zone_news, zone, evacuated, "zone", {"zone": zone, "evacuated": evacuated}
         )
 
     def _shut_or_open(self, news, key, shut, verb, body):
         """Shutting counts from its answer; opening, possibly, from the asking."""
-        told = {"atMs": self.world.nowMs, "key": key, "shut": shut, "stamp": None}
+        told = {"atMs": self.world.now_ms, "key": key, "shut": shut, "stamp": None}
         if not shut:
             news.append(told)
 
         def answered(answer):
             told["stamp"] = answer["stamp"]
             if shut:
-                news.append({**told, "atMs": self.world.nowMs})
+                news.append({**told, "atMs": self.world.now_ms})
 
         self.change(verb, body, answered)
 
     def probe(self, gone=()):
         """After healing: a change acknowledged, and a task through every counter
         that can be expected to serve."""
-        startMs, waiting, self.avoided = self.world.nowMs, {"change"}, set(gone)
+        start_ms, waiting, self.avoided = self.world.now_ms, {"change"}, set(gone)
 
         def done(what):
             waiting.discard(what)
             self.missing = sorted(waiting)
-            if not waiting and self.backMs is None:
-                self.backMs = self.world.nowMs - startMs
+            if not waiting and self.back_ms is None:
+                self.back_ms = self.world.now_ms - start_ms
 
         for name, host in self.world.hosts.items():
             if host.config.role == "counter" and name not in gone:
@@ -220,8 +222,8 @@
         node = host.node
         if node is None:
             return
-        for shard in [s for s in self.ordering if s in node.keepers.keepers]:
-            held = node.keepers.keepers[shard].held
+        for shard in [s for s in self.ordering if s in node.owners.owners]:
+            held = node.owners.owners[shard].held
             if any(then[0] == "order" for _, then in held.waiting):
                 self.ordering.pop(shard)(host.name)
                 return
@@ -234,21 +236,21 @@
         self.stamps[key] = now
 
     def finish(self):
-        self.finalChanges = {
+        self.final_changes = {
             n: dict(h.node.floor.registry.changes) for n, h in self.world.hosts.items() if h.node
         }
-        self.finalChanges["(log)"] = self._in_log()
+        self.final_changes["(log)"] = self._in_log()
         known = [h.node.floor for h in self.world.hosts.values() if h.node]
-        self.finalRegistry = known[0].registry if known else None
-        self.finalUnmet = {
+        self.final_registry = known[0].registry if known else None
+        self.final_unmet = {
             w: why
             for f in known[:1]
             for ledger in f.ledgers.values()
             for unmet in ledger.unmet.values()
             for w, why in unmet.items()
         }
-        lastMs = max([x.endMs for x in self.history.loads], default=0.0)
-        self.settled = self.world.nowMs - lastMs > 8000
+        last_ms = max([x.end_ms for x in self.history.loads], default=0.0)
+        self.settled = self.world.now_ms - last_ms > 8000
 
     def _in_log(self):
         """The changes that the log node itself would hand to a new holder."""
@@ -257,6 +259,8 @@
             return {}
         floor_ = floors.Floor(8)
         floors.on_news(
-            floor_, self.world.hosts[leader].node.depot.group.book, follow.News(rebuilt=True)
+            floor_,
+            self.world.hosts[leader].node.depot.group.state,
+            follower.News(rebuilt=True),
         )
         return floor_.registry.changes
--- a/libs/rehearsal/src/rehearsal/sim/run.py
+++ b/libs/simulation/src/simulation/sim/run.py
@@ -4,14 +4,14 @@
 from dataclasses import dataclass, field
 
 from pulleyhitch import config as configs
-from waybill import failures
+from transport import failures
 
-from rehearsal import deployments
-from rehearsal.sim import checkers, engines, faults, floor, harm, unrest, warm
-from rehearsal.sim import disk as disks
-from rehearsal.sim import world as worlds
-from rehearsal.sim.operators import Operators
-from rehearsal.sim.traffic import Traffic
+from simulation import deployments
+from simulation.sim import checkers, engines, faults, floor, harm, unrest, warm
+from simulation.sim import disk as disks
+from simulation.sim import world as worlds
+from simulation.sim.operators import Operators
+from simulation.sim.traffic import Traffic
 
 __all__ = ["Run", "simulate", "Verdict", "CLOSINGS"]
 
@@ -23,7 +23,7 @@
 class Verdict:
     seed: int
     violations: dict
-    backMs: object
+    back_ms: object
     facts: dict
 
 
@@ -35,38 +35,38 @@
     history: floor.History
     bounds: configs.Bounds = configs.Bounds()
     disturbances: list = field(default_factory=list)
-    afterYes: list = field(default_factory=list)
+    after_yes: list = field(default_factory=list)
     avoided: set = field(default_factory=set)
-    smallPart: set = field(default_factory=set)
-    backMs: object = None
+    small_part: set = field(default_factory=set)
+    back_ms: object = None
     missing: list = field(default_factory=list)
-    finalChanges: dict = field(default_factory=dict)
-    finalRegistry: object = None
-    finalUnmet: dict = field(default_factory=dict)
+    final_changes: dict = field(default_factory=dict)
+    final_registry: object = None
+    final_unmet: dict = field(default_factory=dict)
     settled: bool = False
-    frozenSpans: list = field(default_factory=list)
+    frozen_spans: list = field(default_factory=list)
     ordering: dict = field(default_factory=dict)
     stamps: dict = field(default_factory=dict)
     changes: int = 0
     moved: int = 0
     quiet: bool = False
     crowded: bool = False
-    engineFacts: dict = field(default_factory=dict)
+    engine_facts: dict = field(default_factory=dict)
 
-    def disturbed(self, name, forMs=0.0):
+    def disturbed(self, name, for_ms=0.0):
         """A node is down, frozen, cut off or slow from now on for so long."""
-        self.disturbances.append((name, self.world.nowMs, self.world.nowMs + forMs))
+        self.disturbances.append((name, self.world.now_ms, self.world.now_ms + for_ms))
 
     def leader(self):
         for name, host in sorted(self.world.hosts.items()):
-            if host.node and host.node.depot and host.node.depot.desk.serving:
+            if host.node and host.node.depot and host.node.depot.writer.serving:
                 return name
         return None
 
     def holder(self, shard):
         for host in self.world.hosts.values():
             if host.node and not host.frozen:
-                part = host.node.follow.book.shards.get(shard)
+                part = host.node.follow.state.shards.get(shard)
                 if part and part.holder:
                     return part.holder
         return None
@@ -106,14 +106,14 @@
             {},
         )
         host = worlds.Host(
-            name, config, disks.SimDisk() if name[0] == "d" else None, clockMs=rng.random() * 1e6
+            name, config, disks.SimDisk() if name[0] == "d" else None, clock_ms=rng.random() * 1e6
         )
         world.hosts[name] = host
         worlds.after(world, rng.random() * 1500, lambda h=host: worlds.boot(world, h))
     run.crowded = seed % 4 == 2
     for facts in deployments.engine_list(deployment, lambda n: f"http://{n}"):
         engines.add_engine(world, facts, fencing, deployment.loadMs, seed % 3 == 1)
-        run.engineFacts[facts["name"]] = facts
+        run.engine_facts[facts["name"]] = facts
     if seed % 2 == 0:
         warm.up(run)
     world.on_call = lambda host, effect, life: engines.call(world, run.history, host, effect, life)
@@ -121,13 +121,13 @@
     return run
 
 
-def simulate(seed, deployment, count=8, spanMs=40000.0, steps=None, fencing=None, closing=""):
+def simulate(seed, deployment, count=8, span_ms=40000.0, steps=None, fencing=None, closing=""):
     """Run it all; `steps` replaces the seeded script, `closing` names the fault
     that the run ends with."""
     rng = random.Random(seed * 7919 + 1)
     fencing = rng.random() < 0.5 if fencing is None else fencing
     steps = (
-        faults.script(rng, deployment, count, spanMs)
+        faults.script(rng, deployment, count, span_ms)
         if steps is None
         else (faults.checked(steps, deployment))
     )
@@ -141,25 +141,25 @@
     run.traffic()
     worlds.spin(run.world, _SETTLE_MS)
     for step in steps:
-        worlds.after(run.world, step.atMs, lambda s=step: faults.begin(run, s))
-    endMs = _SETTLE_MS + max([spanMs] + [s.atMs + s.forMs for s in steps])
-    worlds.spin(run.world, endMs)
+        worlds.after(run.world, step.at_ms, lambda s=step: faults.begin(run, s))
+    end_ms = _SETTLE_MS + max([span_ms] + [s.at_ms + s.for_ms for s in steps])
+    worlds.spin(run.world, end_ms)
     if closing == "power":
         _all_down(run)
     _heal(run)
     gone = _close(run, closing)
     run.probe(gone)
-    worlds.spin(run.world, run.world.nowMs + run.bounds.serviceBackMs + 8000)
+    worlds.spin(run.world, run.world.now_ms + run.bounds.serviceBackMs + 8000)
     firstAckMs = min([a[2] for a in run.history.acked if a[2] > _SETTLE_MS], default=1e9)
     run.quiet = True
     if gone:
         _heal(run)
-    worlds.spin(run.world, run.world.nowMs + 32000)
+    worlds.spin(run.world, run.world.now_ms + 32000)
     run.finish()
     return Verdict(
         seed,
         checkers.check(run),
-        run.backMs,
+        run.back_ms,
         {
             "fencing": fencing,
             "asked": run.history.asked,
@@ -172,9 +172,9 @@
             "acked": len(run.history.acked),
             "orders": len(run.history.orders),
             "fenced": sum(x.core.fenced for x in run.world.engines.values()),
-            "virtualMs": round(run.world.nowMs),
+            "virtualMs": round(run.world.now_ms),
             "steps": run.world.steps,
-            "script": [(round(s.atMs), s.fault, s.target, round(s.forMs)) for s in steps],
+            "script": [(round(s.at_ms), s.fault, s.target, round(s.for_ms)) for s in steps],
         },
     )
 
@@ -201,14 +201,14 @@
     serve.  Those of the other zones, or of the larger part, must.  A disk lost
     before has been replaced by then, or this would be a second one."""
     if closing in ("zone", "split"):
-        worlds.spin(run.world, run.world.nowMs + 8000)
+        worlds.spin(run.world, run.world.now_ms + 8000)
     if closing == "zone":
         lost = run.deployment.zones[run.seed % 3]
         harm.zone(run, lost, 1e9, wipe=run.seed % 2 == 0, back=False)
         return {n for n, h in run.world.hosts.items() if h.config.zone == lost}
     if closing == "split":
         harm.split(run, f"d{run.seed % run.deployment.depots}", 1e9)
-        return set(run.smallPart)
+        return set(run.small_part)
     if closing == "engines":
         unrest.all_engines(run, "", 1000.0)
     return set()
@@ -220,7 +220,7 @@
         if host.node is not None:
             worlds.kill(run.world, host, power=True)
             run.disturbed(host.name, 3000.0)
-    worlds.spin(run.world, run.world.nowMs + 3000)
+    worlds.spin(run.world, run.world.now_ms + 3000)
 
 
 def _heal(run):
@@ -238,4 +238,4 @@
         engine.frozen = engine.silent = engine.foreign = engine.snapping = False
         if not engine.up:
             engines.restart(run.world, run.history, engine)
-    run.disturbances = [(n, f, min(t, run.world.nowMs)) for n, f, t in run.disturbances]
+    run.disturbances = [(n, f, min(t, run.world.now_ms)) for n, f, t in run.disturbances]
--- a/libs/rehearsal/src/rehearsal/sim/traffic.py
+++ b/libs/simulation/src/simulation/sim/traffic.py
@@ -5,8 +5,8 @@
 their answer is there.
 """
 
-from rehearsal.sim import floor
-from rehearsal.sim import world as worlds
+from simulation.sim import floor
+from simulation.sim import world as worlds
 
 __all__ = ["Traffic"]
 
@@ -49,7 +49,7 @@
         return {
             **self.told("", "lookup", False),
             "repeatable": True,
-            "service": self.deployment.plainService,
+            "service": self.deployment.plain_service,
         }
 
     def _counter(self):
@@ -61,8 +61,8 @@
     def _call_in(self, told):
         host, rng = self._counter(), self.world.random
         if host is not None:
-            leavesMs = 3000 * rng.random() if rng.random() < _LEAVES else None
-            floor.caller(self.world, self.history, host, told, leavesMs=leavesMs)
+            leaves_ms = 3000 * rng.random() if rng.random() < _LEAVES else None
+            floor.caller(self.world, self.history, host, told, leaves_ms=leaves_ms)
 
     def ask_common(self):
         rng, d = self.world.random, self.deployment
--- a/libs/rehearsal/src/rehearsal/sim/warm.py
+++ b/libs/simulation/src/simulation/sim/warm.py
@@ -1,11 +1,11 @@
 """A floor that is warm already: engines hold what the layout wishes for, as
 they do when only our own processes are new."""
 
-from dispatch import ledger as ledgers
-from dispatch import placement, world
-from manifest import registry as registries
+from configuration import registry as registries
+from placement import ledger as ledgers
+from placement import placement, world
 
-from rehearsal import deployments
+from simulation import deployments
 
 __all__ = ["up", "registry_of"]
 
@@ -25,7 +25,7 @@
     registry, name = registry_of(run), run.deployment.service
     held = [
         placement.Engine(f["name"], f["zone"], f["roomMb"], f["adapterPlaces"])
-        for f in run.engineFacts.values()
+        for f in run.engine_facts.values()
         if f["service"] == name
     ]
     made = placement.place(
--- a/libs/rehearsal/src/rehearsal/sim/world.py
+++ b/libs/simulation/src/simulation/sim/world.py
@@ -8,14 +8,14 @@
 import random
 from dataclasses import dataclass, field
 
-from logbook import group as groups
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
-from waybill import events as e
-from waybill.effects import Call, Install, Note, Reply, Save, Send, Wake, Write
+from replication import group as groups
+from transport import events as e
+from transport.effects import Call, Install, Note, Reply, Save, Send, Wake, Write
 
-from rehearsal.sim import disk as disks
-from rehearsal.sim.network import NetworkTerms, cut, heal, latency, passes, reaches
+from simulation.sim import disk as disks
+from simulation.sim.network import NetworkTerms, cut, heal, latency, passes, reaches
 
 __all__ = [
     "World",
@@ -43,13 +43,13 @@
     config: object
     disk: object = None
     node: object = None
-    clockMs: float = 0.0
+    clock_ms: float = 0.0
     wallMs: float = 0.0
     frozen: bool = False
     life: int = 0
     waiting: list = field(default_factory=list)
-    busyMs: float = 0.0
-    wakeMs: float = float("inf")
+    busy_ms: float = 0.0
+    wake_ms: float = float("inf")
     notes: list = field(default_factory=list)
 
 
@@ -57,14 +57,14 @@
 class World:
     seed: int
     random: random.Random
-    nowMs: float = 0.0
+    now_ms: float = 0.0
     heap: list = field(default_factory=list)
     count: int = 0
     hosts: dict = field(default_factory=dict)
     by_address: dict = field(default_factory=dict)
     engines: dict = field(default_factory=dict)
     cuts: set = field(default_factory=set)
-    lastMs: dict = field(default_factory=dict)
+    last_ms: dict = field(default_factory=dict)
     network: NetworkTerms = field(default_factory=NetworkTerms)
     replies: dict = field(default_factory=dict)
     on_call: object = None
@@ -72,38 +72,38 @@
     steps: int = 0
 
 
-def after(world, waitMs, action):
+def after(world, wait_ms, action):
     world.count += 1
-    heapq.heappush(world.heap, (world.nowMs + waitMs, world.count, action))
+    heapq.heappush(world.heap, (world.now_ms + wait_ms, world.count, action))
 
 
-def spin(world, untilMs):
+def spin(world, until_ms):
     """Run everything due up to a time."""
-    while world.heap and world.heap[0][0] <= untilMs:
-        atMs, _, action = heapq.heappop(world.heap)
-        world.nowMs = max(world.nowMs, atMs)
+    while world.heap and world.heap[0][0] <= until_ms:
+        at_ms, _, action = heapq.heappop(world.heap)
+        world.now_ms = max(world.now_ms, at_ms)
         action()
-    world.nowMs = untilMs
+    world.now_ms = until_ms
 
 
 def boot(world, host):
     """Start a host's process from its disk (if it has one)."""
     host.life += 1
-    host.frozen, host.waiting, host.busyMs = False, [], 0.0
+    host.frozen, host.waiting, host.busy_ms = False, [], 0.0
     group = None
     if host.disk is not None:
         files = host.disk.files
         files.setdefault("identity", f"{world.random.getrandbits(48):012x}".encode())
-        group = groups.Group(
+        group = groups.Replica(
             host.name,
             files["identity"].decode(),
             host.config.address,
             configs.times(host.config),
             random.Random(world.random.getrandbits(32)),
         )
-        after_index = groups.read_view_file(files["view"])[0] if files.get("view") else 0
-        groups.open_group(group, files, disks.load(host.disk, after_index))
-        group.electAtMs = local(world, host) + group.times.electMs * (1 + world.random.random())
+        after_index = groups.read_snapshot_file(files["view"])[0] if files.get("view") else 0
+        groups.open_replica(group, files, disks.load(host.disk, after_index))
+        group.elect_at_ms = local(world, host) + group.times.elect_ms * (1 + world.random.random())
     host.node = nodes.make(
         host.config, f"{host.name}.{host.life}", world.random.getrandbits(32), group
     )
@@ -122,20 +122,20 @@
 
 def local(world, host):
     """The host's monotonic clock, the only one that the cores are given."""
-    return world.nowMs + host.clockMs
+    return world.now_ms + host.clock_ms
 
 
 def wall(world, host):
     """The host's wall clock, which jumps; nothing but broken variants reads it."""
-    return world.nowMs + host.clockMs + host.wallMs
+    return world.now_ms + host.clock_ms + host.wallMs
 
 
 def _ticker(world, host, life):
     if host.life != life or host.node is None:
         return
     post(world, host, e.Tick())
-    tickMs = host.node.times.pingMs / 6
-    after(world, tickMs, lambda: _ticker(world, host, life))
+    tick_ms = host.node.times.ping_ms / 6
+    after(world, tick_ms, lambda: _ticker(world, host, life))
 
 
 def kill(world, host, power=False):
@@ -178,11 +178,11 @@
         ):
             host.waiting.append(event)
         return
-    if world.nowMs < host.busyMs:
+    if world.now_ms < host.busy_ms:
         life = host.life
         after(
             world,
-            host.busyMs - world.nowMs + 0.001,
+            host.busy_ms - world.now_ms + 0.001,
             lambda: post(world, host, event) if host.life == life else None,
         )
         return
@@ -217,28 +217,30 @@
         elif isinstance(effect, Call):
             world.on_call(host, effect, life)
         elif isinstance(effect, Wake):
-            waitMs = max(0.001, effect.atMs - local(world, host))
-            after(world, waitMs, lambda: post(world, host, e.Tick()) if host.life == life else None)
+            wait_ms = max(0.001, effect.at_ms - local(world, host))
+            after(
+                world, wait_ms, lambda: post(world, host, e.Tick()) if host.life == life else None
+            )
         elif isinstance(effect, Note):
-            host.notes.append((world.nowMs, effect.what, effect.facts))
+            host.notes.append((world.now_ms, effect.what, effect.facts))
 
 
 def _sync(world, host, effect, rest, life):
     """The owner waits for its disk; what follows the sync waits with it."""
-    waitMs = 20.0 if host.disk.stalled else disks.delay(host.disk, world.random)
-    host.busyMs = world.nowMs + waitMs
+    wait_ms = 20.0 if host.disk.stalled else disks.delay(host.disk, world.random)
+    host.busy_ms = world.now_ms + wait_ms
 
     def done():
         if host.life != life:
             return
         if host.disk.stalled:
-            host.busyMs = world.nowMs + 20.0
+            host.busy_ms = world.now_ms + 20.0
             after(world, 20.0, done)
             return
         disks.sync(host.disk, effect)
         _do(world, host, rest, life)
 
-    after(world, waitMs, done)
+    after(world, wait_ms, done)
 
 
 def _send(world, host, effect):
@@ -246,21 +248,21 @@
     if target is None or not passes(world, host.name, target.name):
         return
     key = (host.name, effect.to)
-    atMs = max(world.lastMs.get(key, 0.0), world.nowMs + latency(world))
-    world.lastMs[key] = atMs
+    at_ms = max(world.last_ms.get(key, 0.0), world.now_ms + latency(world))
+    world.last_ms[key] = at_ms
     sender, address, message = host.name, host.config.address, effect.message
 
     def arrive():
         if target.config.address == effect.to and (sender, target.name) not in world.cuts:
             post(world, target, e.Received(address, message))
 
-    after(world, atMs - world.nowMs, arrive)
+    after(world, at_ms - world.now_ms, arrive)
 
 
 def _write(world, host, effect, life):
     number = disks.begin_write(host.disk, effect.entries)
     last = effect.entries[-1]
-    waitMs = disks.delay(host.disk, world.random)
+    wait_ms = disks.delay(host.disk, world.random)
 
     def done():
         if host.life != life:
@@ -269,6 +271,6 @@
             after(world, 20.0, done)
             return
         disks.end_write(host.disk, number)
-        post(world, host, e.Written(last.index, last.term, waitMs))
+        post(world, host, e.Written(last.index, last.term, wait_ms))
 
-    after(world, waitMs, done)
+    after(world, wait_ms, done)
--- a/libs/rehearsal/src/rehearsal/sweep.py
+++ b/libs/simulation/src/simulation/sweep.py
@@ -8,8 +8,8 @@
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
 
-from rehearsal import deployments
-from rehearsal.sim import run
+from simulation import deployments
+from simulation.sim import run
 
 __all__ = ["sweep", "replay"]
 
@@ -26,7 +26,7 @@
 
 def sweep(name, first, last, count, workers, say=print):
     """Run seeds first..last; returns the seeds that were red."""
-    startS, red, backs, asked = time.monotonic(), [], [], 0
+    start_s, red, backs, asked = time.monotonic(), [], [], 0
     with ProcessPoolExecutor(workers) as pool:
         jobs = [
             pool.submit(_one, seed, name, count, _closing(seed)) for seed in range(first, last + 1)
@@ -34,17 +34,17 @@
         for job in as_completed(jobs):
             seed, verdict = job.result()
             asked += verdict.facts["asked"]
-            if verdict.backMs is not None:
-                backs.append(verdict.backMs)
+            if verdict.back_ms is not None:
+                backs.append(verdict.back_ms)
             if verdict.violations:
                 red.append(seed)
                 say(f"seed {seed}: {json.dumps(verdict.violations)[:2000]}")
-                say(f"  again: pulleyhitch-rehearsal replay {name} {seed} --faults {count}")
+                say(f"  again: pulleyhitch-simulation replay {name} {seed} --faults {count}")
     backs.sort()
     say(
         f"{name}: {last - first + 1} runs of {count} faults, {len(red)} red, "
         f"{asked} tasks, service back after {_at(backs, 0.5)} ms (median), "
-        f"{_at(backs, 1.0)} ms (worst), {time.monotonic() - startS:.0f} s of real time"
+        f"{_at(backs, 1.0)} ms (worst), {time.monotonic() - start_s:.0f} s of real time"
     )
     return sorted(red)
 
@@ -58,7 +58,7 @@
     _, verdict = _one(seed, name, count, _closing(seed))
     for step in verdict.facts.pop("script"):
         say("  " + json.dumps(step))
-    say(json.dumps({"backMs": verdict.backMs, **verdict.facts}))
+    say(json.dumps({"backMs": verdict.back_ms, **verdict.facts}))
     for checker, found in verdict.violations.items():
         for each in found:
             say(f"RED {checker}: {json.dumps(each)}")
--- a/libs/rehearsal/src/rehearsal/trials.py
+++ b/libs/simulation/src/simulation/trials.py
@@ -13,11 +13,11 @@
 from types import SimpleNamespace
 
 from pulleyhitch.config import Bounds
-from waybill import failures
+from transport import failures
 
-from rehearsal import deployments, records
-from rehearsal.calling import read_stream
-from rehearsal.sim import checkers, floor
+from simulation import deployments, records
+from simulation.calling import read_stream
+from simulation.sim import checkers, floor
 
 __all__ = ["Trial", "STEPS", "run"]
 
@@ -34,7 +34,7 @@
 
     def __init__(self, fleet, say=print):
         self.fleet, self._say, self._rng = fleet, say, random.Random(1)
-        self.history, self.backMs, self._count = floor.History(), None, 0
+        self.history, self.back_ms, self._count = floor.History(), None, 0
         self._stop, self._lock = threading.Event(), threading.Lock()
 
     def go(self, steps):
@@ -43,9 +43,9 @@
             caller.start()
         try:
             for name in steps:
-                startS = time.monotonic()
+                start_s = time.monotonic()
                 STEPS[name](self)
-                self._say(f"  {name}: {time.monotonic() - startS:.1f} s")
+                self._say(f"  {name}: {time.monotonic() - start_s:.1f} s")
         finally:
             self._stop.set()
             for caller in callers:
@@ -68,27 +68,27 @@
                 f"/operator/{verb}",
                 body,
                 [f"X-Partner: {actor}"],
-                timeoutMs=4000,
+                timeout_ms=4000,
             )
             return told if code == 200 else None
 
         told = self.fleet.until(asked)
         if not told.get("same"):
-            self.history.acked.append((body["change"], told["stamp"], _nowMs()))
+            self.history.acked.append((body["change"], told["stamp"], _now_ms()))
         self._last = (verb, body, actor)
         return told["stamp"]
 
     def shut(self, news, key, shut, verb, body):
-        told = {"atMs": _nowMs(), "key": key, "shut": shut, "stamp": None}
+        told = {"atMs": _now_ms(), "key": key, "shut": shut, "stamp": None}
         if not shut:
             news.append(told)
         told["stamp"] = self.change(verb, body)
         if shut:
-            news.append({**told, "atMs": _nowMs()})
+            news.append({**told, "atMs": _now_ms()})
 
     def zone(self, name, evacuated):
         self.shut(
-            self.history.zoneNews, name, evacuated, "zone", {"zone": name, "evacuated": evacuated}
+            self.history.zone_news, name, evacuated, "zone", {"zone": name, "evacuated": evacuated}
         )
 
     def engine(self, name, state):
@@ -100,7 +100,7 @@
             if f["name"] == name
         ]
         self.shut(
-            self.history.engineNews,
+            self.history.engine_news,
             name,
             state != "join",
             "engines",
@@ -111,9 +111,9 @@
         at = {a: n for n, a in self.fleet.address.items()}
         return self.fleet.until(
             lambda: at.get(
-                self.fleet.call(self.node("c"), "GET", "/operator/believes", timeoutMs=3000)[1].get(
-                    "leader"
-                )
+                self.fleet.call(self.node("c"), "GET", "/operator/believes", timeout_ms=3000)[
+                    1
+                ].get("leader")
             )
         )
 
@@ -122,7 +122,7 @@
         for name in names:
             self.fleet.until(
                 lambda n=name: (
-                    self.fleet.call(n, "GET", f"/v1/lookup/{d.plainService}/x", timeoutMs=2000)[0]
+                    self.fleet.call(n, "GET", f"/v1/lookup/{d.plain_service}/x", timeout_ms=2000)[0]
                     == 200
                 )
             )
@@ -139,7 +139,7 @@
         with self._lock:
             self.history.asked += 1
             id_ = f"t{self.history.asked}"
-        node, atMs = rng.choice(sorted(up)), _nowMs()
+        node, at_ms = rng.choice(sorted(up)), _now_ms()
         cls, _, stream, deadlineMs = rng.choices(d.classes, [c[1] for c in d.classes])[0]
         body = {
             "id": id_,
@@ -180,8 +180,8 @@
                     "told": body,
                     "outcome": outcome,
                     "seen": seen,
-                    "atMs": atMs,
-                    "endMs": _nowMs(),
+                    "atMs": at_ms,
+                    "endMs": _now_ms(),
                     "node": node,
                     "legs": 0,
                     "left": False,
@@ -211,14 +211,14 @@
             deployment=self.fleet.deployment,
             bounds=Bounds(),
             world=SimpleNamespace(engines=lives),
-            finalChanges={"(log)": final},
-            backMs=self.backMs if self.backMs is not None else 0.0,
+            final_changes={"(log)": final},
+            back_ms=self.back_ms if self.back_ms is not None else 0.0,
             missing=[],
         )
         return {name: found for name in records.CHECKED if (found := checkers.ALL[name](run_))}
 
 
-def _nowMs():
+def _now_ms():
     return time.monotonic() * 1000
 
 
@@ -298,12 +298,12 @@
     ours = fleet.depots + fleet.counters
     for name in ours:
         fleet.kill(name)
-    startS = time.monotonic()
+    start_s = time.monotonic()
     for name in ours:
         fleet.start(name)
     t.change("zone", {"zone": fleet.deployment.zones[0], "evacuated": False})
     t.serving(fleet.counters)
-    t.backMs = (time.monotonic() - startS) * 1000
+    t.back_ms = (time.monotonic() - start_s) * 1000
 
 
 STEPS = {
@@ -335,7 +335,7 @@
     say(
         f"{d.name}: {trial.history.asked} tasks, {answered} answered, "
         f"{len(trial.history.begun)} runs, {len(trial.history.orders)} orders, "
-        f"{len(trial.history.acked)} changes, back after {trial.backMs or 0:.0f} ms; "
+        f"{len(trial.history.acked)} changes, back after {trial.back_ms or 0:.0f} ms; "
         f"red: {json.dumps(found)[:2000] if found else 'none'}"
     )
     return found
--- a/libs/waybill/src/waybill/pipes.py
+++ b/libs/transport/src/transport/connections.py
@@ -15,10 +15,10 @@
 import time
 from dataclasses import dataclass, field
 
-from waybill import frames
-from waybill.messages import Greet
+from transport import frames
+from transport.messages import Greet
 
-__all__ = ["Pipes"]
+__all__ = ["Connections"]
 
 _LINE_BYTES = 8 << 20
 _CHUNK_BYTES = 1 << 16
@@ -38,8 +38,8 @@
     sock: socket.socket = None
     opened: bool = False
     out: bytearray = field(default_factory=bytearray)
-    movedS: float = 0.0
-    notBeforeS: float = 0.0
+    moved_s: float = 0.0
+    not_before_s: float = 0.0
 
 
 @dataclass
@@ -51,12 +51,12 @@
     sender: str = ""
 
 
-class Pipes:
+class Connections:
     """`send` is the one public method; what arrives goes to `on_message`."""
 
-    def __init__(self, address, hello, on_message, on_note, stallMs):
+    def __init__(self, address, hello, on_message, on_note, stall_ms):
         self._hello, self._on_message, self._on_note = hello, on_message, on_note
-        self._stallS = stallMs / 1000
+        self._stall_s = stall_ms / 1000
         self._lines, self._lock = {}, threading.RLock()
         self._listener = socket.create_server(_split(address), backlog=256, reuse_port=False)
         self._listener.setblocking(False)
@@ -80,7 +80,7 @@
             if line is None:
                 line = self._lines[to] = _Line(to)
             if line.sock is None:
-                if time.monotonic() < line.notBeforeS:
+                if time.monotonic() < line.not_before_s:
                     return
                 self._dial(line)
             if line.sock is None:
@@ -89,7 +89,7 @@
                 self._on_note("pipe-full", {"to": to})
                 return
             if not line.out:
-                line.movedS = time.monotonic()
+                line.moved_s = time.monotonic()
             line.out += data
             if line.opened and len(line.out) == len(data):
                 self._write(line)
@@ -116,7 +116,7 @@
         sock = socket.socket(socket.AF_INET6 if "[" in line.to else socket.AF_INET)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(2000 * self._stallS))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(2000 * self._stall_s))
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         host, port = _split(line.to)
         try:
@@ -127,7 +127,7 @@
             sock.close()
             self._lost(line, "ConnectionRefusedError")
             return
-        line.sock, line.opened, line.movedS = sock, False, time.monotonic()
+        line.sock, line.opened, line.moved_s = sock, False, time.monotonic()
         line.out = bytearray(frames.pack(self._hello()))
         self._watch(line)
 
@@ -139,7 +139,7 @@
                 pass
             line.sock.close()
         line.sock, line.opened, line.out = None, False, bytearray()
-        line.notBeforeS = time.monotonic() + self._stallS / 10
+        line.not_before_s = time.monotonic() + self._stall_s / 10
         self._on_note("pipe-lost", {"to": line.to, "cause": cause})
 
     def _write(self, line):
@@ -148,7 +148,7 @@
             while line.out:
                 sent = line.sock.send(line.out[:_CHUNK_BYTES])
                 del line.out[:sent]
-                line.movedS = time.monotonic()
+                line.moved_s = time.monotonic()
         except (BlockingIOError, InterruptedError):
             self._watch(line)
         except OSError as failed:
@@ -156,7 +156,7 @@
 
     def _run(self):
         while not self._closed:
-            for key, mask in self._selector.select(self._stallS / 2):
+            for key, mask in self._selector.select(self._stall_s / 2):
                 if key.fileobj is self._listener:
                     self._let_in()
                 elif key.fileobj is self._bell:
@@ -180,9 +180,9 @@
                     self._selector.modify(line.sock, mask, line)
                 except KeyError:
                     self._selector.register(line.sock, mask, line)
-        nowS = time.monotonic()
+        now_s = time.monotonic()
         for line in self._lines.values():
-            if line.sock is not None and line.out and nowS - line.movedS > self._stallS:
+            if line.sock is not None and line.out and now_s - line.moved_s > self._stall_s:
                 self._lost(line, "TimeoutError")
 
     def _on_line(self, line, sock, mask):
--- a/libs/waybill/src/waybill/effects.py
+++ b/libs/transport/src/transport/effects.py
@@ -59,13 +59,13 @@
     url: str
     verb: str
     body: dict = field(default_factory=dict)
-    timeoutMs: float = 1000.0
-    notAfterMs: float = float("inf")
+    timeout_ms: float = 1000.0
+    not_after_ms: float = float("inf")
 
 
 @dataclass(frozen=True)
 class Wake:
-    atMs: float
+    at_ms: float
 
 
 @dataclass(frozen=True)
--- a/libs/waybill/src/waybill/events.py
+++ b/libs/transport/src/transport/events.py
@@ -18,11 +18,11 @@
 
 @dataclass(frozen=True)
 class Written:
-    """Every entry up to `index` of `term` is synced here; the write took tookMs."""
+    """Every entry up to `index` of `term` is synced here; the write took took_ms."""
 
     index: int
     term: int
-    tookMs: float
+    took_ms: float
 
 
 @dataclass(frozen=True)
--- a/libs/waybill/src/waybill/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -125,7 +125,7 @@
     """This node has not heard a confirmed mark lately and gives out no work."""
 
     retryMs: int
-    ageMs: int
+    age_ms: int
 
 
 @_kind("no-holder", 503)
@@ -228,5 +228,5 @@
 
 def retry_after(failure):
     """Whole seconds for the Retry-After header, or None where none belongs."""
-    waitMs = getattr(failure, "retryMs", None)
-    return None if waitMs is None else max(1, -(-int(waitMs) // 1000))
+    wait_ms = getattr(failure, "retryMs", None)
+    return None if wait_ms is None else max(1, -(-int(wait_ms) // 1000))
--- a/libs/waybill/src/waybill/frames.py
+++ b/libs/transport/src/transport/frames.py
@@ -11,7 +11,7 @@
 
 import construct as c
 
-from waybill import codec, messages
+from transport import codec, messages
 
 __all__ = ["Intake", "Broken", "pack", "feed", "LIMIT_BYTES"]
 
--- a/libs/waybill/src/waybill/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -6,17 +6,17 @@
 
 from dataclasses import dataclass
 
-from waybill.depot_talk import (
-    Ballot,
-    Canvass,
-    Entries,
-    EntriesAck,
+from transport.replication_messages import (
+    AppendEntries,
+    AppendReply,
+    BootstrapReply,
+    BootstrapRequest,
     Entry,
-    FoundAgree,
-    FoundAsk,
     Member,
-    TakeOver,
-    ViewPart,
+    SnapshotPart,
+    TransferLeadership,
+    VoteReply,
+    VoteRequest,
 )
 
 __all__ = ["KIND_OF", "TYPE_OF"]
@@ -73,16 +73,16 @@
     address: str
     incarnation: str
     role: str
-    sentMs: float
+    sent_ms: float
     place: int
-    answeredMs: float = -1.0
+    answered_ms: float = -1.0
 
 
 @dataclass(frozen=True)
 class Mark:
     """All up to `place` was current when the ask was sent; a majority said so."""
 
-    sentMs: float
+    sent_ms: float
     term: int
     place: int
     direct: bool
@@ -96,10 +96,10 @@
 
 
 @dataclass(frozen=True)
-class FeedView:
+class FeedSnapshot:
     term: int
     place: int
-    viewTerm: int
+    snapshot_term: int
     body: bytes
 
 
@@ -154,7 +154,7 @@
 class RecoverPage:
     shard: int
     epoch: int
-    checkpointAt: int
+    checkpoint_at: int
     checkpoint: bytes
     first: int
     records: tuple[bytes, ...]
@@ -198,18 +198,18 @@
 
 _ALL = (
     Greet,
-    FoundAsk,
-    FoundAgree,
-    Canvass,
-    Ballot,
-    Entries,
-    EntriesAck,
-    ViewPart,
-    TakeOver,
+    BootstrapRequest,
+    BootstrapReply,
+    VoteRequest,
+    VoteReply,
+    AppendEntries,
+    AppendReply,
+    SnapshotPart,
+    TransferLeadership,
     Ask,
     Mark,
     FeedItems,
-    FeedView,
+    FeedSnapshot,
     Append,
     Durable,
     Refused,
--- a/libs/waybill/src/waybill/depot_talk.py
+++ b/libs/transport/src/transport/replication_messages.py
@@ -4,15 +4,15 @@
 
 __all__ = [
     "Member",
-    "FoundAsk",
-    "FoundAgree",
-    "Canvass",
-    "Ballot",
+    "BootstrapRequest",
+    "BootstrapReply",
+    "VoteRequest",
+    "VoteReply",
     "Entry",
-    "Entries",
-    "EntriesAck",
-    "ViewPart",
-    "TakeOver",
+    "AppendEntries",
+    "AppendReply",
+    "SnapshotPart",
+    "TransferLeadership",
 ]
 
 
@@ -24,35 +24,35 @@
 
 
 @dataclass(frozen=True)
-class FoundAsk:
+class BootstrapRequest:
     group: str
     members: tuple[Member, ...]
 
 
 @dataclass(frozen=True)
-class FoundAgree:
+class BootstrapReply:
     group: str
     identity: str
     agreed: bool
 
 
 @dataclass(frozen=True)
-class Canvass:
+class VoteRequest:
     group: str
     term: int
     identity: str
-    lastIndex: int
-    lastTerm: int
-    trial: bool
+    last_index: int
+    last_term: int
+    pre_vote: bool
     named: bool
 
 
 @dataclass(frozen=True)
-class Ballot:
+class VoteReply:
     term: int
     identity: str
     granted: bool
-    trial: bool
+    pre_vote: bool
 
 
 @dataclass(frozen=True)
@@ -63,21 +63,21 @@
 
 
 @dataclass(frozen=True)
-class Entries:
+class AppendEntries:
     group: str
     term: int
     identity: str
     address: str
     to: str
-    prevIndex: int
-    prevTerm: int
+    prev_index: int
+    prev_term: int
     commit: int
     round: int
     entries: tuple[Entry, ...]
 
 
 @dataclass(frozen=True)
-class EntriesAck:
+class AppendReply:
     term: int
     identity: str
     name: str
@@ -88,19 +88,19 @@
 
 
 @dataclass(frozen=True)
-class ViewPart:
+class SnapshotPart:
     group: str
     term: int
     identity: str
     address: str
     to: str
     index: int
-    viewTerm: int
+    snapshot_term: int
     body: bytes
 
 
 @dataclass(frozen=True)
-class TakeOver:
+class TransferLeadership:
     """The leader asks its named successor to canvass at once."""
 
     term: int
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -3,46 +3,48 @@
 import heapq
 import random
 
-from logbook import book, copying, desk, grants
-from logbook import group as groups
+from replication import batch_writer, leases, log_replication, state_machine
+from replication import group as groups
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
-from waybill.effects import Send, Write
-from waybill.messages import Durable, Member, Refused, Section
+from transport.effects import Send, Write
+from transport.messages import Durable, Member, Refused, Section
 
-TIMES = dict(electMs=720.0, heartbeatMs=180.0, pingMs=360.0, revokeMs=3000.0)
+TIMES = dict(elect_ms=720.0, heartbeat_ms=180.0, ping_ms=360.0, revoke_ms=3000.0)
 
 
 class Table:
     """One log node with a disk of a given speed, and holders that answer each
     DURABLE with their next section after their turnaround."""
 
-    def __init__(self, shards, flushMs, groupWait=True):
-        self.g = groups.Group(
+    def __init__(self, shards, flush_ms, group_wait=True):
+        self.g = groups.Replica(
             "d0",
             "id0",
             "a",
-            groups.Times(**TIMES, groupWait=groupWait, depots=1),
+            groups.Times(**TIMES, group_wait=group_wait, depots=1),
             random.Random(1),
             group="g",
             term=1,
             role="leader",
             founders=(Member("d0", "id0", "a"),),
         )
-        self.g.book.shards = {s: book.ShardBook(epoch=1, holder="c") for s in range(shards)}
-        self.d = desk.open_desk(self.g, desk.Desk())
-        self.flushMs, self.heap, self.now, self.count = flushMs, [], 0.0, 0
+        self.g.state.shards = {
+            s: state_machine.ShardState(epoch=1, holder="c") for s in range(shards)
+        }
+        self.d = batch_writer.open_writer(self.g, batch_writer.BatchWriter())
+        self.flush_ms, self.heap, self.now, self.count = flush_ms, [], 0.0, 0
         self.durable, self.rng = {}, random.Random(2)
 
-    def at(self, waitMs, *what):
+    def at(self, wait_ms, *what):
         self.count += 1
-        heapq.heappush(self.heap, (self.now + waitMs, self.count, what))
+        heapq.heappush(self.heap, (self.now + wait_ms, self.count, what))
 
     def do(self, effects):
         for effect in effects:
             if isinstance(effect, Write):
-                tookMs = self.flushMs * (0.9 + 0.2 * self.rng.random())
-                self.at(tookMs, "written", effect.entries[-1], tookMs)
+                took_ms = self.flush_ms * (0.9 + 0.2 * self.rng.random())
+                self.at(took_ms, "written", effect.entries[-1], took_ms)
             elif isinstance(effect, Send) and isinstance(effect.message, Durable):
                 for place in effect.message.places:
                     assert place.position > self.durable.get(place.shard, 0)
@@ -51,36 +53,36 @@
                         0.2 + 0.2 * self.rng.random(), "section", place.shard, place.position + 1
                     )
 
-    def run(self, untilMs):
-        while self.heap and self.heap[0][0] <= untilMs:
+    def run(self, until_ms):
+        while self.heap and self.heap[0][0] <= until_ms:
             self.now, _, (kind, *facts) = heapq.heappop(self.heap)
             if kind == "written":
-                self.d.lastWriteMs = facts[1]
-                self.do(copying.on_written(self.g, self.now, facts[0].index, facts[0].term))
+                self.d.last_write_ms = facts[1]
+                self.do(log_replication.on_written(self.g, self.now, facts[0].index, facts[0].term))
             elif kind == "section":
                 shard, first = facts
                 self.do(
-                    desk.stage(
+                    batch_writer.stage(
                         self.g,
                         self.d,
                         self.now,
                         f"pipe{shard}",
-                        Section(shard, 1, book.RECORDS, first, (b"{}",)),
+                        Section(shard, 1, state_machine.RECORDS, first, (b"{}",)),
                     )
                 )
-            self.do(desk.settle(self.g, self.d, self.now))
-            self.do(desk.write_due(self.g, self.d, self.now))
-            wakeMs = desk.wake_at(self.g, self.d, self.now)
-            if wakeMs is not None:
-                self.at(max(0.001, wakeMs - self.now), "wake")
+            self.do(batch_writer.settle(self.g, self.d, self.now))
+            self.do(batch_writer.write_due(self.g, self.d, self.now))
+            wake_ms = batch_writer.wake_at(self.g, self.d, self.now)
+            if wake_ms is not None:
+                self.at(max(0.001, wake_ms - self.now), "wake")
 
     def start(self, shards):
         for shard in range(shards):
             self.at(5.0 * shard, "section", shard, 1)
 
 
-def steady(shards, flushMs, groupWait):
-    table = Table(shards, flushMs, groupWait)
+def steady(shards, flush_ms, group_wait):
+    table = Table(shards, flush_ms, group_wait)
     table.start(shards)
     table.run(3000)
     return table
@@ -103,44 +105,44 @@
     def test_stale_epochs_and_gaps_are_refused(self):
         table = Table(2, 1.0)
         for epoch, first, cause in ((0, 1, "epoch"), (2, 1, "epoch"), (1, 2, "place")):
-            section = Section(1, epoch, book.RECORDS, first, (b"{}",))
-            told = desk.stage(table.g, table.d, 0.0, "p", section)[0].message
+            section = Section(1, epoch, state_machine.RECORDS, first, (b"{}",))
+            told = batch_writer.stage(table.g, table.d, 0.0, "p", section)[0].message
             self.assertIsInstance(told, Refused)
             self.assertThat(told.cause, Equals(cause))
         self.assertThat(table.d.staged, Equals([]))
 
     def test_a_grant_drops_staged_sections_but_not_those_in_flight(self):
         table = Table(2, 10.0)
-        flying = Section(1, 1, book.RECORDS, 1, (b'{"k":"a"}',))
-        table.do(desk.stage(table.g, table.d, 0.0, "old", flying))
-        table.do(desk.write_due(table.g, table.d, 0.0))
-        staged = Section(1, 1, book.RECORDS, 2, (b'{"k":"b"}',))
-        table.do(desk.stage(table.g, table.d, 0.0, "old", staged))
-        nodes = grants.Nodes(seen={"new": grants.Seen("n", "n.1", "counter", 0.0)})
-        grants._grant(table.g, table.d, nodes, 1, "new")
-        self.assertThat([s.kind for s in table.d.staged], Equals([book.GRANT]))
-        late = desk.stage(table.g, table.d, 0.0, "old", staged)[0].message
+        flying = Section(1, 1, state_machine.RECORDS, 1, (b'{"k":"a"}',))
+        table.do(batch_writer.stage(table.g, table.d, 0.0, "old", flying))
+        table.do(batch_writer.write_due(table.g, table.d, 0.0))
+        staged = Section(1, 1, state_machine.RECORDS, 2, (b'{"k":"b"}',))
+        table.do(batch_writer.stage(table.g, table.d, 0.0, "old", staged))
+        nodes = leases.NodeTable(seen={"new": leases.Seen("n", "n.1", "counter", 0.0)})
+        leases._lease(table.g, table.d, nodes, 1, "new")
+        self.assertThat([s.kind for s in table.d.staged], Equals([state_machine.LEASE]))
+        late = batch_writer.stage(table.g, table.d, 0.0, "old", staged)[0].message
         self.assertThat(late.cause, Equals("epoch"))
-        ask = grants.RecoverPage(1, 2, 0, b"", 1, (), True)
+        ask = leases.RecoverPage(1, 2, 0, b"", 1, (), True)
         self.assertThat(
-            grants.on_recover(table.g, table.d, "new", ask),
+            leases.on_recover(table.g, table.d, "new", ask),
             Equals([]),
             "recovery waits for what the old holder has in flight",
         )
         table.run(100)
-        page = grants.on_recover(table.g, table.d, "new", ask)[0].message
+        page = leases.on_recover(table.g, table.d, "new", ask)[0].message
         self.assertThat((page.records, page.last), Equals(((b'{"k":"a"}',), True)))
         self.assertThat(table.d.next[1], Equals(2))
 
     def test_recovery_comes_in_pages(self):
         table = Table(1, 1.0)
-        part = table.g.book.shards[0]
+        part = table.g.state.shards[0]
         part.records = [bytes(400_000)] * 7
         part.next = 8
         pages = [
             e.message
-            for e in grants.on_recover(
-                table.g, table.d, "c", grants.RecoverPage(0, 1, 0, b"", 0, (), True)
+            for e in leases.on_recover(
+                table.g, table.d, "c", leases.RecoverPage(0, 1, 0, b"", 0, (), True)
             )
         ]
         self.assertThat([len(p.records) for p in pages], Equals([2, 2, 2, 1]))
--- a/tests/test_disk_steps.py
+++ b/tests/test_disk_steps.py
@@ -7,10 +7,10 @@
 import tempfile
 from pathlib import Path
 
-from logbook import disk as disks
+from replication import disk as disks
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill.effects import Save
+from transport.effects import Save
 
 
 class Killed(BaseException):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,9 +5,9 @@
 import socket
 import tempfile
 
-from pulleyhitch import knocking
-from rehearsal import crowding, deployments
-from rehearsal.fleet import Fleet
+from pulleyhitch import admission
+from simulation import crowding, deployments
+from simulation.fleet import Fleet
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -62,11 +62,11 @@
 class Knocking(TestCase):
     def test_whole_and_kind(self):
         post = b"POST /v1/task HTTP/1.1\r\nContent-Length: 20\r\n\r\n"
-        self.assertFalse(knocking.whole(post[:-2]))
-        self.assertFalse(knocking.whole(post + b"x" * 19))
-        self.assertTrue(knocking.whole(post + b"x" * 20))
-        self.assertTrue(knocking.whole(post.replace(b"20", b"99999999")))
-        self.assertTrue(knocking.whole(b"x" * 40000))
+        self.assertFalse(admission.whole(post[:-2]))
+        self.assertFalse(admission.whole(post + b"x" * 19))
+        self.assertTrue(admission.whole(post + b"x" * 20))
+        self.assertTrue(admission.whole(post.replace(b"20", b"99999999")))
+        self.assertTrue(admission.whole(b"x" * 40000))
         ranks = {"night": 2}
         for data, kind in (
             (b"GET /operator/fleet HTTP/1.1", "operator"),
@@ -77,9 +77,9 @@
             (post + b"{}", "rank1"),
             (b"\xff\x00", "rank1"),
         ):
-            self.assertThat(knocking.kind(data, lambda r: ranks.get(r, 1)), Equals(kind))
+            self.assertThat(admission.kind(data, lambda r: ranks.get(r, 1)), Equals(kind))
 
     def test_a_lower_kind_never_uses_what_is_a_higher_ones(self):
         order = ("rank2", "rank1", "rank0")
         for place, kind in enumerate(order):
-            self.assertTrue(set(knocking.MAY_USE[kind]) <= set(order[: place + 1]))
+            self.assertTrue(set(admission.MAY_USE[kind]) <= set(order[: place + 1]))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,8 +2,8 @@
 
 import tempfile
 
-from rehearsal import deployments
-from rehearsal.fleet import Fleet
+from simulation import deployments
+from simulation.fleet import Fleet
 from testtools import TestCase
 from testtools.matchers import Equals
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -1,11 +1,11 @@
 """The replication group by itself: founding, replacing, terms, grants."""
 
-from logbook import book, election
-from logbook import group as groups
-from rehearsal import deployments
-from rehearsal.sim import disk as disks
-from rehearsal.sim import run
-from rehearsal.sim import world as worlds
+from replication import election, state_machine
+from replication import group as groups
+from simulation import deployments
+from simulation.sim import disk as disks
+from simulation.sim import run
+from simulation.sim import world as worlds
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -14,7 +14,7 @@
     return run._build(seed, deployments.SMALL, True)
 
 
-class Founding(TestCase):
+class Bootstrap(TestCase):
     def test_founds_whatever_is_lost_at_first(self):
         """Half of all messages lost while the depots come up, at any order."""
         for seed in range(12):
@@ -95,20 +95,24 @@
         lead = made.leader()
         follower = next(h for n, h in made.world.hosts.items() if n[0] == "d" and n != lead)
         group = follower.node.depot.group
-        election.on_take_over(
-            group, worlds.local(made.world, follower), election.TakeOver(group.term)
+        election.on_transfer_leadership(
+            group, worlds.local(made.world, follower), election.TransferLeadership(group.term)
         )
         card = groups.group_card(group)
         self.assertThat((card.term, card.leader), Equals((2, "")))
 
     def test_epochs_never_go_back(self):
-        made = book.Book()
+        made = state_machine.StateMachine()
         for epoch, wanted in ((1, 1), (1, 1), (3, 1), (2, 2), (1, 2)):
-            book.apply(made, book.grant_section(5, epoch, f"c{epoch}", "i"), 1)
+            state_machine.apply(made, state_machine.lease_section(5, epoch, f"c{epoch}", "i"), 1)
             self.assertThat(made.shards[5].epoch, Equals(wanted))
-        stale = book.Section(5, 1, book.RECORDS, 1, (b"{}",))
-        self.assertFalse(book.apply(made, stale, 2))
-        gap = book.Section(5, 2, book.RECORDS, 2, (b"{}",))
-        self.assertFalse(book.apply(made, gap, 2))
-        self.assertTrue(book.apply(made, book.Section(5, 2, book.RECORDS, 1, (b"{}",)), 2))
-        self.assertThat(book.open_view(book.view(made)), Equals(made))
+        stale = state_machine.Section(5, 1, state_machine.RECORDS, 1, (b"{}",))
+        self.assertFalse(state_machine.apply(made, stale, 2))
+        gap = state_machine.Section(5, 2, state_machine.RECORDS, 2, (b"{}",))
+        self.assertFalse(state_machine.apply(made, gap, 2))
+        self.assertTrue(
+            state_machine.apply(
+                made, state_machine.Section(5, 2, state_machine.RECORDS, 1, (b"{}",)), 2
+            )
+        )
+        self.assertThat(state_machine.restore(state_machine.snapshot(made)), Equals(made))
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -5,8 +5,8 @@
 
 import pytest
 from pulleyhitch import node as nodes
-from rehearsal.hollow import fit, plan, run, settings, table
-from rehearsal.hollow import world as worlds
+from simulation.hollow import fit, plan, run, settings, table
+from simulation.hollow import world as worlds
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
 SMALL = settings.Size(
@@ -14,10 +14,10 @@
     engines=10,
     models=9,
     adapters=20,
-    asksPerS=60.0,
+    asks_per_s=60.0,
     loadsPerS=0.5,
-    changesPerS=1.0,
-    windowS=4.0,
+    changes_per_s=1.0,
+    window_s=4.0,
 )
 
 
@@ -44,7 +44,7 @@
 
 
 def test_a_small_run_serves_and_loads(small):
-    assert small.served > 0.8 * SMALL.asksPerS * SMALL.windowS
+    assert small.served > 0.8 * SMALL.asks_per_s * SMALL.window_s
     assert sum(small.refused.values()) <= 0.02 * small.served
     assert small.loads >= 1
 
--- a/tests/test_logbook.py
+++ b/tests/test_logbook.py
@@ -5,13 +5,13 @@
 import tempfile
 from pathlib import Path
 
-from logbook import disk as disks
-from logbook import pages
+from replication import disk as disks
+from replication import segment_format
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import failures
-from waybill.effects import Install, Save, Write
-from waybill.messages import Entry
+from transport import failures
+from transport.effects import Install, Save, Write
+from transport.messages import Entry
 
 
 def entry(index, term=1, size=300):
@@ -24,8 +24,8 @@
         self.folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, self.folder)
 
-    def open(self, segmentBytes=1 << 20):
-        disk = disks.Disk(self.folder, segmentBytes)
+    def open(self, segment_bytes=1 << 20):
+        disk = disks.Disk(self.folder, segment_bytes)
         self.addCleanup(disk._lock.close)
         return disk
 
@@ -45,10 +45,10 @@
         disk.write(Write((entry(4), entry(5, size=5000)), known=3))
         whole = self.segment().read_bytes()
         self.close(disk)
-        self.assertThat(len(before), Equals(3 * pages.BLOCK_BYTES))
+        self.assertThat(len(before), Equals(3 * segment_format.BLOCK_BYTES))
         counts = set()
         for cut in range(len(before), len(whole) + 1):
-            found = pages.scan(whole[:cut] + bytes(len(whole) - cut))
+            found = segment_format.scan(whole[:cut] + bytes(len(whole) - cut))
             self.assertFalse(found.damaged, f"cut at {cut}")
             kept = len(found.entries)
             self.assertThat(
@@ -66,7 +66,7 @@
         self.close(disk)
         path = self.segment()
         with open(path, "r+b") as out:
-            out.seek(2 * pages.BLOCK_BYTES + 100)
+            out.seek(2 * segment_format.BLOCK_BYTES + 100)
             out.write(b"torn")
         disk = self.open()
         self.assertThat(disk.loaded.entries, Equals([entry(1), entry(2)]))
@@ -80,7 +80,7 @@
         disk.write(Write((entry(1),), known=0))
         lost = disk.reserve(Write((entry(2),), known=1))
         disk.put(disk.reserve(Write((entry(3),), known=1)))
-        self.assertThat(lost[1], Equals(pages.BLOCK_BYTES))
+        self.assertThat(lost[1], Equals(segment_format.BLOCK_BYTES))
         self.close(disk)
         self.assertThat(self.open().loaded.entries, Equals([entry(1)]))
 
@@ -90,20 +90,20 @@
             disk.write(Write((entry(index),), known=index - 1))
         self.close(disk)
         with open(self.segment(), "r+b") as out:
-            out.seek(pages.BLOCK_BYTES + 60)
+            out.seek(segment_format.BLOCK_BYTES + 60)
             out.write(b"rot")
         failed = self.assertRaises(disks.DiskFailed, disks.Disk, self.folder, 1 << 20)
         self.assertIsInstance(failed.failure, failures.DiskUntrusted)
 
     def test_newer_term_wins_over_segments(self):
-        disk = self.open(segmentBytes=1)
+        disk = self.open(segment_bytes=1)
         for item in (entry(1), entry(2), entry(3), entry(2, term=2)):
             disk.write(Write((item,), known=0))
         self.close(disk)
         self.assertThat(self.open().loaded.entries, Equals([entry(1), entry(2, term=2)]))
 
     def test_view_drops_what_it_covers(self):
-        disk = self.open(segmentBytes=1)
+        disk = self.open(segment_bytes=1)
         for index in range(1, 6):
             disk.write(Write((entry(index),), known=index - 1))
         head = (4).to_bytes(8, "big") + (1).to_bytes(8, "big")
@@ -148,5 +148,5 @@
         claims = [disk.reserve(Write((entry(i, size=i * 1000),), known=0)) for i in range(1, 9)]
         for (_, at, data), (_, then, _) in zip(claims, claims[1:]):
             self.assertThat(at + len(data), Equals(then))
-            self.assertThat(then % pages.BLOCK_BYTES, Equals(0))
+            self.assertThat(then % segment_format.BLOCK_BYTES, Equals(0))
         self.assertThat(os.path.getsize(self.segment()), Equals(0))
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -4,12 +4,12 @@
 import json
 import random
 
-from dispatch import ledger
-from manifest import merging, registry, templates
-from rehearsal import deployments
+from configuration import merging, registry, templates
+from placement import ledger
+from simulation import deployments
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import failures
+from transport import failures
 
 ENGINE = {
     "name": "e0",
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -2,20 +2,20 @@
 
 import json
 
-from dispatch import ledger, orders, state, world
-from logbook import holder
-from manifest import registry
+from configuration import registry
+from placement import ledger, orders, state, world
+from replication import shard_log
 from testtools import TestCase
 from testtools.matchers import Equals
 
-TERMS = state.Terms(callMs=900.0, reportMs=400.0, darkMs=3000.0)
+TERMS = state.Terms(call_ms=900.0, report_ms=400.0, dark_ms=3000.0)
 
 
 class Moves(TestCase):
     def setUp(self):
         super().setUp()
         self.reg = registry.Registry(zonesKnown=("x", "y"))
-        self.p = state.Placer(1, 1, holder.Held(1, 1, ready=True))
+        self.p = state.Placer(1, 1, shard_log.ShardLog(1, 1, ready=True))
 
     def floor(self, roomMb, wishes):
         """Engine e0 in zone x and e1 in zone y; `wishes`: model -> zone."""
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -1,18 +1,18 @@
 """Each never-item caused: a script that the code passes, and the same script
 on a deliberately broken variant, where the checker must see the failure."""
 
-from dispatch import world
-from pulleyhitch import keeping
-from rehearsal import deployments, mutants
-from rehearsal.sim import checkers, faults, run
+from placement import world
+from pulleyhitch import shard_ownership
+from simulation import deployments, mutants
+from simulation.sim import checkers, faults, run
 from testtools import TestCase
 from testtools.matchers import Equals
 
 SEEDS = (3, 8)
 
 
-def step(atMs, fault, target, forMs=3000.0):
-    return faults.Step(atMs, fault, target, forMs)
+def step(at_ms, fault, target, for_ms=3000.0):
+    return faults.Step(at_ms, fault, target, for_ms)
 
 
 class Never(TestCase):
@@ -38,13 +38,13 @@
     def test_a_fencing_engine_refuses_the_old_owner(self):
         """A holder that never doubts its grant freezes: the late order is sent, and
         the engine's fence is what stops it."""
-        self.patch(keeping, "grant_end", lambda f, t: float("inf"))
+        self.patch(shard_ownership, "lease_end", lambda f, t: float("inf"))
         shard, fenced = str(world.shard_of("guidance", 8)), 0
         for seed in SEEDS:
             found = run.simulate(
                 seed,
                 deployments.SMALL,
-                spanMs=20000.0,
+                span_ms=20000.0,
                 steps=[
                     step(1000, "freeze-ordering", shard, 7000),
                     step(1100, "engine-restart", "e0", 200),
@@ -66,7 +66,7 @@
             made = run.simulate(
                 3,
                 deployments.SMALL,
-                spanMs=30000.0,
+                span_ms=30000.0,
                 steps=[step(2000, "deaf", deaf, 20000)]
                 + [step(3000 + 500 * i, "race", "") for i in range(4)],
             )
@@ -97,6 +97,6 @@
 
     def test_same_seed_same_run(self):
         first, again = (
-            run.simulate(5, deployments.SMALL, count=6, spanMs=15000.0) for _ in range(2)
+            run.simulate(5, deployments.SMALL, count=6, span_ms=15000.0) for _ in range(2)
         )
         self.assertThat(first, Equals(again))
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,9 +4,9 @@
 import signal
 import tempfile
 
-from rehearsal import deployments
-from rehearsal.calling import read_stream
-from rehearsal.fleet import Fleet
+from simulation import deployments
+from simulation.calling import read_stream
+from simulation.fleet import Fleet
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 import random
 
-from dispatch.placement import LAST, Engine, Wish, item_name, place
+from placement.placement import LAST, Engine, Wish, item_name, place
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
--- a/tests/test_platform_again.py
+++ b/tests/test_platform_again.py
@@ -2,16 +2,16 @@
 
 import random
 
-from dispatch import again, ledger, orders, placer, settle, state
-from interchange import configuration
-from logbook.holder import Held
-from manifest import registry as registries
-from rehearsal import platform_made as made
-from rehearsal.placing import SHARDS, TERMS, engine_facts
+from adapter import configuration
+from configuration import registry as registries
+from placement import again, ledger, orders, placer, settle, state
+from replication.shard_log import ShardLog
+from simulation import platform_made as made
+from simulation.placing import SHARDS, TERMS, engine_facts
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan, Not
-from waybill.effects import Call, Wake
-from waybill.events import Called
+from transport.effects import Call, Wake
+from transport.events import Called
 
 ENDS_MS = 1e9
 
@@ -29,15 +29,15 @@
         registries.apply(self.registry, record)
         self.registry.engines["e0"] = self.facts = engine_facts("e0", self.service)
         self.model = whole["services"][0]["engine"]["parcels"][0]["name"]
-        self.p = state.Placer(1, 1, Held(1, 1, ready=True))
-        self.p.notBeforeMs, self.nowMs = 0.0, 1000.0
+        self.p = state.Placer(1, 1, ShardLog(1, 1, ready=True))
+        self.p.not_before_ms, self.now_ms = 0.0, 1000.0
         self.report(["other"], at=900.0)
 
     def report(self, items, at, busy=False):
         """A report asked for at a time, its lag taken off, and answered now."""
         settle.on_report(
             self.p,
-            self.nowMs,
+            self.now_ms,
             "e0",
             {
                 "incarnation": "i",
@@ -55,15 +55,15 @@
         orders.give(self.p, "e0", self.model, verb, 100.0, 0, self.service)
         self.p.held.waiting, waiting = [], self.p.held.waiting
         (call,) = placer.on_durable(
-            self.p, self.nowMs, waiting[-1][1], self.registry, TERMS, ENDS_MS
+            self.p, self.now_ms, waiting[-1][1], self.registry, TERMS, ENDS_MS
         )
         self.assertThat(call.verb, Equals(verb))
         return call.id.split("|", 2)[2]
 
     def answer(self, id_, code, begun=True):
-        self.nowMs += 5
+        self.now_ms += 5
         placer.on_called(
-            self.p, self.nowMs, id_, Called("", code, {}, begun), self.registry, SHARDS, TERMS
+            self.p, self.now_ms, id_, Called("", code, {}, begun), self.registry, SHARDS, TERMS
         )
 
     def state(self):
@@ -73,11 +73,11 @@
     def due(self):
         """The calls that are due; the placer is woken when the next one is, and only
         if there is one to come."""
-        found = again.due(self.p, self.nowMs, self.registry, self.service, TERMS, ENDS_MS)
+        found = again.due(self.p, self.now_ms, self.registry, self.service, TERMS, ENDS_MS)
         calls = [e for e in found if isinstance(e, Call)]
-        wakes = [e.atMs for e in found if isinstance(e, Wake)]
+        wakes = [e.at_ms for e in found if isinstance(e, Wake)]
         self.assertThat(len(calls) + len(wakes), Equals(len(found)))
-        self.assertThat([at > self.nowMs for at in wakes], Equals([True] * len(wakes)))
+        self.assertThat([at > self.now_ms for at in wakes], Equals([True] * len(wakes)))
         coming = self.state() == "taken"
         self.assertThat(len(wakes), Equals(1 if coming else 0))
         return calls
@@ -89,9 +89,9 @@
         self.assertThat((self.state(), self.due()), Equals(("taken", [])))
         asked = []
         for _ in range(200):
-            self.nowMs += 10
+            self.now_ms += 10
             for call in self.due():
-                asked.append(self.nowMs)
+                asked.append(self.now_ms)
                 id_ = call.id.split("|", 2)[2]
                 self.assertThat(
                     (call.body["item"], call.body["order"], call.verb),
@@ -108,7 +108,7 @@
         self.assertThat(self.state(), Equals("loaded"))
         self.answer(self.give("unload"), 202)
         self.assertThat(self.state(), Equals("taken"))
-        self.nowMs += 1000
+        self.now_ms += 1000
         (call,) = self.due()
         self.assertThat(call.verb, Equals("unload"))
         self.answer(call.id.split("|", 2)[2], 200)
@@ -120,7 +120,7 @@
             self.answer(self.give(), code)
             self.assertThat(self.state(), Equals(None), str(code))
             self.assertThat(ledger.charged(self.p.ledger, "e0"), Equals(before))
-            self.assertThat(self.p.demand.pauseMs["e0"], GreaterThan(self.nowMs))
+            self.assertThat(self.p.demand.pauseMs["e0"], GreaterThan(self.now_ms))
         self.answer(self.give(), 0, begun=False)
         self.assertThat(self.state(), Equals(None))
 
@@ -134,41 +134,41 @@
         usedMb, _ = ledger.charged(self.p.ledger, "e0")
         self.answer(self.give(), 0)
         self.assertThat(self.state(), Equals("unknown"))
-        self.nowMs += 500
-        self.report(["other"], at=self.nowMs - 510)
+        self.now_ms += 500
+        self.report(["other"], at=self.now_ms - 510)
         self.assertThat(self.state(), Equals("unknown"))
-        self.report(["other"], at=self.nowMs - 10)
+        self.report(["other"], at=self.now_ms - 10)
         self.assertThat(self.state(), Equals("unknown"))
         self.assertThat(ledger.charged(self.p.ledger, "e0")[0], Equals(usedMb + 100.0))
-        self.nowMs += 500
-        self.report(["other"], at=self.nowMs - 10)
+        self.now_ms += 500
+        self.report(["other"], at=self.now_ms - 10)
         self.assertThat(
             (self.state(), ledger.charged(self.p.ledger, "e0")[0]), Equals((None, usedMb))
         )
 
     def test_no_answer_and_a_report_that_has_it(self):
         self.answer(self.give(), 0)
-        self.nowMs += 100
-        self.report(["other", self.model], at=self.nowMs - 10)
+        self.now_ms += 100
+        self.report(["other", self.model], at=self.now_ms - 10)
         self.assertThat(self.state(), Equals("loaded"))
 
     def test_a_report_older_than_the_order_proves_nothing(self):
         self.answer(self.give(), 200)
         self.answer(self.give("unload"), 202)
-        self.nowMs += 300
-        self.report(["other"], at=self.nowMs - 320)
+        self.now_ms += 300
+        self.report(["other"], at=self.now_ms - 320)
         self.assertThat(self.state(), Equals("taken"))
-        self.report(["other"], at=self.nowMs - 10)
+        self.report(["other"], at=self.now_ms - 10)
         self.assertThat(self.state(), Equals(None))
         self.answer(self.give(), 200)
-        self.report(["other"], at=self.nowMs - 20)
+        self.report(["other"], at=self.now_ms - 20)
         self.assertThat(self.state(), Equals("loaded"))
 
     def test_an_item_that_came_up_is_not_found_twice_by_an_old_report(self):
         """A report from before an unload was done doesn't bring the item back."""
         self.answer(self.give(), 200)
         self.answer(self.give("unload"), 200)
-        self.report(["other", self.model], at=self.nowMs - 50)
+        self.report(["other", self.model], at=self.now_ms - 50)
         self.assertThat(list(self.p.ledger.engines["e0"]), Not(Contains(self.model)))
 
     def test_busy_reports_leave_open_orders_open(self):
@@ -177,39 +177,39 @@
             self.answer(id_, code)
             before = self.state()
             for _ in range(3):
-                self.nowMs += 500
-                self.report(["other"], at=self.nowMs - 10, busy=True)
+                self.now_ms += 500
+                self.report(["other"], at=self.now_ms - 10, busy=True)
                 self.assertThat(self.state(), Equals(before))
-            self.nowMs += 500
-            self.report(["other"], at=self.nowMs - 10)
-            self.nowMs += 500
-            self.report(["other"], at=self.nowMs - 10)
+            self.now_ms += 500
+            self.report(["other"], at=self.now_ms - 10)
+            self.now_ms += 500
+            self.report(["other"], at=self.now_ms - 10)
             self.assertThat(self.state(), Equals(None))
 
     def test_nothing_is_given_again_near_the_grants_end(self):
         self.answer(self.give(), 202)
-        self.nowMs += 5000
+        self.now_ms += 5000
         self.assertThat(
             again.due(
                 self.p,
-                self.nowMs,
+                self.now_ms,
                 self.registry,
                 self.service,
                 TERMS,
-                self.nowMs + TERMS.callMs - 1,
+                self.now_ms + TERMS.call_ms - 1,
             ),
             Equals([]),
         )
 
     def test_a_new_life_forgets(self):
         self.answer(self.give(), 200)
-        self.nowMs += 100
+        self.now_ms += 100
         settle.on_report(
             self.p,
-            self.nowMs,
+            self.now_ms,
             "e0",
             {"incarnation": "j", "roomMb": 1 << 40, "adapterPlaces": 1 << 20, "items": {}},
-            self.nowMs - 10,
+            self.now_ms - 10,
             self.registry,
         )
         self.assertThat(self.p.ledger.engines["e0"], Equals({}))
--- a/tests/test_platform_asked.py
+++ b/tests/test_platform_asked.py
@@ -2,14 +2,14 @@
 
 import random
 
-from dispatch import ledger, world
-from interchange import configuration
-from manifest import registry as registries
-from rehearsal import platform_made as made
-from rehearsal.placing import PlainEngine, Scene, engine_facts
+from adapter import configuration
+from configuration import registry as registries
+from placement import ledger, world
+from simulation import platform_made as made
+from simulation.placing import PlainEngine, Scene, engine_facts
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
-from waybill.events import Called
+from transport.events import Called
 
 ADAPTERS = 2
 
@@ -17,10 +17,10 @@
 class Floor:
     """Engines, callers that want things, and a placer between them."""
 
-    def __init__(self, seed, models=14, engines=4, perS=4.0, answers=None, loadS=0.6):
+    def __init__(self, seed, models=14, engines=4, per_s=4.0, answers=None, loadS=0.6):
         rng = self.rng = random.Random(seed)
         service = made.models_service(rng, made.word(rng), models, ADAPTERS)
-        service["engine"].update(loadPerS=perS, weightMb=220000.0, insertSlots=3)
+        service["engine"].update(loadPerS=per_s, weightMb=220000.0, insertSlots=3)
         for parcel in service["engine"]["parcels"]:
             parcel["loadS"] = loadS
         self.registry = registries.Registry(reader=configuration.READER, zonesKnown=("z", "y"))
@@ -30,7 +30,7 @@
         )
         assert failure is None, failure
         registries.apply(self.registry, record)
-        self.name, self.perS = service["name"], perS
+        self.name, self.per_s = service["name"], per_s
         self.sizes, self.items = {}, []
         for parcel in service["engine"]["parcels"]:
             names = [parcel["name"]] + [
@@ -46,7 +46,7 @@
             first = service["engine"]["parcels"][n]["name"]
             plain.append(PlainEngine(name, self.sizes, 220000.0, 3, 1000 * loadS, {first}, {first}))
         self.scene = Scene(self.registry, self.name, plain, answers)
-        self.waiting, self.count, self.longestMs, self.cameUp = {}, 0, 0.0, set()
+        self.waiting, self.count, self.longest_ms, self.came_up = {}, 0, 0.0, set()
         self.over = []
 
     def up(self, item):
@@ -63,11 +63,11 @@
             scene.command("wanted", {"items": {i: 1 for i in {model, item}}})
             return
         if item not in self.waiting:
-            self.waiting[item] = [scene.nowMs, 0.0, ""]
-        since, heldMs, _ = self.waiting[item]
-        if not heldMs or scene.nowMs > heldMs + 5000:
+            self.waiting[item] = [scene.now_ms, 0.0, ""]
+        since, held_ms, _ = self.waiting[item]
+        if not held_ms or scene.now_ms > held_ms + 5000:
             self.count += 1
-            self.waiting[item] = [since, scene.nowMs, f"h{self.count}"]
+            self.waiting[item] = [since, scene.now_ms, f"h{self.count}"]
             scene.command(
                 "hold",
                 {
@@ -88,13 +88,13 @@
         for item, (since, _, hold) in list(self.waiting.items()):
             if self.up(item):
                 del self.waiting[item]
-                self.cameUp.add(item)
-                self.longestMs = max(self.longestMs, scene.nowMs - since)
+                self.came_up.add(item)
+                self.longest_ms = max(self.longest_ms, scene.now_ms - since)
                 scene.command("unhold", {"id": hold, "why": "served"})
         for name in scene.engines:
             usedMb, places = ledger.charged(scene.p.ledger, name)
             if usedMb > 220000.0 or places > 3:
-                self.over.append((scene.nowMs, name, usedMb, places))
+                self.over.append((scene.now_ms, name, usedMb, places))
 
     def run(self, seconds, wants):
         """`wants(rng)`: an item that somebody asks for in this tick, or None."""
@@ -107,9 +107,9 @@
             self.step()
 
     def most_in_5s(self):
-        storeMs = sorted(ms for e in self.scene.engines.values() for ms in e.storeMs)
+        store_ms = sorted(ms for e in self.scene.engines.values() for ms in e.store_ms)
         return max(
-            (sum(1 for ms in storeMs if first <= ms <= first + 5000) for first in storeMs),
+            (sum(1 for ms in store_ms if first <= ms <= first + 5000) for first in store_ms),
             default=0,
         )
 
@@ -118,7 +118,7 @@
     def checked(self, floor):
         self.assertThat([b for e in floor.scene.engines.values() for b in e.broken], Equals([]))
         self.assertThat(floor.over, Equals([]))
-        self.assertThat(floor.most_in_5s(), LessThan(floor.perS * 5 * 1.1 + 3.001))
+        self.assertThat(floor.most_in_5s(), LessThan(floor.per_s * 5 * 1.1 + 3.001))
 
     def zipf(self, floor):
         weights = [1 / (n + 1) ** 1.5 for n in range(len(floor.items))]
@@ -133,9 +133,9 @@
             floor.run(20, lambda rng: None)
             self.checked(floor)
             self.assertThat(list(floor.waiting), Equals([]), str(seed))
-            self.assertThat(floor.cameUp, Equals(floor.cameUp & set(floor.items)))
-            self.assertThat(len(floor.cameUp), GreaterThan(len(floor.items) * 2 // 3))
-            self.assertThat(floor.longestMs, LessThan(30000.0), str(seed))
+            self.assertThat(floor.came_up, Equals(floor.came_up & set(floor.items)))
+            self.assertThat(len(floor.came_up), GreaterThan(len(floor.items) * 2 // 3))
+            self.assertThat(floor.longest_ms, LessThan(30000.0), str(seed))
 
     def test_all_at_once(self):
         """Every model and adapter is wanted at one moment and until it was there."""
@@ -148,11 +148,11 @@
             self.assertThat(list(floor.waiting), Equals([]), str(seed))
 
     def test_a_slow_store(self):
-        for perS in (0.5, 1.0, 2.0):
-            floor = Floor(7, perS=perS, loadS=2.0)
+        for per_s in (0.5, 1.0, 2.0):
+            floor = Floor(7, per_s=per_s, loadS=2.0)
             floor.run(40, self.zipf(floor))
             self.checked(floor)
-            self.assertThat(len(floor.cameUp), GreaterThan(3), str(perS))
+            self.assertThat(len(floor.came_up), GreaterThan(3), str(per_s))
 
     def test_demand_that_moves(self):
         floor = Floor(8, models=24)
--- a/tests/test_platform_cold.py
+++ b/tests/test_platform_cold.py
@@ -2,42 +2,42 @@
 
 import random
 
-from junction import choice, cold
-from junction.router import Router, Terms
-from manifest.registry import Registry
+from configuration.registry import Registry
+from routing import choice, cold
+from routing.router import Router, Terms
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 TERMS = Terms(
     staleMs=1000.0,
-    rampMs=1000.0,
+    ramp_ms=1000.0,
     pauseMs=100.0,
     retryRatio=0.1,
     retryWindowMs=10000.0,
-    legMs=1000.0,
+    leg_ms=1000.0,
 )
 ENGINE = {"name": "e0", "service": "s", "state": "join", "zone": "z", "slots": 32, "warmMs": 60000}
 
 
-def pressing(count, perS, seed, spanMs=5000.0):
+def pressing(count, per_s, seed, span_ms=5000.0):
     """When a cold engine is sent requests by `count` counters that never pause."""
     rng, names = random.Random(seed), tuple(f"c{n}" for n in range(count))
-    service = {"warmPerS": perS, "warmMs": 60000.0}
-    sentMs = []
+    service = {"warmPerS": per_s, "warmMs": 60000.0}
+    sent_ms = []
     for name in names:
-        r, crew, nowMs = Router(TERMS), choice.Crew(name, names), 10 * rng.random()
-        cold.notice(r, nowMs, Registry(engines={"e0": ENGINE}), {"s": service}, lambda e: True)
-        while nowMs < spanMs:
-            if cold.take(r, nowMs, ENGINE, service, crew):
-                sentMs.append(nowMs)
-            nowMs += cold.ready_in(r, nowMs, ENGINE, service, crew) + 0.001
-    return sorted(sentMs)
+        r, crew, now_ms = Router(TERMS), choice.Crew(name, names), 10 * rng.random()
+        cold.notice(r, now_ms, Registry(engines={"e0": ENGINE}), {"s": service}, lambda e: True)
+        while now_ms < span_ms:
+            if cold.take(r, now_ms, ENGINE, service, crew):
+                sent_ms.append(now_ms)
+            now_ms += cold.ready_in(r, now_ms, ENGINE, service, crew) + 0.001
+    return sorted(sent_ms)
 
 
-def most_in_a_second(sentMs):
+def most_in_a_second(sent_ms):
     first, most = 0, 0
-    for last, atMs in enumerate(sentMs):
-        while atMs - sentMs[first] > 1000.0:
+    for last, at_ms in enumerate(sent_ms):
+        while at_ms - sent_ms[first] > 1000.0:
             first += 1
         most = max(most, last - first + 1)
     return most
@@ -46,15 +46,15 @@
 class Cold(TestCase):
     def test_no_second_has_more_than_it_bears(self):
         for count in range(1, 101):
-            for perS in (1.0, 7.0, 33.0):
-                most = most_in_a_second(pressing(count, perS, count, 3000.0))
-                self.assertThat(most, LessThan(perS * 1.5 + 5 + 1e-9), f"{count} {perS}")
+            for per_s in (1.0, 7.0, 33.0):
+                most = most_in_a_second(pressing(count, per_s, count, 3000.0))
+                self.assertThat(most, LessThan(per_s * 1.5 + 5 + 1e-9), f"{count} {per_s}")
 
     def test_it_is_used_all_the_same(self):
         for count in (1, 3, 8, 30, 100):
-            for perS in (2.5, 7.0, 20.0):
-                sentMs = pressing(count, perS, count)
-                self.assertThat(len(sentMs) / 5, GreaterThan(0.5 * perS), f"{count} {perS}")
+            for per_s in (2.5, 7.0, 20.0):
+                sent_ms = pressing(count, per_s, count)
+                self.assertThat(len(sent_ms) / 5, GreaterThan(0.5 * per_s), f"{count} {per_s}")
 
     def test_none_goes_to_one_that_bears_none(self):
         for count in (1, 5, 50):
@@ -65,9 +65,9 @@
         services = {"s": {"warmPerS": 5.0, "warmMs": 9000.0}}
         open_ = [True]
 
-        def cold_at(nowMs):
-            cold.notice(r, nowMs, registry, services, lambda e: open_[0])
-            return cold.is_cold(r, nowMs, ENGINE)
+        def cold_at(now_ms):
+            cold.notice(r, now_ms, registry, services, lambda e: open_[0])
+            return cold.is_cold(r, now_ms, ENGINE)
 
         self.assertThat([cold_at(ms) for ms in (0.0, 2900.0, 3200.0)], Equals([True, True, False]))
         open_[0] = False
@@ -80,4 +80,4 @@
         self.assertThat([cold_at(ms) for ms in (20000.0, 22200.0)], Equals([True, False]))
         registry.engines = {}
         cold_at(23000.0)
-        self.assertThat((r.seenEngines, r.coldUntilMs), Equals(({}, {})))
+        self.assertThat((r.seen_engines, r.cold_until_ms), Equals(({}, {})))
--- a/tests/test_platform_line.py
+++ b/tests/test_platform_line.py
@@ -2,18 +2,23 @@
 
 import random
 
-from dispatch import floor, world
-from interchange import configuration
-from junction import choice, router
-from junction.tasks import Hold
-from manifest import registry as registries
-from rehearsal import platform_made as made
-from rehearsal.placing import SHARDS, engine_facts
+from adapter import configuration
+from configuration import registry as registries
+from placement import floor, world
+from routing import choice, router
+from routing.tasks import Hold
+from simulation import platform_made as made
+from simulation.placing import SHARDS, engine_facts
 from testtools import TestCase
 from testtools.matchers import Equals
 
 TERMS = router.Terms(
-    staleMs=1e12, rampMs=1000.0, pauseMs=100.0, retryRatio=0.1, retryWindowMs=10000.0, legMs=1000.0
+    staleMs=1e12,
+    ramp_ms=1000.0,
+    pauseMs=100.0,
+    retryRatio=0.1,
+    retryWindowMs=10000.0,
+    leg_ms=1000.0,
 )
 CREW = choice.Crew("c0", ("c0",), "z")
 
@@ -65,6 +70,6 @@
         for rank in (9, 4, 3, 2, 1, 0):
             self.router.tasks.clear()
             places[rank] = sum(
-                isinstance(self.begin(n, rank)[0], Hold) for n in range(TERMS.waitingMax + 50)
+                isinstance(self.begin(n, rank)[0], Hold) for n in range(TERMS.waiting_max + 50)
             )
         self.assertThat(places, Equals({0: 500, 1: 375, 2: 250, 3: 125, 4: 125, 9: 125}))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,12 +5,12 @@
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 
-from rehearsal import platform_callers as callers
-from rehearsal import platform_made as made
-from rehearsal.platform_engine import Sizes, Store
-from rehearsal.platform_fleet import PlatformFleet
-from rehearsal.platform_operator import Operator
-from rehearsal.platform_serving import now_ms
+from simulation import platform_callers as callers
+from simulation import platform_made as made
+from simulation.platform_engine import Sizes, Store
+from simulation.platform_fleet import PlatformFleet
+from simulation.platform_operator import Operator
+from simulation.platform_serving import now_ms
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan
 
@@ -72,10 +72,10 @@
             roomMb=150000.0,
             places=8,
             loadMs=300.0,
-            stepMs=2.0,
-            readPerMs=40.0,
-            eventTokens=4,
-            warmupMs=2000.0,
+            step_ms=2.0,
+            read_per_ms=40.0,
+            event_tokens=4,
+            warmup_ms=2000.0,
             warmupPerS=30.0,
             insertMb=12.0,
             models={
@@ -173,13 +173,13 @@
         for name in self.fleet.counters:
             address = self.fleet.address(name, "counter")
             self.fleet.until(lambda a=address: self.sends(a, gone).status == 404)
-        startMs = now_ms()
+        start_ms = now_ms()
         self.serve([self.request(n) for n in (2, 3) * 12])
-        self.assertThat({e.service for e in self.ran_since(startMs)}, Equals({other}))
+        self.assertThat({e.service for e in self.ran_since(start_ms)}, Equals({other}))
 
-    def ran_since(self, startMs):
+    def ran_since(self, start_ms):
         """The engines that began a request since then."""
-        return [e for e in self.fleet.platform.engines() if any(ms >= startMs for ms, _ in e.ran)]
+        return [e for e in self.fleet.platform.engines() if any(ms >= start_ms for ms, _ in e.ran)]
 
     def evacuates(self):
         zone = self.fleet.zones[1]
@@ -187,15 +187,15 @@
         self.assertThat(self.operator.send("POST", f"/evacuate/{zone}"), Equals(200))
 
         def empty():
-            startMs = now_ms()
+            start_ms = now_ms()
             self.serve(self.mixed(16))
-            return zone not in {e.zone for e in self.ran_since(startMs)}
+            return zone not in {e.zone for e in self.ran_since(start_ms)}
 
         self.fleet.until(empty)
         self.assertTrue(empty())
         for engine in self.fleet.platform.engines():
             if engine.zone == zone:
-                engine.coldMs = now_ms() + 2000
+                engine.cold_ms = now_ms() + 2000
         self.assertThat(self.operator.send("DELETE", f"/evacuate/{zone}"), Equals(200))
 
     def loses_its_leader(self):
@@ -219,14 +219,14 @@
         address = fleet.address(name, "counter")
         requests = [self.request(n % 2, 240) for n in range(6)]
         self.serve(requests)
-        startMs, started = now_ms(), [self.pool.submit(callers.send, address, r) for r in requests]
+        start_ms, started = now_ms(), [self.pool.submit(callers.send, address, r) for r in requests]
         fleet.until(
             lambda: (
                 sum(
                     1
                     for e in self.fleet.platform.engines()
                     for ms, _ in list(e.ran)
-                    if ms >= startMs
+                    if ms >= start_ms
                 )
                 >= 3
             )
@@ -250,10 +250,10 @@
         that starts in its place, cold, is found and used."""
         requests = [self.request(0, 240) for _ in range(6)]
         self.serve(requests)
-        startMs = now_ms()
+        start_ms = now_ms()
         started = self.pool.submit(self.serve, requests)
         crowded = self.fleet.until(
-            lambda: next((e for e in self.ran_since(startMs) if e.running), None)
+            lambda: next((e for e in self.ran_since(start_ms) if e.running), None)
         )
         self.fleet.platform.crash(crowded.id)
         self.assertThat(len(started.result()), Equals(6))
@@ -279,4 +279,4 @@
         once = [a.id for a in ran if (a.host, f"/{a.path.split('/')[1]}/") in self.once]
         self.assertThat(len(once), GreaterThan(10))
         self.assertThat(len(set(once)), Equals(len(once)))
-        self.assertThat(self.fleet.platform.turnedAway, Equals(0))
+        self.assertThat(self.fleet.platform.turned_away, Equals(0))
--- a/tests/test_platform_pool.py
+++ b/tests/test_platform_pool.py
@@ -3,20 +3,20 @@
 import socket
 import threading
 
-from junction import passing, pool
-from junction.engines import Ask
-from junction.passing import Head
-from junction.pool import Pool
+from routing import passing, pool
+from routing.engines import Ask
+from routing.passing import Head
+from routing.pool import Pool
 from testtools import TestCase
 from testtools.matchers import Equals
 
 
 class Clock:
     def __init__(self):
-        self.nowS = 100.0
+        self.now_s = 100.0
 
     def monotonic(self):
-        return self.nowS
+        return self.now_s
 
 
 class Kept(TestCase):
@@ -29,9 +29,9 @@
         for sock in (self.ours, self.theirs):
             self.addCleanup(sock.close)
 
-    def give(self, keepS, fd=None):
+    def give(self, keep_s, fd=None):
         pipe, _ = self.pool.take("http://e", True)
-        self.pool.give("http://e", pipe, self.ours.fileno() if fd is None else fd, keepS)
+        self.pool.give("http://e", pipe, self.ours.fileno() if fd is None else fd, keep_s)
         return pipe
 
     def kept(self, base="http://e", fresh=False):
@@ -61,7 +61,7 @@
         self.assertThat(self.kept(), Equals(None))
 
     def test_not_past_its_time(self):
-        for keepS, passedS, good in (
+        for keep_s, passed_s, good in (
             (10, 5.0, True),
             (10, 9.0, False),
             (1, 0.5, True),
@@ -70,9 +70,9 @@
             (None, 0.3, True),
             (None, 1.0, False),
         ):
-            self.give(keepS)
-            self.clock.nowS += passedS
-            self.assertThat(self.kept() is not None, Equals(good), f"{keepS} {passedS}")
+            self.give(keep_s)
+            self.clock.now_s += passed_s
+            self.assertThat(self.kept() is not None, Equals(good), f"{keep_s} {passed_s}")
 
     def test_not_without_a_socket(self):
         self.give(10, fd=-1)
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -4,16 +4,16 @@
 import json
 import random
 
-from dispatch import roster, settle
-from dispatch import state as dispatching
-from interchange import callers, configuration, engines
-from junction.passing import Head
-from logbook.holder import Held
-from manifest import registry as registries
+from adapter import callers, configuration, engines
+from configuration import registry as registries
+from placement import roster, settle
+from placement import state as dispatching
+from replication.shard_log import ShardLog
+from routing.passing import Head
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
-from waybill import failures
-from waybill.events import Called
+from transport import failures
+from transport.events import Called
 from werkzeug.test import EnvironBuilder
 from werkzeug.wrappers import Request
 
@@ -128,9 +128,9 @@
             registry = registries.Registry(
                 engines={"e0": {"name": "e0", "service": "s", "roomMb": 0, "adapterPlaces": 0}}
             )
-            p = dispatching.Placer(1, 1, Held(1, 1, ready=True))
-            for askedMs in (1.0, 2.0):
-                settle.on_report(p, 3.0, "e0", found, askedMs, registry)
+            p = dispatching.Placer(1, 1, ShardLog(1, 1, ready=True))
+            for asked_ms in (1.0, 2.0):
+                settle.on_report(p, 3.0, "e0", found, asked_ms, registry)
 
     def test_nothing_is_read_of_what_failed(self):
         for verb in ("load", "unload", "report", "list"):
--- a/tests/test_platform_refused.py
+++ b/tests/test_platform_refused.py
@@ -3,7 +3,7 @@
 import copy
 import random
 
-from rehearsal import platform_made as made
+from simulation import platform_made as made
 from test_platform_written import Operator, exact
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
--- a/tests/test_platform_relaying.py
+++ b/tests/test_platform_relaying.py
@@ -1,15 +1,15 @@
 """A caller's answer from made-up legs: the engine's own, whole, and joined exactly."""
 
-from interchange.dialect import DIALECT
-from junction import passing
-from junction.legs import Ended
-from junction.passing import Head
-from junction.relaying import Relaying
-from junction.router import Leg
-from junction.tasks import Done, Stay
+from adapter.dialect import DIALECT
+from routing import passing
+from routing.legs import Ended
+from routing.passing import Head
+from routing.relaying import Relaying
+from routing.router import Leg
+from routing.tasks import Done, Stay
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import failures
+from transport import failures
 
 OWN = (("X-Try-Id", "t1"), ("X-Postmark", "p"), ("Content-Type", "text/event-stream"))
 STREAM = {"kind": "stream", "resumable": True, "repeatable": True}
@@ -36,7 +36,7 @@
         sources, self.asked, self.proofs, self.closed = list(legs), [], [], []
         spent = failures.OutcomeUnknown("leg-broken")
 
-        def stream(pool, base, ask, timeoutMs, connectMs, fresh, silentMs):
+        def stream(pool, base, ask, timeout_ms, connect_ms, fresh, silent_ms):
             self.asked.append(ask)
             try:
                 yield from sources.pop(0)
--- a/tests/test_platform_roster.py
+++ b/tests/test_platform_roster.py
@@ -2,14 +2,14 @@
 
 import random
 
-from dispatch import roster
-from dispatch.state import Terms
-from manifest import registry as registries
+from configuration import registry as registries
+from placement import roster
+from placement.state import Terms
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill.events import Called
+from transport.events import Called
 
-TERMS = Terms(callMs=100.0, reportMs=100.0, darkMs=1000.0, listMs=200.0)
+TERMS = Terms(call_ms=100.0, report_ms=100.0, dark_ms=1000.0, list_ms=200.0)
 
 
 def entry(name, **facts):
@@ -30,12 +30,12 @@
 
     def __init__(self):
         self.roster, self.registry = roster.Roster(), registries.Registry()
-        self.engines, self.nowMs, self.pages = [], 1000.0, 1
+        self.engines, self.now_ms, self.pages = [], 1000.0, 1
 
     def round(self, fails=None):
         """One reading of the whole list; page `fails` answers 429.  What is logged."""
-        self.nowMs += 300
-        effects = roster.tick(self.roster, self.nowMs, TERMS, "http://p", "0|1")
+        self.now_ms += 300
+        effects = roster.tick(self.roster, self.now_ms, TERMS, "http://p", "0|1")
         size, page, changed = -(-len(self.engines) // self.pages) or 1, 0, []
         while effects:
             (call,) = effects
@@ -50,7 +50,7 @@
                 told = Called(call.id, 429, {})
             effects, changed = roster.on_called(
                 self.roster,
-                self.nowMs,
+                self.now_ms,
                 call.id.split("|", 2)[2],
                 told,
                 self.registry,
@@ -130,8 +130,8 @@
         self.assertThat(len(self.list.round()), Equals(7))
         self.assertThat(self.list.registry.engines["e1"]["warmMs"], Equals(5000))
         told = []
-        for leftMs in (4700, 4400, 4100, 9000, 8700, 8400, 0, 0):
-            self.list.engines[1] = entry("e1", warmMs=leftMs)
+        for left_ms in (4700, 4400, 4100, 9000, 8700, 8400, 0, 0):
+            self.list.engines[1] = entry("e1", warmMs=left_ms)
             told.append([(e["name"], e["warmMs"]) for e in self.list.round()])
         self.assertThat(told, Equals([[], [], [], [("e1", 9000)], [], [], [], []]))
 
--- a/tests/test_platform_routes.py
+++ b/tests/test_platform_routes.py
@@ -2,9 +2,9 @@
 
 import random
 
-from junction import routes
-from manifest import passages
-from manifest.registry import Registry
+from configuration import passages
+from configuration.registry import Registry
+from routing import routes
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -6,12 +6,12 @@
 import random
 import tempfile
 
-from interchange import settings
+from adapter import settings
 from pulleyhitch.config import Config
 from test_platform_readers import spoilt, torn
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import failures
+from transport import failures
 
 TOLD = {
     "nodeName": "counter-a-1",
--- a/tests/test_platform_silent.py
+++ b/tests/test_platform_silent.py
@@ -1,12 +1,12 @@
 """A leg that stays silent: another one elsewhere, or it goes on; it is never ended for
 nothing."""
 
-from dispatch import floor
-from junction import choice, router
-from junction.tasks import Leg, Stay
-from manifest import passages
-from manifest.registry import Registry
-from rehearsal.placing import SHARDS, engine_facts
+from configuration import passages
+from configuration.registry import Registry
+from placement import floor
+from routing import choice, router
+from routing.tasks import Leg, Stay
+from simulation.placing import SHARDS, engine_facts
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -29,11 +29,11 @@
         return router.Router(
             router.Terms(
                 staleMs=stale,
-                rampMs=1000.0,
+                ramp_ms=1000.0,
                 pauseMs=100.0,
                 retryRatio=0.0,
                 retryWindowMs=10000.0,
-                legMs=1e6,
+                leg_ms=1e6,
                 retryAllowance=allowance,
             )
         )
@@ -58,8 +58,8 @@
         (reply,) = router.begin(r, 1000.0, self.floor, 0.0, CREW, task)
         return reply.outcome
 
-    def silent(self, r, token="t", ageMs=0.0):
-        return router.silent(r, 1400.0, self.floor, ageMs, CREW, token)[0].outcome
+    def silent(self, r, token="t", age_ms=0.0):
+        return router.silent(r, 1400.0, self.floor, age_ms, CREW, token)[0].outcome
 
     def test_another_engine(self):
         r = self.router(5.0)
@@ -97,4 +97,4 @@
     def test_nor_does_a_layout_that_is_old(self):
         r = self.router(5.0, stale=500.0)
         self.begin(r)
-        self.assertThat((self.silent(r, ageMs=600.0), len(r.tasks)), Equals((Stay(), 1)))
+        self.assertThat((self.silent(r, age_ms=600.0), len(r.tasks)), Equals((Stay(), 1)))
--- a/tests/test_platform_written.py
+++ b/tests/test_platform_written.py
@@ -4,14 +4,14 @@
 import json
 import random
 
-from interchange import configuration
-from manifest import registry as registries
-from manifest import written
-from pulleyhitch.operating import Answered
-from rehearsal import platform_made as made
+from adapter import configuration
+from configuration import documents
+from configuration import registry as registries
+from pulleyhitch.operator_requests import Answered
+from simulation import platform_made as made
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan
-from waybill import failures
+from transport import failures
 from werkzeug.test import EnvironBuilder
 from werkzeug.wrappers import Request
 
@@ -47,7 +47,7 @@
         return status, json.loads(body)
 
     def back(self):
-        return exact(json.loads(written.as_sent(configuration.READER, self.registry.document)))
+        return exact(json.loads(documents.as_sent(configuration.READER, self.registry.document)))
 
     def facts(self):
         r = self.registry
@@ -107,8 +107,8 @@
         kept = registries.load(registries.dump(self.operator.registry), reader=configuration.READER)
         self.assertThat(kept, Equals(self.operator.registry))
         self.assertThat(
-            written.as_sent(configuration.READER, kept.document),
-            Equals(written.as_sent(configuration.READER, self.operator.registry.document)),
+            documents.as_sent(configuration.READER, kept.document),
+            Equals(documents.as_sent(configuration.READER, self.operator.registry.document)),
         )
 
     def test_a_checkpoint_after_something_else_changed(self):
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -7,19 +7,19 @@
 import tempfile
 from pathlib import Path
 
-from logbook import disk as disks
-from logbook import election
-from logbook import group as groups
-from rehearsal import deployments
-from rehearsal.sim import disk as sim_disks
-from rehearsal.sim import run
-from rehearsal.sim import world as worlds
+from replication import disk as disks
+from replication import election
+from replication import group as groups
+from simulation import deployments
+from simulation.sim import disk as sim_disks
+from simulation.sim import run
+from simulation.sim import world as worlds
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill.effects import Send, Write
-from waybill.messages import Ballot, Canvass, Entry, Member
+from transport.effects import Send, Write
+from transport.messages import Entry, Member, VoteReply, VoteRequest
 
-TIMES = groups.Times(electMs=480.0, heartbeatMs=120.0, pingMs=240.0, revokeMs=3000.0)
+TIMES = groups.Times(elect_ms=480.0, heartbeat_ms=120.0, ping_ms=240.0, revoke_ms=3000.0)
 
 
 def entries(first, last):
@@ -74,7 +74,7 @@
     def test_a_hole_between_segments_cuts_what_was_never_told(self):
         disk = self.open()
         disk.write(Write(entries(1, 2), known=2))
-        disk._segmentBytes = 0
+        disk._segment_bytes = 0
         lost = disk.reserve(Write(entries(3, 3), known=2))
         kept = disk.reserve(Write(entries(4, 4), known=2))
         disk.put(kept)
@@ -86,7 +86,7 @@
     def test_a_hole_between_segments_in_what_was_told_is_not_trusted(self):
         disk = self.open()
         disk.write(Write(entries(1, 2), known=2))
-        disk._segmentBytes = 0
+        disk._segment_bytes = 0
         disk.write(Write(entries(3, 3), known=2))
         disk.write(Write(entries(4, 4), known=3))
         self.close(disk)
@@ -95,7 +95,7 @@
 
 
 def depot(name, last, term):
-    found = groups.Group(name, name, name, TIMES, random.Random(ord(name[0])))
+    found = groups.Replica(name, name, name, TIMES, random.Random(ord(name[0])))
     found.group, found.term = "g", term
     found.founders = tuple(Member(n, n, n) for n in "abc")
     found.log = list(entries(1, last))
@@ -104,17 +104,17 @@
 
 
 class Elections(TestCase):
-    def deliver(self, nodes, nowMs, effects, sender):
+    def deliver(self, nodes, now_ms, effects, sender):
         queue = [(sender, e) for e in effects]
         while queue:
             origin, effect = queue.pop(0)
             if not isinstance(effect, Send) or effect.to not in nodes:
                 continue
             node, message = nodes[effect.to], effect.message
-            if isinstance(message, Canvass):
-                found = election.on_canvass(node, nowMs, origin, message)
-            elif isinstance(message, Ballot):
-                found = election.on_ballot(node, nowMs, message)
+            if isinstance(message, VoteRequest):
+                found = election.on_vote_request(node, now_ms, origin, message)
+            elif isinstance(message, VoteReply):
+                found = election.on_vote_reply(node, now_ms, message)
             else:
                 found = []
             queue += [(effect.to, e) for e in found]
@@ -122,11 +122,11 @@
     def test_the_fresher_log_wins_although_its_term_is_behind(self):
         for ahead in range(1, 6):
             nodes = {"a": depot("a", 10, 2 + ahead), "b": depot("b", 12, 2)}
-            nowMs = 0.0
-            while nowMs < 20 * TIMES.electMs and "leader" not in [n.role for n in nodes.values()]:
+            now_ms = 0.0
+            while now_ms < 20 * TIMES.elect_ms and "leader" not in [n.role for n in nodes.values()]:
                 for name, node in nodes.items():
-                    self.deliver(nodes, nowMs, election.tick(node, nowMs), name)
-                nowMs += 20
+                    self.deliver(nodes, now_ms, election.tick(node, now_ms), name)
+                now_ms += 20
             self.assertThat(nodes["b"].role, Equals("leader"), f"{ahead} terms ahead")
 
 
@@ -146,7 +146,7 @@
             fresh = worlds.Host("d9", config, sim_disks.SimDisk())
             made.world.hosts["d9"] = fresh
             worlds.boot(made.world, fresh)
-            worlds.spin(made.world, made.world.nowMs + 4000)
+            worlds.spin(made.world, made.world.now_ms + 4000)
             members = groups.members(made.world.hosts[made.leader()].node.depot.group)
             self.assertThat(len(members), Equals(3), f"seed {seed}")
             self.assertNotIn(identity, members)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,10 +6,10 @@
 
 from pulleyhitch import config, node, process
 from pulleyhitch.process import Process
-from rehearsal.fleet import free_ports
+from simulation.fleet import free_ports
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import events as e
+from transport import events as e
 
 
 class _Endless(queue.SimpleQueue):
@@ -43,7 +43,7 @@
         self.addCleanup(made._pipes.close)
         self.addCleanup(made._stopped.set)
 
-        def handle(_, nowMs, event):
+        def handle(_, now_ms, event):
             seen(event)
             return []
 
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -8,13 +8,13 @@
 import tempfile
 from pathlib import Path
 
-from junction import callers
 from pulleyhitch import config
-from rehearsal import deployments
-from rehearsal.fleet import Fleet
+from routing import callers
+from simulation import deployments
+from simulation.fleet import Fleet
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import failures
+from transport import failures
 
 GOOD = {
     "name": "c0",
@@ -75,7 +75,7 @@
     def test_timeouts_follow_the_bounds(self):
         half = config.check({**GOOD, "bounds": {"serviceBackMs": 6000}})
         self.assertThat(
-            config.times(half).electMs * 2, Equals(config.times(config.check(GOOD)).electMs)
+            config.times(half).elect_ms * 2, Equals(config.times(config.check(GOOD)).elect_ms)
         )
 
 
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -6,12 +6,12 @@
 import threading
 from collections import Counter
 
-from junction import pieces
-from rehearsal import deployments
-from rehearsal.calling import read_stream
-from rehearsal.fleet import Fleet, free_ports
-from rehearsal.relay import Relay
-from rehearsal.sim import faults, run
+from routing import pieces
+from simulation import deployments
+from simulation.calling import read_stream
+from simulation.fleet import Fleet, free_ports
+from simulation.relay import Relay
+from simulation.sim import faults, run
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -50,7 +50,7 @@
         steps += [faults.Step(5000.0, "engine-restart", "e0", 200.0)]
         resumed = 0
         for seed in (4, 8):
-            found = run.simulate(seed, deployments.SMALL, steps=steps, spanMs=15000.0)
+            found = run.simulate(seed, deployments.SMALL, steps=steps, span_ms=15000.0)
             self.assertThat(found.violations, Equals({}))
             resumed += found.facts["resumed"]
         self.assertTrue(resumed > 20)
