--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,10 +1,10 @@
 """A short trial on real processes: the brief's faults under traffic, judged by
-the simulator's checkers.  Both deployments' sizes: `pulleyhitch-rehearsal trial`."""
+the simulator's checkers.  Both deployments' sizes: `pulleyhitch-simulation trial`."""
 
 import tempfile
 
-from rehearsal import deployments, trials
-from rehearsal.fleet import Fleet
+from simulation import deployments, trials
+from simulation.fleet import Fleet
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,15 +2,15 @@
 
 import dataclasses
 
-from dispatch import ledger, orders, placer, settle, state
-from logbook import holder
-from manifest import registry
-from rehearsal import deployments
-from rehearsal.sim import floor, run
-from rehearsal.sim import world as worlds
+from configuration import registry
+from placement import ledger, orders, placer, settle, state
+from replication import shard_log
+from simulation import deployments
+from simulation.sim import floor, run
+from simulation.sim import world as worlds
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
-from waybill import failures
+from transport import failures
 
 
 class Waiting(TestCase):
@@ -105,7 +105,7 @@
         reg = registry.Registry(
             engines={"e0": {"name": "e0", "service": "g", "roomMb": 10, "adapterPlaces": 0}}
         )
-        p = state.Placer(1, 1, holder.Held(1, 1, ready=True), notBeforeMs=0.0)
+        p = state.Placer(1, 1, shard_log.ShardLog(1, 1, ready=True), not_before_ms=0.0)
         told = {"incarnation": "old", "roomMb": 10, "adapterPlaces": 0, "items": {}}
         settle.on_report(p, 1.0, "e0", told, 0.0, reg)
         state.log(p, ledger.order_record("e0", "m", "load", "1.1.1", 5, 0, "g"))
@@ -113,15 +113,15 @@
         settle.on_report(p, 3.0, "e0", {**told, "incarnation": "new"}, 1.5, reg)
         self.assertThat(ledger.loads_out(p.ledger, "g"), Equals(1))
         del p.calls["1.1.1"]
-        p.callEndMs["1.1.1"] = 4.0
+        p.call_end_ms["1.1.1"] = 4.0
         state.log(p, ledger.state_record("e0", "m", "1.1.1", "taken"))
         settle.on_report(p, 6.0, "e0", {**told, "incarnation": "new"}, 5.0, reg)
         self.assertThat(ledger.loads_out(p.ledger, "g"), Equals(0))
 
     def test_a_gone_engines_load_still_counts_for_a_while(self):
         """Taken off the list while it loads: the store may still be serving it."""
-        terms = state.Terms(callMs=900.0, reportMs=400.0, darkMs=3000.0)
-        p = state.Placer(1, 1, holder.Held(1, 1, ready=True))
+        terms = state.Terms(call_ms=900.0, report_ms=400.0, dark_ms=3000.0)
+        p = state.Placer(1, 1, shard_log.ShardLog(1, 1, ready=True))
         state.log(p, ledger.found_record("e0", "i", {}, "g"))
         state.log(p, ledger.order_record("e0", "m", "load", "1.1.1", 5, 0, "g"))
         loads = {"atOnce": 1, "perMinute": 60}
@@ -130,7 +130,7 @@
         self.assertThat(p.ledger.engines, Equals({}))
         self.assertFalse(orders.store_allows(p, 2900.0, "g", loads))
         again = state.Placer(
-            1, 2, holder.Held(1, 2, ready=True), ledger=ledger.load(ledger.dump(p.ledger))
+            1, 2, shard_log.ShardLog(1, 2, ready=True), ledger=ledger.load(ledger.dump(p.ledger))
         )
         self.assertFalse(orders.store_allows(again, 9e6, "g", loads), "a takeover counts it")
         placer._drop_gone(p, 3100.0, registry.Registry(), terms)
--- a/tests/test_waybill.py
+++ b/tests/test_waybill.py
@@ -8,12 +8,12 @@
 import typing
 from dataclasses import fields, is_dataclass
 
-from rehearsal.fleet import free_ports
+from simulation.fleet import free_ports
 from testtools import TestCase
 from testtools.matchers import Equals
-from waybill import codec, frames, messages
-from waybill.messages import Release
-from waybill.pipes import Pipes
+from transport import codec, frames, messages
+from transport.connections import Connections
+from transport.messages import Release
 
 CARD = messages.Card("n", "counter", "z", "127.0.0.1:1", "127.0.0.1:2", "i")
 HELLO = messages.Greet(CARD, False, (), messages.GroupCard("", 0, 0, "", ()))
@@ -69,7 +69,7 @@
         for size in range(0, 40):
             body = random.Random(size).randbytes(size)
             try:
-                codec.from_bytes(messages.Entries, body)
+                codec.from_bytes(messages.AppendEntries, body)
             except codec.BadBody:
                 pass
 
@@ -79,7 +79,7 @@
         got, notes = queue.Queue(), queue.Queue()
         with socket.create_server(("127.0.0.1", 0)) as free:
             address = "127.0.0.1:%d" % free.getsockname()[1]
-        pipes = Pipes(
+        pipes = Connections(
             address,
             lambda: HELLO,
             lambda s, m: got.put((s, m)),
@@ -96,12 +96,12 @@
             sock.settimeout(20)
         good.sendall(frames.pack(HELLO))
         bad.sendall(frames.pack(HELLO) + b"PHW1 this is no frame at all")
-        rude.sendall(frames.pack(messages.TakeOver(1)))
+        rude.sendall(frames.pack(messages.TransferLeadership(1)))
         self.assertThat(bad.recv(1), Equals(b""))
         self.assertThat(rude.recv(1), Equals(b""))
-        good.sendall(frames.pack(messages.TakeOver(9)))
+        good.sendall(frames.pack(messages.TransferLeadership(9)))
         seen = [got.get(timeout=20) for _ in range(3)]
-        self.assertIn((CARD.address, messages.TakeOver(9)), seen)
+        self.assertIn((CARD.address, messages.TransferLeadership(9)), seen)
         self.assertThat(
             {notes.get(timeout=20)[0] for _ in range(2)}, Equals({"pipe-broken", "pipe-rude"})
         )
@@ -114,7 +114,7 @@
         got, notes = queue.Queue(), []
         addresses = [f"127.0.0.1:{p}" for p in free_ports(2)]
         here, there = (
-            Pipes(a, lambda: HELLO, lambda s, m: got.put(m), lambda *n: notes.append(n), 500)
+            Connections(a, lambda: HELLO, lambda s, m: got.put(m), lambda *n: notes.append(n), 500)
             for a in addresses
         )
         self.addCleanup(here.close)
@@ -126,7 +126,7 @@
             with here._lock:
                 if old is not None:
                     here._lost(line, "test")
-                line.notBeforeS = 0.0
+                line.not_before_s = 0.0
                 here._dial(line)
                 if old is not None:
                     here._on_line(line, old, selectors.EVENT_READ | selectors.EVENT_WRITE)
