Vote by the asker's term, log and group alone

A replica answered no vote request unless its own newest membership named it. One that was just added, and had not yet got the entry that adds it, stayed silent; the only other survivor that had the entry needed its vote. With the leader lost, two of three stood and none could lead, for ever.

The candidate counts the votes of its own membership only, so the voter needs no idea of it. A replica that was never told of a group still does not vote, and an emptied machine votes under a new identity, which no candidate counts.

--- a/libs/replication/src/replication/election.py
+++ b/libs/replication/src/replication/election.py
@@ -160,7 +160,12 @@
 
 
 def on_vote_request(replica, now_ms, sender, ask):
-    if not replica.group or ask.group != replica.group or replica.identity not in members(replica):
+    """Vote by the asker's term, log and group alone.
+
+    Whether we are a member is for the candidate to know, which counts the votes of its
+    own membership only: ours may be older than the entry that added us.
+    """
+    if not replica.group or ask.group != replica.group:
         return []
     if not ask.named and leader_live(replica, now_ms):
         return [Send(sender, VoteReply(replica.term, replica.identity, False, ask.pre_vote))]
