--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -31,6 +31,7 @@
     "on_ack",
     "on_view",
     "on_written",
+    "acknowledged",
     "advance",
     "confirmed_round",
     "add_learner",
@@ -169,6 +170,12 @@
     return effects
 
 
+def acknowledged(replica):
+    """The last entry that a follower answers for: on its disk, in its own log or under
+    its snapshot, and known to be what the leader of this term has."""
+    return max(replica.snapshot_index, min(replica.synced, replica.verified))
+
+
 def _ack(replica, agreed, index, round_):
     return AppendReply(
         replica.term, replica.identity, replica.name, replica.address, agreed, index, round_
@@ -204,9 +211,7 @@
     top = message.prev_index + len(message.entries)
     replica.verified = max(replica.verified, top)
     effects += advance(replica, min(message.commit, replica.verified))
-    return effects + [
-        Send(sender, _ack(replica, True, min(replica.synced, replica.verified), message.round))
-    ]
+    return effects + [Send(sender, _ack(replica, True, acknowledged(replica), message.round))]
 
 
 def _cut(replica, index):
@@ -231,7 +236,7 @@
         return [
             Send(
                 replica.leader_address,
-                _ack(replica, True, min(replica.synced, replica.verified), 0),
+                _ack(replica, True, acknowledged(replica), 0),
             )
         ]
     return []
@@ -291,22 +296,32 @@
     ):
         return []
     effects = _follow(replica, now_ms, message)
-    if message.index <= replica.commit:
-        return effects + [Send(sender, _ack(replica, True, replica.commit, 0))]
-    index, term, body = read_snapshot_file(message.body)
-    replica.log, replica.writes, replica.member_entries = [], [], []
-    replica.base_index, replica.base_term, replica.commit, replica.synced = (
-        index,
-        term,
-        index,
-        index,
-    )
-    replica.snapshot_index, replica.bytes_since_snapshot, replica.verified = index, 0, index
+    if message.index > replica.commit:
+        effects.append(_install(replica, message.body))
+    return effects + [Send(sender, _ack(replica, True, acknowledged(replica), 0))]
+
+
+def _install(replica, snapshot):
+    """Replace the state by a snapshot that is ahead of it.
+
+    If the log holds the snapshot's last entry, what follows that entry is kept (Raft,
+    section 7): it may have been acknowledged.  Else nothing past it was verified in
+    this term, and the whole log goes.
+    """
+    index, term, body = read_snapshot_file(snapshot)
+    matches = term_at(replica, index) == term
+    if matches:
+        replica.member_entries = [entry for entry in replica.member_entries if entry[0] > index]
+    else:
+        replica.log, replica.writes, replica.member_entries = [], [], []
+        replica.base_index, replica.base_term, replica.synced = index, term, index
     replica.state = state_machine.restore(body)
-    return effects + [
-        Install(index, message.body, restart=True),
-        Send(sender, _ack(replica, True, index, 0)),
-    ]
+    replica.commit = replica.snapshot_index = index
+    replica.verified = max(replica.verified, index)
+    replica.bytes_since_snapshot = sum(
+        len(entry.body) for entry in replica.log[index - replica.base_index :]
+    )
+    return Install(index, snapshot, restart=not matches)
 
 
 def trim(replica):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,10 +3,11 @@
 
 import random
 
+from replication import disk as disks
 from replication import election, log_replication, state_machine
 from replication import group as groups
 from transport.codec import to_bytes
-from transport.effects import Send, Write
+from transport.effects import Install, Send, Write
 from transport.messages import (
     AppendEntries,
     AppendReply,
@@ -14,6 +15,7 @@
     Entry,
     Member,
     SnapshotPart,
+    TransferLeadership,
     VoteReply,
     VoteRequest,
 )
@@ -113,3 +115,128 @@
         e.message for e in election.on_vote_request(newest, 0.0, "a", asked) if isinstance(e, Send)
     ]
     assert not answer.granted
+
+
+def leader_of(names, entries, term=3):
+    """A leader of `term`, named by the one before it; its own log is synced, and
+    of its peers nothing but their votes has been heard."""
+    made = replica(names[0], entries, term=term - 1, founders=names)
+    named = election.on_transfer_leadership(made, 0.0, TransferLeadership(term - 1))
+    assert [e for e in named if isinstance(e, Send)]
+    for name in names[1:]:
+        election.on_vote_reply(made, 0.0, VoteReply(term, name, True, False))
+    log_replication.on_written(made, 0.0, made.term_index, term)
+    return made
+
+
+def append(follower, leader, entries, prev, commit=0, term=3):
+    """What a leader of `term` sends, and the acknowledgement it gets."""
+    message = AppendEntries(
+        "g", term, leader, leader, follower.identity, prev.index, prev.term, commit, 0, (*entries,)
+    )
+    return log_replication.on_entries(follower, 0.0, leader, message)
+
+
+def snapshot_of(index, term, entries, to, sender_term=3):
+    state = state_machine.StateMachine()
+    for entry in entries:
+        state_machine.apply_body(state, entry.body, entry.index)
+    source = replica("a", entries, term=sender_term)
+    source.state, source.commit = state, index
+    return SnapshotPart("g", sender_term, "a", "a", to, index, term, groups.snapshot_file(source))
+
+
+def acknowledged(effects):
+    return [e.message.index for e in effects if isinstance(e, Send) and e.message.agreed]
+
+
+LOG = [members_entry(1, 1, "abc")] + [plain_entry(i, 3) for i in range(2, 8)]
+
+
+def test_a_late_snapshot_keeps_the_entries_after_it():
+    """The snapshot ends at an entry that is here: what follows it was acknowledged."""
+    follower = replica("b")
+    append(follower, "a", LOG, Entry(0, 0, b""))
+    assert acknowledged(log_replication.on_written(follower, 0.0, 7, 3)) == [7]
+    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    assert groups.last_index(follower) == 7
+    assert [groups.term_at(follower, i) for i in (5, 6, 7)] == [3, 3, 3]
+    assert (follower.commit, follower.synced) == (5, 7)
+    assert acknowledged(effects) == [7], "an acknowledged position never goes back"
+    (install,) = [e for e in effects if isinstance(e, Install)]
+    assert not install.restart, "the log's segments hold what follows the snapshot"
+
+
+def test_a_late_snapshot_keeps_the_membership_after_it():
+    follower = replica("b")
+    entries = [*LOG[:5], members_entry(6, 3, "abd"), LOG[6]]
+    append(follower, "a", entries, Entry(0, 0, b""))
+    log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    assert set(groups.members(follower)) == set("abd")
+
+
+def test_entries_after_a_snapshot_count_only_once_their_own_write_is_done():
+    """The snapshot is synced; the writes under way when it came are not."""
+    follower = replica("b")
+    append(follower, "a", LOG[:4], Entry(0, 0, b""))
+    append(follower, "a", LOG[4:], LOG[3])
+    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    assert acknowledged(effects) == [5]
+    assert acknowledged(log_replication.on_written(follower, 0.0, 7, 3)) == [5]
+    assert acknowledged(log_replication.on_written(follower, 0.0, 4, 3)) == [7]
+
+
+def test_a_snapshot_that_does_not_fit_the_log_replaces_it():
+    stale = [members_entry(1, 1, "abc")] + [plain_entry(i, 2) for i in range(2, 8)]
+    follower = replica("b", stale, term=2)
+    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    assert (groups.last_index(follower), groups.last_term(follower)) == (5, 3)
+    assert acknowledged(effects) == [5]
+    assert [e.restart for e in effects if isinstance(e, Install)] == [True]
+    log_replication.on_written(follower, 0.0, 7, 2)
+    assert follower.synced == 5, "a write of the replaced log says nothing"
+
+
+def test_what_is_committed_but_not_synced_here_is_not_acknowledged():
+    """A snapshot that brings nothing new: the leader counts what is on disk alone."""
+    follower = replica("b")
+    append(follower, "a", LOG, Entry(0, 0, b""), commit=7)
+    assert (follower.commit, follower.synced) == (7, 0)
+    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    assert acknowledged(effects) == [0]
+
+
+def test_acknowledgements_of_another_life_or_term_do_not_count():
+    leader = leader_of("abc", [members_entry(1, 1, "abc")])
+    for ack in (
+        AppendReply(2, "b", "b", "b", True, 2, 0),
+        AppendReply(3, "b-emptied", "b", "b", True, 2, 0),
+    ):
+        log_replication.on_ack(leader, 0.0, ack)
+    assert (leader.progress["b"].match, leader.commit) == (0, 0)
+    log_replication.on_ack(leader, 0.0, AppendReply(3, "b", "b", "b", True, 2, 0))
+    assert leader.commit == 2
+
+
+def test_a_replica_acknowledges_only_what_its_leader_has_verified():
+    """Entries of an earlier term lie synced here that the new leader may not have."""
+    follower = replica("b", [*LOG[:4], plain_entry(5, 3), plain_entry(6, 3)], term=3)
+    effects = append(follower, "a", [], LOG[3], term=4)
+    assert acknowledged(effects) == [4]
+
+
+def test_a_snapshot_over_an_unfinished_write_leaves_a_disk_that_opens(tmp_path):
+    """Of two writes under way, the second is done and the first, under the snapshot,
+    is lost with the power: nothing after it was acknowledged, and the disk is trusted."""
+    disk = disks.Disk(tmp_path, 1 << 20)
+    disk.write(Write(tuple(LOG[:2]), known=0))
+    disk.reserve(Write(tuple(LOG[2:5]), known=2))
+    disk.put(disk.reserve(Write(tuple(LOG[5:7]), known=2)))
+    snapshot = snapshot_of(5, 3, LOG[:5], "b").body
+    disk.write(Install(5, snapshot, restart=False))
+    disk._lock.close()
+    again = disks.Disk(tmp_path, 1 << 20)
+    reopened = replica("b", founders="")
+    groups.open_replica(reopened, again.loaded.files, again.loaded.entries)
+    assert (reopened.commit, groups.last_index(reopened), reopened.synced) == (5, 5, 5)
+    again._lock.close()
