--- a/libs/replication/src/replication/group.py
+++ b/libs/replication/src/replication/group.py
@@ -202,6 +202,8 @@
         replica.state = state_machine.restore(body)
         replica.commit = replica.snapshot_index = replica.base_index
     for entry in entries:
+        if entry.term < last_term(replica):
+            break  # Left over from a log that the snapshot replaced.
         replica.log.append(entry)
         learn_members(replica, entry)
     replica.synced = last_index(replica)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -240,3 +240,12 @@
     groups.open_replica(reopened, again.loaded.files, again.loaded.entries)
     assert (reopened.commit, groups.last_index(reopened), reopened.synced) == (5, 5, 5)
     again._lock.close()
+
+
+def test_old_entries_that_a_replaced_log_left_behind_are_not_opened():
+    """The power went after the snapshot was saved, and before its segments were removed."""
+    snapshot = snapshot_of(5, 3, LOG[:5], "b").body
+    reopened = replica("b", founders="")
+    groups.open_replica(reopened, {"view": snapshot}, [plain_entry(6, 2), plain_entry(7, 2)])
+    assert (groups.last_index(reopened), groups.last_term(reopened)) == (5, 3)
+    assert reopened.synced == 5
