Count the old leader's silence from its last word, not from the new term

A new leader took all members as heard of at its election, so a lost leader was replaced an election later than a lost follower. It knows when it last heard of the old one: that counts, but for one election, which the old leader keeps to speak up.

Red before: test_a_new_leader_counts_the_old_ones_silence_from_its_last_word.

--- a/libs/replication/src/replication/election.py
+++ b/libs/replication/src/replication/election.py
@@ -32,6 +32,10 @@
     "restart_clock",
 ]
 
+# At most so many elections of the old leader's silence count when a new one begins, which
+# leaves it one to speak up before its place is given away.
+_SILENT_ELECTIONS = 3
+
 
 def restart_clock(replica, now_ms):
     replica.elect_at_ms = now_ms + replica.times.elect_ms * (1 + replica.random.random())
@@ -146,7 +150,9 @@
     )
     replica.led_from_ms, replica.round, replica.round_sent_ms = now_ms, 0, {}
     replica.progress = {
-        i: PeerProgress(m.address, m.name, last_index(replica) + 1, heard_ms=now_ms)
+        i: PeerProgress(
+            m.address, m.name, last_index(replica) + 1, heard_ms=_last_heard(replica, now_ms, i)
+        )
         for i, m in members(replica).items()
         if i != replica.identity
     }
@@ -159,6 +165,13 @@
     ] + log_replication.propose(replica, now_ms, to_bytes(Batch(tuple(first))))
 
 
+def _last_heard(replica, now_ms, identity):
+    """A new leader knows how long the old one has been silent, and of no other member."""
+    if identity != replica.last_leader:
+        return now_ms
+    return max(replica.heard_ms, now_ms - _SILENT_ELECTIONS * replica.times.elect_ms)
+
+
 def on_vote_request(replica, now_ms, sender, ask):
     """Vote by the asker's term, log and group alone.
 
--- a/libs/replication/src/replication/group.py
+++ b/libs/replication/src/replication/group.py
@@ -92,6 +92,7 @@
     role: str = "follower"
     leader: str = ""
     leader_address: str = ""
+    last_leader: str = ""
     heard_ms: float = 0.0
     elect_at_ms: float = 0.0
     pre_vote: bool = False
--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -166,6 +166,7 @@
         message.address,
         now_ms,
     )
+    replica.last_leader = message.identity
     replica.elect_at_ms = now_ms + replica.times.elect_ms * (1 + replica.random.random())
     return effects
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -249,3 +249,19 @@
     groups.open_replica(reopened, {"view": snapshot}, [plain_entry(6, 2), plain_entry(7, 2)])
     assert (groups.last_index(reopened), groups.last_term(reopened)) == (5, 3)
     assert reopened.synced == 5
+
+
+def test_a_new_leader_counts_the_old_ones_silence_from_its_last_word():
+    """Not from its own election on; but the old one has an election to speak up."""
+    heirs = {n: replica(n, [members_entry(1, 1, "abc")]) for n in "bc"}
+    for one in heirs.values():
+        one.elect_at_ms = 1e9
+        append(one, "a", [], Entry(1, 1, b""), term=1)
+    heirs["b"].elect_at_ms = 700.0
+    for now_ms in (700.0, 5000.0):
+        heirs["b"].role, heirs["b"].elect_at_ms = "follower", now_ms
+        deliver(heirs, now_ms, "b", election.tick(heirs["b"], now_ms))
+        assert heirs["b"].role == "leader"
+        heard_ms = heirs["b"].progress["a"].heard_ms
+        assert heard_ms == max(0.0, now_ms - 3 * TIMES.elect_ms)
+        assert heirs["b"].progress["c"].heard_ms == now_ms
