Judge learners by rounds of catching up, and choose whose place they take

A learner was taken in only if it was level with the commit at a tick: under steady writes or with a slow disk that may never be so. Now a round replicates what the log held at its start, and a round shorter than an election makes a learner fit (Raft's thesis, 4.2.1).

Changes of the membership have a module of their own. A change is proposed only if a majority of the new membership was heard of in the last half election; of several successors the one from the zone with the fewest voters is taken; a machine that came back under its name with an empty disk takes the old place after one election of silence, not four; learners whose machine is gone are forgotten; with more voters than there should be, a lost one is removed without a successor.

Red before: test_a_learner_under_steady_writes_is_taken_in, test_a_change_waits_for_the_word_of_those_it_needs.

--- a/libs/replication/src/replication/bootstrap.py
+++ b/libs/replication/src/replication/bootstrap.py
@@ -1,28 +1,19 @@
-"""Founding a group, and replacing a lost member of it.
+"""Founding a group.
 
 Three empty depots that all know each other, and hear of no group from anyone,
 agree on one list and save it; each agrees once in its life.  An empty depot
-alone never founds.  Later, a new identity under a lost member's name is
-brought up to date as a learner, then the old member is removed and the new
-one added: two records, one change at a time, so majorities always overlap.  A
-newcomer of another name is brought up to date too, and takes the place of the
-member that has been silent longest, once that is silent for long enough.
+alone never founds.  Later changes of the membership are `reconfiguration`'s.
 """
 
 import hashlib
 from dataclasses import dataclass, field
 
-from transport.codec import to_bytes
 from transport.effects import Note, Send
-from transport.messages import Batch, BootstrapReply, BootstrapRequest, Member
+from transport.messages import BootstrapReply, BootstrapRequest, Member
 
-from replication import log_replication, state_machine
-from replication.group import last_index, majority, members, save_promise
+from replication.group import last_index, save_promise
 
-__all__ = ["Bootstrap", "tick", "on_ask", "on_agree", "replace_tick"]
-
-
-_GONE = 4
+__all__ = ["Bootstrap", "tick", "on_ask", "on_agree"]
 
 
 @dataclass
@@ -104,71 +95,3 @@
     if bootstrap.agreed >= {m.identity for m in bootstrap.members} - {replica.identity}:
         return _adopt(replica, now_ms, bootstrap.group, bootstrap.members)
     return []
-
-
-def replace_tick(replica, now_ms, cards):
-    """As leader, bring a new identity in; membership changes one at a time."""
-    if replica.role != "leader" or replica.commit < replica.term_index or replica.member_entries:
-        return []
-    voters = members(replica)
-    by_name = {m.name: m for m in voters.values()}
-    for card in sorted(cards.values(), key=lambda c: c.name):
-        if card.role != "depot" or not card.identity or card.identity in voters:
-            continue
-        old = by_name.get(card.name)
-        full = old is None and len(voters) >= replica.times.depots
-        peer = replica.progress.get(card.identity)
-        if peer is None:
-            return log_replication.add_learner(
-                replica, now_ms, card.identity, card.name, card.address
-            )
-        if peer.match < replica.commit or now_ms - peer.heard_ms > replica.times.elect_ms:
-            continue
-        old = _silent(replica, now_ms, voters) if full else old
-        if full and old is None:
-            continue
-        if old is not None:
-            seen = replica.progress.get(old.identity)
-            if old.identity == replica.identity or (
-                seen and now_ms - seen.heard_ms < _GONE * replica.times.elect_ms
-            ):
-                continue
-            rest = {i: m for i, m in voters.items() if i != old.identity}
-            return _change(replica, now_ms, rest, "removes", old.name)
-        peer.learner = False
-        added = {**voters, card.identity: Member(card.name, card.identity, card.address)}
-        return _change(replica, now_ms, added, "adds", card.name)
-    return _move_addresses(replica, now_ms, cards)
-
-
-def _silent(replica, now_ms, voters):
-    """The member whose place one of another name may take: the longest silent."""
-    silent = [
-        (replica.progress[i].heard_ms, i)
-        for i in voters
-        if i in replica.progress
-        and now_ms - replica.progress[i].heard_ms >= _GONE * replica.times.elect_ms
-    ]
-    return voters[min(silent)[1]] if silent else None
-
-
-def _move_addresses(replica, now_ms, cards):
-    """A member that came back with its disk at another address is recorded."""
-    for card in cards.values():
-        old = members(replica).get(card.identity)
-        if old and card.identity and card.address != old.address:
-            moved = {
-                **members(replica),
-                card.identity: Member(old.name, old.identity, card.address),
-            }
-            if card.identity in replica.progress:
-                replica.progress[card.identity].address = card.address
-            return _change(replica, now_ms, moved, "moves", old.name)
-    return []
-
-
-def _change(replica, now_ms, wanted, verb, name):
-    section = state_machine.members_section(wanted)
-    return [
-        Note("member-" + verb, {"name": name, "majority": majority(replica)})
-    ] + log_replication.propose(replica, now_ms, to_bytes(Batch((section,))))
--- a/libs/replication/src/replication/depot.py
+++ b/libs/replication/src/replication/depot.py
@@ -11,7 +11,15 @@
 from transport.effects import Note, Send, Wake
 from transport.events import Closing, Received, Tick, Written
 
-from replication import batch_writer, bootstrap, election, feed, leases, log_replication
+from replication import (
+    batch_writer,
+    bootstrap,
+    election,
+    feed,
+    leases,
+    log_replication,
+    reconfiguration,
+)
 from replication.group import Replica, group_card
 
 __all__ = ["Depot", "handle", "view_of"]
@@ -52,7 +60,7 @@
     leases.excuse_freeze(replica, depot.nodes, now_ms)
     effects = bootstrap.tick(replica, depot.founder, now_ms, cards, known)
     effects += election.tick(replica, now_ms)
-    effects += bootstrap.replace_tick(replica, now_ms, cards)
+    effects += reconfiguration.tick(replica, now_ms, cards)
     if replica.role == "leader" and depot.writer.serving:
         effects += leases.lease_tick(replica, depot.writer, depot.nodes, now_ms, depot.shards)
     return effects
--- a/libs/replication/src/replication/election.py
+++ b/libs/replication/src/replication/election.py
@@ -156,6 +156,7 @@
         for i, m in members(replica).items()
         if i != replica.identity
     }
+    replica.departures = {}
     first = [state_machine.term_section(replica.term)]
     if not replica.state.members and not replica.member_entries:
         first.append(state_machine.members_section(members(replica)))
--- a/libs/replication/src/replication/group.py
+++ b/libs/replication/src/replication/group.py
@@ -14,6 +14,7 @@
 from transport.messages import Batch, GroupCard, Member
 
 from replication import state_machine
+from replication.catch_up import CatchUp
 
 __all__ = [
     "Replica",
@@ -76,6 +77,7 @@
     heard_ms: float = 0.0
     sent_ms: float = -1e9
     learner: bool = False
+    catch_up: CatchUp | None = None
 
 
 @dataclass
@@ -113,6 +115,7 @@
     round_sent_ms: dict = field(default_factory=dict)
     led_from_ms: float = 0.0
     term_index: int = 0
+    departures: dict = field(default_factory=dict)
     successor: str = ""
 
 
--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -9,7 +9,7 @@
 from transport.effects import Install, Note, Send, Write
 from transport.messages import AppendEntries, AppendReply, Entry, SnapshotPart
 
-from replication import state_machine
+from replication import catch_up, state_machine
 from replication.group import (
     PeerProgress,
     entry_at,
@@ -74,7 +74,12 @@
 
 def add_learner(replica, now_ms, identity, name, address):
     replica.progress[identity] = PeerProgress(
-        address, name, last_index(replica) + 1, heard_ms=now_ms, learner=True
+        address,
+        name,
+        last_index(replica) + 1,
+        heard_ms=now_ms,
+        learner=True,
+        catch_up=catch_up.begin(last_index(replica), now_ms),
     )
     return send_to(replica, replica.progress[identity], now_ms)
 
@@ -256,6 +261,8 @@
         return send_to(replica, peer, now_ms)
     peer.match = max(peer.match, ack.index)
     peer.next = max(peer.next, peer.match + 1)
+    if peer.learner:
+        catch_up.on_acknowledged(peer.catch_up, peer.match, last_index(replica), now_ms)
     effects = count(replica)
     if peer.next <= last_index(replica):
         effects += send_to(replica, peer, now_ms)
--- a/libs/simulation/src/simulation/sim/harm.py
+++ b/libs/simulation/src/simulation/sim/harm.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     "kill",
+    "add_depot",
+    "lose",
     "freeze",
     "cut",
     "cut_off",
@@ -51,6 +53,30 @@
         worlds.boot(run.world, host)
 
 
+def add_depot(run, name, like):
+    """A new machine with an empty disk, at an address of its own, in a zone of `like`."""
+    old = _host(run, like)
+    run.moved += 1
+    address = f"10.8.{run.moved // 200}.{run.moved % 200 + 1}:7400"
+    running = [h for h in run.world.hosts.values() if h.disk is not None and h.node is not None]
+    seeds = tuple(host.config.address for host in running)
+    config = dataclasses.replace(
+        old.config, name=name, address=address, listen=address, seeds=seeds[:3], founds=False
+    )
+    host = worlds.Host(name, config, disks.SimDisk(), clock_ms=run.world.random.random() * 1e6)
+    run.world.hosts[name] = host
+    worlds.boot(run.world, host)
+    return host
+
+
+def lose(run, name):
+    """A machine is gone for good, without a word."""
+    host = _host(run, name)
+    if host.node is not None:
+        worlds.kill(run.world, host, power=True)
+    run.world.by_address.pop(host.config.address, None)
+
+
 def zone(run, name, for_ms, wipe=False, back=True):
     """A zone loses power: depot, counters and engines at once; with `wipe` its
     machines return empty, at new addresses."""
--- a/libs/simulation/src/simulation/sim/run.py
+++ b/libs/simulation/src/simulation/sim/run.py
@@ -87,7 +87,7 @@
         f"c{i}" for i in range(deployment.counters)
     ]
     address = {n: f"10.0.0.{i + 1}:7400" for i, n in enumerate(names)}
-    seeds = tuple(address[n] for n in ("d0", "d1", "c0"))
+    seeds = tuple(address[n] for n in ("d0", "d1", "c0") if n in address)
     for number, name in enumerate(names):
         config = configs.Config(
             name,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,15 +3,22 @@
 
 import random
 
+from replication import (
+    catch_up,
+    election,
+    log_replication,
+    reconfiguration,
+    state_machine,
+)
 from replication import disk as disks
-from replication import election, log_replication, state_machine
 from replication import group as groups
 from transport.codec import to_bytes
-from transport.effects import Install, Send, Write
+from transport.effects import Install, Note, Send, Write
 from transport.messages import (
     AppendEntries,
     AppendReply,
     Batch,
+    Card,
     Entry,
     Member,
     SnapshotPart,
@@ -132,7 +139,16 @@
 def append(follower, leader, entries, prev, commit=0, term=3):
     """What a leader of `term` sends, and the acknowledgement it gets."""
     message = AppendEntries(
-        "g", term, leader, leader, follower.identity, prev.index, prev.term, commit, 0, (*entries,)
+        "g",
+        term,
+        leader,
+        leader,
+        follower.identity,
+        prev.index,
+        prev.term,
+        commit,
+        0,
+        tuple(entries),
     )
     return log_replication.on_entries(follower, 0.0, leader, message)
 
@@ -242,13 +258,106 @@
     again._lock.close()
 
 
-def test_old_entries_that_a_replaced_log_left_behind_are_not_opened():
-    """The power went after the snapshot was saved, and before its segments were removed."""
-    snapshot = snapshot_of(5, 3, LOG[:5], "b").body
-    reopened = replica("b", founders="")
-    groups.open_replica(reopened, {"view": snapshot}, [plain_entry(6, 2), plain_entry(7, 2)])
-    assert (groups.last_index(reopened), groups.last_term(reopened)) == (5, 3)
-    assert reopened.synced == 5
+def learner_of(leader, name, now_ms=0.0):
+    """A depot that is no member becomes a learner of this leader; its progress."""
+    log_replication.add_learner(leader, now_ms, name, name, name)
+    return leader.progress[name]
+
+
+def depot_card(name, zone="north"):
+    return Card(name, "depot", zone, name, name, f"{name}.1", name)
+
+
+def acked(leader, name, index, now_ms):
+    """A peer's word that it holds all up to `index`."""
+    ack = AppendReply(leader.term, name, name, name, True, index, 0)
+    return log_replication.on_ack(leader, now_ms, ack)
+
+
+def committed_leader(names="abc"):
+    """A leader whose log is on all members' disks, at time 0."""
+    made = leader_of(names, [members_entry(1, 1, names)])
+    for name in names[1:]:
+        acked(made, name, 2, 0.0)
+    assert made.commit == 2
+    return made
+
+
+def written(leader, now_ms, count=1):
+    """The leader adds entries and syncs them."""
+    for _ in range(count):
+        body = to_bytes(Batch((state_machine.term_section(leader.term),)))
+        log_replication.propose(leader, now_ms, body)
+        log_replication.on_written(leader, now_ms, groups.last_index(leader), leader.term)
+
+
+def changes(effects):
+    return [e.what for e in effects if isinstance(e, Note) and e.what.startswith("member-")]
+
+
+def test_a_learner_under_steady_writes_is_taken_in():
+    """Always a few entries behind the commit, it ends each round in good time."""
+    leader = committed_leader()
+    learner_of(leader, "d")
+    cards = {n: depot_card(n) for n in "abcd"}
+    now_ms, taken = 0.0, []
+    while now_ms < 4000.0 and not taken:
+        now_ms += 40.0
+        written(leader, now_ms, count=2)
+        acked(leader, "b", groups.last_index(leader), now_ms)
+        acked(leader, "d", max(0, leader.commit - 3), now_ms)
+        taken = [w for w in changes(reconfiguration.tick(leader, now_ms, cards)) if w]
+    assert taken == ["member-removes"], "the silent member c gives way"
+    assert now_ms < 4.5 * TIMES.elect_ms
+
+
+def test_a_learner_that_takes_longer_than_an_election_for_a_round_waits():
+    leader = committed_leader()
+    peer = learner_of(leader, "d")
+    for now_ms, index in ((100.0, 1), (900.0, 2)):
+        acked(leader, "d", index, now_ms)
+    assert not catch_up.caught_up(peer.catch_up, 900.0, TIMES.elect_ms)
+    acked(leader, "d", 2, 1000.0)
+    assert catch_up.caught_up(peer.catch_up, 1000.0, TIMES.elect_ms)
+    assert not catch_up.caught_up(peer.catch_up, 1500.0, TIMES.elect_ms), "nor one that stopped"
+
+
+def test_a_silent_member_is_removed_before_the_newcomer_is_added():
+    """Were it still counted, the loss of the newcomer would leave no majority."""
+    leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
+    learner_of(leader, "d")
+    now_ms = 4 * TIMES.elect_ms
+    for at_ms in (now_ms - 100.0, now_ms):
+        acked(leader, "b", 2, at_ms)
+        acked(leader, "d", 2, at_ms)
+    assert changes(reconfiguration.tick(leader, now_ms, cards)) == ["member-removes"]
+    assert set(groups.members(leader)) == set("ab")
+
+
+def test_no_change_is_proposed_that_those_who_speak_cannot_commit():
+    leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
+    learner_of(leader, "d")
+    now_ms = 4 * TIMES.elect_ms
+    acked(leader, "d", 2, now_ms - 100.0)
+    acked(leader, "d", 2, now_ms)
+    assert changes(reconfiguration.tick(leader, now_ms, cards)) == []
+
+
+def test_a_successor_comes_from_the_zone_with_the_fewest_voters():
+    leader = committed_leader()
+    zones = {"a": "north", "b": "south", "c": "east", "d": "north", "e": "east", "f": "south"}
+    cards = {n: depot_card(n, zone) for n, zone in zones.items()}
+    now_ms = 4 * TIMES.elect_ms
+    for name in "def":
+        learner_of(leader, name, now_ms - 200.0)
+    for at_ms in (now_ms - 100.0, now_ms):
+        for name in "bdef":
+            acked(leader, name, 2, at_ms)
+    assert changes(reconfiguration.tick(leader, now_ms, cards)) == ["member-removes"]
+    log_replication.on_written(leader, now_ms, 3, leader.term)
+    acked(leader, "b", 3, now_ms)
+    assert changes(reconfiguration.tick(leader, now_ms, cards)) == ["member-adds"]
+    assert set(groups.members(leader)) == set("abe")
 
 
 def test_a_new_leader_counts_the_old_ones_silence_from_its_last_word():
@@ -265,3 +374,25 @@
         heard_ms = heirs["b"].progress["a"].heard_ms
         assert heard_ms == max(0.0, now_ms - 3 * TIMES.elect_ms)
         assert heirs["b"].progress["c"].heard_ms == now_ms
+
+
+def test_a_change_waits_for_the_word_of_those_it_needs():
+    """The removal of c makes b indispensable: b must have spoken just now."""
+    leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
+    learner_of(leader, "d")
+    now_ms = 4 * TIMES.elect_ms
+    for at_ms in (now_ms - 100.0, now_ms):
+        acked(leader, "d", 2, at_ms)
+    acked(leader, "b", 2, now_ms - 0.6 * TIMES.elect_ms)
+    assert changes(reconfiguration.tick(leader, now_ms, cards)) == []
+    acked(leader, "b", 2, now_ms)
+    assert changes(reconfiguration.tick(leader, now_ms, cards)) == ["member-removes"]
+
+
+def test_old_entries_that_a_replaced_log_left_behind_are_not_opened():
+    """The power went after the snapshot was saved, and before its segments were removed."""
+    snapshot = snapshot_of(5, 3, LOG[:5], "b").body
+    reopened = replica("b", founders="")
+    groups.open_replica(reopened, {"view": snapshot}, [plain_entry(6, 2), plain_entry(7, 2)])
+    assert (groups.last_index(reopened), groups.last_term(reopened)) == (5, 3)
+    assert reopened.synced == 5
