A depot that is told to stop leaves only once nothing needs it

On SIGTERM a depot handed over the lead and ended a second later, as a member. A planned replacement was complete 5 s after the new machine's start, later than the 4 s after which the old one no longer counts as lost; a second loss then left one of three. And whoever ended might be one of only two that held what was just acknowledged.

Now a leaver asks the leader, and ends when it is answered, or when three fifths of the platform's grace are over. With a successor in sight the leader adds it and then removes the leaver; the answer comes once the removal is committed. Without one, a member it stays: the answer comes once a majority without it, not counting others that were let go, was heard of and holds all that its acknowledgements counted for; from its first request on these move the commit no more, unless they are needed. A leaver that leads adds its successor, hands the lead to a member that holds all that is committed, and is removed by the next leader: none removes itself.

A stopping node follows the feed to its end, but is given no lease, and waits up to a second for answers under way. A counter stops as before.

--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -21,6 +21,9 @@
     error="not an IP number and port, like 10.0.0.5:7400",
 )
 _FEW, _MANY, _PER_CORE = 48, 192, 180
+# How long a depot that is told to stop may wait to be replaced: part of the platform's
+# patience, or as long as a stop takes anyway where none is told.
+_LEAVE, _LEAVE_MS = 0.6, 1000.0
 _NAME = validate.Regexp(r"^[a-z0-9][a-z0-9._-]{0,62}$", error="not a name")
 
 
@@ -187,6 +190,7 @@
         depots=config.depots,
         placers=config.placers,
         founds=config.founds,
+        leave_ms=_LEAVE * config.bounds.graceMs or _LEAVE_MS,
     )
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -15,7 +15,7 @@
 from routing import router
 from transport import events as e
 from transport import messages as m
-from transport.effects import Send
+from transport.effects import Finished, Send
 
 from pulleyhitch import config as configs
 from pulleyhitch import operator_requests, shard_ownership
@@ -23,6 +23,8 @@
 __all__ = ["Node", "make", "handle", "leader_of"]
 
 _LOST = 0.25
+# How long a node that stops waits for answers that are under way.
+_ANSWERS_MS = 1000.0
 _DEPOT_TALK = (
     m.AppendEntries,
     m.AppendReply,
@@ -32,6 +34,8 @@
     m.TransferLeadership,
     m.BootstrapRequest,
     m.BootstrapReply,
+    m.LeaveRequest,
+    m.LeaveReply,
     m.Append,
     m.RecoverAsk,
     m.Release,
@@ -52,6 +56,7 @@
     times: object = None
     terms: object = None
     closing: bool = False
+    closing_ms: float = 0.0
     leaving: bool = False
     ask_turn: int = 0
     learned_ms: float = -1e12
@@ -114,6 +119,8 @@
         effects = []
     if node.depot is not None and not isinstance(event, (e.Asked, e.Called)):
         effects += _depot(node, now_ms, event)
+    if node.closing:
+        effects = _before_the_end(node, now_ms, effects)
     effects += shard_ownership.flush(node.owners, now_ms, node.card, leader_of(node))
     return operator_requests.translate(node, now_ms, effects)
 
@@ -135,8 +142,8 @@
 
 def _tick(node, now_ms):
     effects = peer_table.tick(node.peers, now_ms)
+    effects += _ask(node, now_ms)
     if not node.closing:
-        effects += _ask(node, now_ms)
         effects += shard_ownership.tick(
             node.owners,
             now_ms,
@@ -170,9 +177,11 @@
         for name in peer_table.watched(node.peers)[:2]:
             card = node.peers.cards[name]
             if card.role == "counter":
-                effects.append(follows.ask(node.follow, now_ms, node.card, card.address))
+                effects.append(
+                    follows.ask(node.follow, now_ms, operator_requests.asker(node), card.address)
+                )
     if to:
-        effects.append(follows.ask(node.follow, now_ms, node.card, to))
+        effects.append(follows.ask(node.follow, now_ms, operator_requests.asker(node), to))
     return effects
 
 
@@ -227,9 +236,17 @@
     return []
 
 
+def _before_the_end(node, now_ms, effects):
+    """Hold `Finished` back while somebody waits for an answer, though not for long."""
+    waited = now_ms - node.closing_ms > _ANSWERS_MS
+    if waited or not (node.operator.pending or shard_ownership.unacknowledged(node.owners)):
+        return effects
+    return [effect for effect in effects if not isinstance(effect, Finished)]
+
+
 def _close(node, now_ms):
-    """Orderly stop: no new work, grants back with a successor named."""
-    node.closing = True
+    """Orderly stop: no new work, leases back with a successor named."""
+    node.closing, node.closing_ms = True, now_ms
     names = [
         n
         for n in peer_table.live(node.peers, now_ms)
--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -5,6 +5,7 @@
 until this node has caught up with a mark it asked for after the read came in.
 """
 
+import dataclasses
 import json
 from dataclasses import dataclass, field
 
@@ -29,9 +30,11 @@
     "translate",
     "Answered",
     "crew",
+    "asker",
 ]
 
 _LOG_SHARD = -1
+_STOPPING = "stopping"
 
 
 @dataclass
@@ -96,7 +99,7 @@
             (event.token, body, now_ms, now_ms + 0.5 * node.config.bounds.serviceBackMs)
         )
         return (
-            [follows.ask(node.follow, now_ms, node.card, node.peers.group.leader)]
+            [follows.ask(node.follow, now_ms, asker(node), node.peers.group.leader)]
             if node.peers.group.leader
             else []
         )
@@ -127,6 +130,11 @@
     )
 
 
+def asker(node):
+    """Who asks for news: a node that stops still does, but is given no lease."""
+    return dataclasses.replace(node.card, role=_STOPPING) if node.closing else node.card
+
+
 def crew(node, now_ms):
     return choice.Crew(node.card.name, peer_table.counters(node.peers, now_ms), node.card.zone)
 
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -19,7 +19,7 @@
 from transport import events as e
 from transport import failures
 from transport.connections import Connections
-from transport.effects import Call, Dump, Install, Note, Reply, Save, Send, Wake, Write
+from transport.effects import Call, Dump, Finished, Install, Note, Reply, Save, Send, Wake, Write
 from transport.log_ring import Ring
 from transport.messages import Greet
 
@@ -30,6 +30,9 @@
 
 _TICKS_PER_PING = 6
 _FIRST_ELECT = 0.3
+# What an orderly stop leaves for messages and answers under way.
+_LAST_WORDS_S = 0.15
+_COUNTER_STOPS_S = 1.0
 
 
 class CannotStart(Exception):
@@ -51,6 +54,7 @@
         self._lock = threading.Lock()
         self._wake_ms = float("inf")
         self._stopped = threading.Event()
+        self._finished = threading.Event()
         self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
         self._disk, group = self._open_disk(config)
@@ -96,10 +100,18 @@
         self._owner.start()
         return self
 
-    def close(self, wait_s=3.0):
-        """Orderly: give grants and lead away, then stop."""
+    def close(self):
+        """Orderly: give leases, lead and membership away, then stop.
+
+        Whoever waits for an answer that is there by then gets it.
+        """
         self._queue.put(e.Closing())
-        self._stopped.wait(wait_s / 3)
+        if self._node.depot is not None:
+            wait_s = configs.times(self.config).leave_ms / 1000 + _LAST_WORDS_S
+        else:
+            wait_s = _COUNTER_STOPS_S
+        if self._finished.wait(wait_s):
+            self._stopped.wait(_LAST_WORDS_S)
         self._stopped.set()
         self._queue.put(e.Tick())
 
@@ -180,6 +192,8 @@
             self._wake_ms = min(self._wake_ms, effect.at_ms)
         elif isinstance(effect, Note):
             self.ring.note(effect.what, effect.facts)
+        elif isinstance(effect, Finished):
+            self._finished.set()
         elif isinstance(effect, Dump):
             self.ring.note("dump", {}, why=effect.why)
 
--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -29,6 +29,7 @@
     "lease_end",
     "release_all",
     "flush",
+    "unacknowledged",
 ]
 
 _ENDS = 0.8
@@ -224,3 +225,8 @@
         if leader:
             effects.append(Send(leader, Release(card.name, shard, kept.epoch, successor)))
     return effects
+
+
+def unacknowledged(ownership):
+    """Whether anything that was appended for a shard is not durable yet."""
+    return any(owner.held.unacked for owner in ownership.owners.values())
--- a/libs/replication/src/replication/depot.py
+++ b/libs/replication/src/replication/depot.py
@@ -1,8 +1,8 @@
 """A depot's core: one function that takes an event and returns effects.
 
-It puts together the group (`election`, `copying`, `founding`) and, while this
-depot leads and its term's first entry is committed, the log node's duties
-(`desk`, `grants`, `feed`).
+It puts together the group (`election`, `log_replication`, `bootstrap`,
+`reconfiguration`, `leaving`) and, while this depot leads and its term's first entry is
+committed, the leader's duties (`batch_writer`, `leases`, `feed`).
 """
 
 from dataclasses import dataclass, field
@@ -17,6 +17,7 @@
     election,
     feed,
     leases,
+    leaving,
     log_replication,
     reconfiguration,
 )
@@ -34,6 +35,7 @@
     nodes: leases.NodeTable = field(default_factory=leases.NodeTable)
     asks: feed.Asks = field(default_factory=feed.Asks)
     founder: bootstrap.Bootstrap = field(default_factory=bootstrap.Bootstrap)
+    leave: leaving.Leave | None = None
 
 
 def handle(depot, now_ms, event, cards, known):
@@ -47,7 +49,8 @@
             depot.writer.last_write_ms = event.took_ms
         effects = log_replication.on_written(replica, now_ms, event.index, event.term)
     elif isinstance(event, Closing):
-        effects = election.hand_over(replica, now_ms)
+        depot.leave = depot.leave or leaving.begin(replica, now_ms)
+        effects = []
     elif isinstance(event, Received):
         effects = _receive(depot, now_ms, event.sender, event.message, known)
     else:
@@ -60,7 +63,11 @@
     leases.excuse_freeze(replica, depot.nodes, now_ms)
     effects = bootstrap.tick(replica, depot.founder, now_ms, cards, known)
     effects += election.tick(replica, now_ms)
+    if replica.role == "leader":
+        leaving.watch(replica, now_ms)
     effects += reconfiguration.tick(replica, now_ms, cards)
+    if depot.leave is not None:
+        effects += leaving.tick(replica, depot.leave, now_ms)
     if replica.role == "leader" and depot.writer.serving:
         effects += leases.lease_tick(replica, depot.writer, depot.nodes, now_ms, depot.shards)
     return effects
@@ -86,6 +93,10 @@
         return bootstrap.on_ask(replica, depot.founder, now_ms, sender, message, known)
     if isinstance(message, m.BootstrapReply):
         return bootstrap.on_agree(replica, depot.founder, now_ms, message)
+    if isinstance(message, m.LeaveRequest):
+        return leaving.on_request(replica, now_ms, sender, message)
+    if isinstance(message, m.LeaveReply):
+        return leaving.on_reply(replica, depot.leave, message)
     return _serve(depot, now_ms, sender, message)
 
 
--- a/libs/replication/src/replication/election.py
+++ b/libs/replication/src/replication/election.py
@@ -33,7 +33,7 @@
 ]
 
 # At most so many elections of the old leader's silence count when a new one begins, which
-# leaves it one to speak up before its place is given away.
+# leaves it one to speak up before its place is given away (see `reconfiguration`).
 _SILENT_ELECTIONS = 3
 
 
@@ -98,14 +98,15 @@
     return effects
 
 
-def hand_over(replica, now_ms):
-    """Ask the most caught-up other voter to take over, and step back."""
+def hand_over(replica, now_ms, heir=None):
+    """Ask a voter to take over, the most caught-up one if none is named; step back."""
     if replica.role != "leader":
         return []
     voters = [o for i, o in replica.progress.items() if i in members(replica)]
     effects = []
     if voters:
-        best = max(voters, key=lambda o: (o.match, o.heard_ms))
+        most = max(voters, key=lambda o: (o.match, o.heard_ms))
+        best = replica.progress.get(heir, most)
         effects.append(Send(best.address, TransferLeadership(replica.term)))
     effects += step_back(replica, replica.term, now_ms)
     replica.elect_at_ms = now_ms + 3 * replica.times.elect_ms
--- a/libs/replication/src/replication/group.py
+++ b/libs/replication/src/replication/group.py
@@ -26,6 +26,7 @@
     "last_term",
     "members",
     "majority",
+    "counted_voters",
     "entry_at",
     "save_promise",
     "group_card",
@@ -53,6 +54,7 @@
     depots: int = 3
     placers: str = "counter"
     founds: bool = True
+    leave_ms: float = 1000.0
 
 
 @dataclass(frozen=True)
@@ -150,6 +152,13 @@
     return len(members(replica)) // 2 + 1
 
 
+def counted_voters(replica):
+    """The voters whose acknowledgements move the commit: all but those that leave and
+    were set aside (see `leaving`)."""
+    aside = {i for i, d in replica.departures.items() if d.set_aside_at is not None}
+    return members(replica).keys() - aside
+
+
 def learn_members(replica, entry):
     """Note a membership record in an entry just added to the log."""
     if b'"identity"' not in entry.body:
--- a/libs/replication/src/replication/leases.py
+++ b/libs/replication/src/replication/leases.py
@@ -53,6 +53,7 @@
         )
         return
     old.heard_ms, old.address, old.place = now_ms, ask.address, ask.place
+    old.role = ask.role
     if ask.answered_ms > old.answered_ms:
         old.answered_ms, old.took_ms = ask.answered_ms, now_ms
 
--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -12,6 +12,7 @@
 from replication import catch_up, state_machine
 from replication.group import (
     PeerProgress,
+    counted_voters,
     entry_at,
     last_index,
     learn_members,
@@ -271,7 +272,7 @@
 
 def count(replica):
     """Move the commit to what a majority has synced in our own term."""
-    voters = members(replica)
+    voters = counted_voters(replica)
     places = sorted(
         [o.match for i, o in replica.progress.items() if i in voters]
         + ([replica.synced] if replica.identity in voters else []),
--- a/libs/simulation/src/simulation/fleet.py
+++ b/libs/simulation/src/simulation/fleet.py
@@ -122,6 +122,13 @@
         shutil.rmtree(self.folder / f"{name}.data")
         self.address[name] = f"127.0.0.1:{self._ports(1)[0]}"
 
+    def add_depot(self, name):
+        """Start one more depot, with an empty disk."""
+        address, http = self._ports(2)
+        self.address[name], self.http[name] = f"127.0.0.1:{address}", f"127.0.0.1:{http}"
+        self.depots.append(name)
+        self.start(name)
+
     def _config_file(self, name, role):
         """Write the process's config, as an operator would."""
         told = {
--- a/libs/simulation/src/simulation/sim/harm.py
+++ b/libs/simulation/src/simulation/sim/harm.py
@@ -3,12 +3,15 @@
 
 import dataclasses
 
+from transport import events as e
+
 from simulation.sim import disk as disks
 from simulation.sim import engines
 from simulation.sim import world as worlds
 
 __all__ = [
     "kill",
+    "terminate",
     "add_depot",
     "lose",
     "freeze",
@@ -53,6 +56,33 @@
         worlds.boot(run.world, host)
 
 
+def terminate(run, name, back_ms=None):
+    """SIGTERM: the machine ends in order, and starts again after `back_ms`, if at all."""
+    host, world = _host(run, name), run.world
+    life, leave_ms = host.life, host.node.times.leave_ms
+    worlds.post(world, host, e.Closing())
+
+    def ended():
+        if host.life == life and host.node is not None:
+            worlds.kill(world, host)
+
+    worlds.after(world, leave_ms + 1000.0, ended)
+    if back_ms is not None:
+        _start_again(run, host, life, back_ms)
+
+
+def _start_again(run, host, life, back_ms):
+    """Look now and then whether the machine ended, and start it `back_ms` after."""
+
+    def look():
+        if host.life == life:
+            worlds.after(run.world, 20.0, look)
+        else:
+            worlds.after(run.world, back_ms, lambda: _back(run, host))
+
+    look()
+
+
 def add_depot(run, name, like):
     """A new machine with an empty disk, at an address of its own, in a zone of `like`."""
     old = _host(run, like)
--- a/libs/simulation/src/simulation/sim/world.py
+++ b/libs/simulation/src/simulation/sim/world.py
@@ -12,7 +12,7 @@
 from pulleyhitch import node as nodes
 from replication import group as groups
 from transport import events as e
-from transport.effects import Call, Install, Note, Reply, Save, Send, Wake, Write
+from transport.effects import Call, Finished, Install, Note, Reply, Save, Send, Wake, Write
 
 from simulation.sim import disk as disks
 from simulation.sim.network import NetworkTerms, cut, heal, latency, passes, reaches
@@ -133,8 +133,8 @@
 def _ticker(world, host, life):
     if host.life != life or host.node is None:
         return
-    post(world, host, e.Tick())
     tick_ms = host.node.times.ping_ms / 6
+    post(world, host, e.Tick())
     after(world, tick_ms, lambda: _ticker(world, host, life))
 
 
@@ -221,6 +221,8 @@
             after(
                 world, wait_ms, lambda: post(world, host, e.Tick()) if host.life == life else None
             )
+        elif isinstance(effect, Finished):
+            kill(world, host)
         elif isinstance(effect, Note):
             host.notes.append((world.now_ms, effect.what, effect.facts))
 
--- a/libs/transport/src/transport/effects.py
+++ b/libs/transport/src/transport/effects.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Send", "Save", "Install", "Write", "Reply", "Call", "Wake", "Note", "Dump"]
+__all__ = ["Send", "Save", "Install", "Write", "Reply", "Call", "Wake", "Note", "Dump", "Finished"]
 
 
 @dataclass(frozen=True)
@@ -81,3 +81,8 @@
     """Something went wrong: write the ring out."""
 
     why: str
+
+
+@dataclass(frozen=True)
+class Finished:
+    """An orderly stop is complete: the process may end."""
--- a/libs/transport/src/transport/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -12,6 +12,8 @@
     BootstrapReply,
     BootstrapRequest,
     Entry,
+    LeaveReply,
+    LeaveRequest,
     Member,
     SnapshotPart,
     TransferLeadership,
@@ -218,6 +220,8 @@
     Release,
     Command,
     CommandAnswer,
+    LeaveRequest,
+    LeaveReply,
 )
 KIND_OF = {kind: number for number, kind in enumerate(_ALL, 1)}
 TYPE_OF = {number: kind for kind, number in KIND_OF.items()}
--- a/libs/transport/src/transport/replication_messages.py
+++ b/libs/transport/src/transport/replication_messages.py
@@ -13,6 +13,8 @@
     "AppendReply",
     "SnapshotPart",
     "TransferLeadership",
+    "LeaveRequest",
+    "LeaveReply",
 ]
 
 
@@ -104,3 +106,20 @@
     """The leader asks its named successor to canvass at once."""
 
     term: int
+
+
+@dataclass(frozen=True)
+class LeaveRequest:
+    """A member that is to end asks the leader whether it may, until it is answered."""
+
+    group: str
+    identity: str
+
+
+@dataclass(frozen=True)
+class LeaveReply:
+    """The member may end: it was `removed`, or the others do without it for a while."""
+
+    group: str
+    identity: str
+    removed: bool
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,5 +1,6 @@
 """The main faults on real processes: freezes, an empty machine, cut pipes."""
 
+import signal
 import tempfile
 
 from simulation import deployments
@@ -46,6 +47,7 @@
         self.frozen_leader()
         self.frozen_holder()
         self.empty_machine()
+        self.planned_replacement()
         self.cut_counter()
         for name in self.fleet.engines:
             counts = self.fleet.call(name, "GET", "/counts")[1]
@@ -107,6 +109,25 @@
             if name not in fleet.running:
                 fleet.start(name)
 
+    def planned_replacement(self):
+        """The new machine first, then SIGTERM to the leader: it ends once the new one
+        is a member in its place, and the group bears the loss of another at once."""
+        fleet, lead = self.fleet, self.leader()
+        identity = self.believes(lead)["depot"]["identity"]
+        fleet.add_depot("d3")
+        fleet.until(lambda: self.believes("d3").get("depot", {}).get("commit", 0) > 0)
+        self.assertThat(fleet.kill(lead, signal.SIGTERM), Equals(0))
+
+        def replaced():
+            members = {m["name"]: m["identity"] for m in self.believes("d3")["depot"]["members"]}
+            return len(members) == 3 and "d3" in members and identity not in members.values()
+
+        fleet.until(replaced)
+        second = next(n for n in fleet.depots if n in fleet.running and n != "d3")
+        fleet.kill(second)
+        fleet.until(lambda: self.evacuate("c0", False))
+        fleet.start(second)
+
     def cut_counter(self):
         """A counter that hears nothing stops giving out work, and says when to
         come back; mended, it serves again."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -6,6 +6,7 @@
 from replication import (
     catch_up,
     election,
+    leaving,
     log_replication,
     reconfiguration,
     state_machine,
@@ -20,6 +21,8 @@
     Batch,
     Card,
     Entry,
+    LeaveReply,
+    LeaveRequest,
     Member,
     SnapshotPart,
     TransferLeadership,
@@ -322,6 +325,79 @@
     assert not catch_up.caught_up(peer.catch_up, 1500.0, TIMES.elect_ms), "nor one that stopped"
 
 
+def ask_to_leave(leader, name, now_ms):
+    """What the leader answers to a member that wants to end."""
+    effects = leaving.on_request(leader, now_ms, name, LeaveRequest("g", name))
+    return [e.message for e in effects if isinstance(e, Send)]
+
+
+def test_a_leaver_stays_while_it_may_hold_the_only_other_copy():
+    """Entry 3 is committed by the leader and the leaver: the third member must have it
+    before the leaver may end."""
+    leader = committed_leader()
+    written(leader, 10.0)
+    acked(leader, "c", 3, 20.0)
+    assert leader.commit == 3
+    acked(leader, "b", 2, 30.0)
+    assert ask_to_leave(leader, "c", 40.0) == []
+    acked(leader, "b", 3, 50.0)
+    assert ask_to_leave(leader, "c", 60.0) == [LeaveReply("g", "c", False)]
+
+
+def test_a_leavers_acknowledgements_no_longer_move_the_commit():
+    """So that what is committed from then on is on a majority without it."""
+    leader = committed_leader()
+    acked(leader, "b", 2, 10.0)
+    ask_to_leave(leader, "c", 20.0)
+    written(leader, 30.0)
+    acked(leader, "c", 3, 40.0)
+    assert leader.commit == 2
+    acked(leader, "b", 3, 50.0)
+    assert leader.commit == 3
+
+
+def test_a_leaver_is_counted_while_the_others_are_no_majority():
+    leader = committed_leader()
+    now_ms = 3 * TIMES.elect_ms
+    acked(leader, "c", 2, now_ms)
+    assert ask_to_leave(leader, "c", now_ms) == [], "b is silent: c is needed"
+    written(leader, now_ms)
+    acked(leader, "c", 3, now_ms)
+    assert leader.commit == 3
+
+
+def test_of_two_leavers_only_one_ends_at_a_time():
+    leader = committed_leader()
+    assert ask_to_leave(leader, "c", 10.0) == [LeaveReply("g", "c", False)]
+    assert ask_to_leave(leader, "b", 20.0) == []
+    back_ms = 10.0 + 2 * TIMES.elect_ms
+    acked(leader, "c", 2, back_ms)
+    acked(leader, "b", 2, back_ms)
+    leaving.watch(leader, back_ms)
+    assert ask_to_leave(leader, "b", back_ms) == [LeaveReply("g", "b", False)]
+
+
+def test_a_leaver_that_runs_is_removed_after_its_successor_was_added():
+    leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
+    learner_of(leader, "d")
+    acked(leader, "d", 2, 10.0)
+    acked(leader, "b", 2, 10.0)
+    acked(leader, "c", 2, 10.0)
+    assert ask_to_leave(leader, "c", 20.0) == [], "a successor is in sight"
+    assert changes(reconfiguration.tick(leader, 20.0, cards)) == ["member-adds"]
+    assert set(groups.members(leader)) == set("abcd")
+    log_replication.on_written(leader, 20.0, 3, leader.term)
+    acked(leader, "b", 3, 30.0)
+    assert leader.commit == 2, "three of four, and the leaver does not count"
+    acked(leader, "d", 3, 30.0)
+    assert leader.commit == 3
+    assert changes(reconfiguration.tick(leader, 40.0, cards)) == ["member-removes"]
+    assert ask_to_leave(leader, "c", 50.0) == [], "its removal is not committed yet"
+    log_replication.on_written(leader, 50.0, 4, leader.term)
+    acked(leader, "d", 4, 60.0)
+    assert ask_to_leave(leader, "c", 70.0) == [LeaveReply("g", "c", True)]
+
+
 def test_a_silent_member_is_removed_before_the_newcomer_is_added():
     """Were it still counted, the loss of the newcomer would leave no majority."""
     leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
@@ -343,6 +419,24 @@
     assert changes(reconfiguration.tick(leader, now_ms, cards)) == []
 
 
+def test_a_leader_never_removes_itself():
+    """It adds its successor, hands over the lead, and is removed by the next leader."""
+    leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
+    learner_of(leader, "d")
+    for name in "bcd":
+        acked(leader, name, 2, 10.0)
+    leave = leaving.begin(leader, 10.0)
+    assert leaving.tick(leader, leave, 20.0) == []
+    assert changes(reconfiguration.tick(leader, 20.0, cards)) == ["member-adds"]
+    log_replication.on_written(leader, 20.0, 3, leader.term)
+    for name in "bcd":
+        acked(leader, name, 3, 30.0)
+    assert changes(reconfiguration.tick(leader, 40.0, cards)) == []
+    handed = [e.message for e in leaving.tick(leader, leave, 40.0) if isinstance(e, Send)]
+    assert handed == [TransferLeadership(leader.term)]
+    assert (leader.role, leave.done) == ("follower", False)
+
+
 def test_a_successor_comes_from_the_zone_with_the_fewest_voters():
     leader = committed_leader()
     zones = {"a": "north", "b": "south", "c": "east", "d": "north", "e": "east", "f": "south"}
