Frame requests strictly: what is cut, reset or read in two ways is never run

Cause: an early end or a reset of a caller's connection handed the bytes that had come to the parser as if they were a request. A head that broke off ran with a shortened id, path or no body; so did a head past 32 KiB, a length like "+5" or "5, 5", a field with a space before its colon (all later fields were dropped) and a bare CR (a field could be put into another's value). A negative chunk size put the listener's only thread into an endless loop. A path with two leading slashes was changed.

Change: one pure module, request_framing, says where a request ends or why it is none, after RFC 9112; only a whole one gets a thread, others get 400, 413 or 431 from the listener. The body is taken out of its chunks there, the target is passed on byte for byte.

--- a/libs/pulleyhitch/src/pulleyhitch/admission.py
+++ b/libs/pulleyhitch/src/pulleyhitch/admission.py
@@ -1,15 +1,31 @@
 """What the door makes of a request before anybody has read it: whether it is
 whole, of what kind it is, and whose threads that kind may use."""
 
+import json
 import re
 import socket
+from http import HTTPStatus
 
 from configuration.schema import RANK
-
-__all__ = ["parts", "whole", "kind", "answer", "shut", "peek", "MAY_USE", "ORDER", "PATIENCE_S"]
-
-_HEAD_BYTES = 32 << 10
-_BODY_BYTES = {"operator": 8 << 20}
+from transport import failures
+
+from pulleyhitch import request_framing
+
+__all__ = [
+    "parts",
+    "measured",
+    "BODY_LIMIT_BYTES",
+    "kind",
+    "answer",
+    "reject",
+    "shut",
+    "peek",
+    "MAY_USE",
+    "ORDER",
+    "PATIENCE_S",
+]
+
+BODY_LIMIT_BYTES = 8 << 20
 _SHARES = {"operator": 0.0625, "lookup": 0.25, "rank0": 0.375, "rank1": 0.1875, "rank2": 0.125}
 MAY_USE = {
     "operator": ("operator",),
@@ -20,8 +36,6 @@
 }
 ORDER = {"operator": 0, "lookup": 1, "rank0": 1, "rank1": 2, "rank2": 3}
 PATIENCE_S = {"operator": 1, "lookup": 1, "rank0": 1, "rank1": 2, "rank2": 5}
-_LENGTH = re.compile(rb"\r\ncontent-length:\s*(\d{1,12})\s*\r\n", re.I)
-_CHUNKED = re.compile(rb"\r\ntransfer-encoding:\s*chunked\s*\r\n", re.I)
 _CLASS = re.compile(rb'"class"\s*:\s*"([a-z]{1,16})"')
 _ROUTE = re.compile(rb"^POST /v1/route/([^ /?]{1,80})")
 
@@ -30,35 +44,9 @@
     return {name: max(1, int(share * threads)) for name, share in _SHARES.items()}
 
 
-def whole(data):
-    """Whether head and body are all here, or so large that it no longer matters."""
-    end = data.find(b"\r\n\r\n", 0, _HEAD_BYTES + 4)
-    if end < 0:
-        return len(data) > _HEAD_BYTES
-    most = _BODY_BYTES["operator"]
-    if _CHUNKED.search(data, 0, end + 2):
-        return len(data) > most or _chunks_end(data, end + 4)
-    told = _LENGTH.search(data, 0, end + 2)
-    length = int(told[1]) if told else 0
-    return length > most or len(data) - end - 4 >= length
-
-
-def _chunks_end(data, at):
-    """Whether a chunked body that begins at `at` has its last chunk here; one that
-    can't be read is taken as whole, and refused by whoever reads it."""
-    while True:
-        end = data.find(b"\r\n", at, at + 64)
-        if end < 0:
-            return len(data) - at >= 64
-        try:
-            size = int(bytes(data[at:end]).partition(b";")[0], 16)
-        except ValueError:
-            return True
-        if size == 0:
-            return data.find(b"\r\n\r\n", end) >= 0
-        at = end + 2 + size + 2
-        if at > len(data):
-            return False
+def measured(data):
+    """The first request in what a connection has sent."""
+    return request_framing.measure(data, BODY_LIMIT_BYTES)
 
 
 def kind(data, rank_of):
@@ -75,11 +63,19 @@
     return f"rank{RANK.get(told[1].decode(), 1) if told else 1}"
 
 
-def answer(sock, status, body, retry_s=None):
+def reject(sock, malformed):
+    """What no request may look like is told so."""
+    failure = failures.BodyMalformed(malformed.cause)
+    if malformed.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+        failure = failures.BodyOversized(BODY_LIMIT_BYTES)
+    answer(sock, malformed.status, failure)
+
+
+def answer(sock, status, failure, retry_s=None):
     """A short answer from the door itself, without waiting for anybody."""
     again = f"Retry-After: {retry_s}\r\n" if retry_s else ""
-    words = {503: "Service Unavailable", 408: "Request Timeout"}[status]
-    data = body.encode() + b"\n"
+    words = HTTPStatus(status).phrase
+    data = json.dumps(failures.as_json(failure)).encode() + b"\n"
     try:
         sock.send(
             f"HTTP/1.1 {status} {words}\r\n{again}Content-Type: application/json\r\n"
--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -68,7 +68,7 @@
         if not handler.whole:
             return None
         request = Request(handler.told)
-        told = self._dialect.read_caller(request, handler.path)
+        told = self._dialect.read_caller(request, handler.target)
         if isinstance(told, failures.Failure):
             handler.told[_STEP] = ("", {}, told)
             handler.run_wsgi()
--- a/libs/pulleyhitch/src/pulleyhitch/http_handler.py
+++ b/libs/pulleyhitch/src/pulleyhitch/http_handler.py
@@ -35,23 +35,36 @@
 
 
 class Handler(WSGIRequestHandler):
-    """A request that the door has read already, answered when its time comes."""
+    """A request that the door has read already, answered when its time comes.
+    `target` is the request's own, byte for byte."""
 
     protocol_version = "HTTP/1.1"
 
     def setup(self):
         self.connection, self.wfile = self.request.sock, _Out(self.request.sock)
-        self.rfile = io.BytesIO(bytes(self.request.data))
+        self.rfile = io.BytesIO(self.request.request.head)
 
     def handle(self):
         self.told = None
         self.raw_requestline = self.rfile.readline(65537)
-        self.whole = len(self.raw_requestline) <= 65536 and self.parse_request()
+        self.target = self.raw_requestline.decode("latin1").split(" ")[1]
+        self.whole = self.parse_request()
         if self.whole:
-            self.told = super().make_environ()
+            self.told = self._environ(self.request.request.body)
+
+    def _environ(self, body):
+        """The facts for the application; the body has been taken out of its chunks."""
+        environ = super().make_environ()
+        environ.pop("HTTP_TRANSFER_ENCODING", None)
+        environ.pop("wsgi.input_terminated", None)
+        environ["wsgi.input"] = io.BytesIO(body)
+        environ["CONTENT_LENGTH"] = str(len(body))
+        return environ
 
     def finish(self):
-        """The door closes the socket."""
+        """What could not be parsed is told now; the door closes the socket."""
+        if not self.whole:
+            self.wfile.flush()
 
     def make_environ(self):
         return self.told
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -8,7 +8,6 @@
 connections, bytes held, and the time that a request may take to arrive.
 """
 
-import json
 import queue
 import resource
 import selectors
@@ -16,33 +15,18 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 
 from transport import failures
 
-from pulleyhitch import admission
+from pulleyhitch import admission, request_framing
+from pulleyhitch.caller import Caller
 
-__all__ = ["Door", "Caller"]
+__all__ = ["Door"]
 
 _HELD_BYTES = 64 << 20
 _PER_THREAD = 20
 
 
-@dataclass
-class Caller:
-    """One connection: what came of its request, and what it waits for."""
-
-    sock: socket.socket
-    address: tuple
-    since_s: float
-    data: bytearray = field(default_factory=bytearray)
-    kind: str = ""
-    part: str = ""
-    finish: object = None
-    left: object = None
-    watched: bool = False
-
-
 class Door:
     """`run` lets callers in until `stop`.  `begin(caller)` runs on a thread of the
     caller's part; it returns None, or (future, finish, left) for a task that
@@ -161,16 +145,30 @@
         except BlockingIOError:
             return
         except OSError:
-            got = b""
+            self._close(caller)
+            return
         caller.data += got
         self._bytes += len(got)
-        if not got and not caller.data:
-            self._close(caller)
-        elif not got or admission.whole(caller.data):
+        self._judge(caller, admission.measured(caller.data), not got)
+
+    def _judge(self, caller, measured, ended):
+        """Only a whole request goes on: what was cut off or can't be read is nobody's."""
+        if isinstance(measured, request_framing.Complete):
+            caller.request = measured
             self._admit(caller)
+        elif isinstance(measured, request_framing.Malformed):
+            self._reject(caller, measured)
+        elif ended and caller.data:
+            self._reject(caller, request_framing.Malformed(400, "cut short"))
+        elif ended:
+            self._close(caller)
         elif self._bytes > _HELD_BYTES:
             self._refuse(caller, "memory", 2)
 
+    def _reject(self, caller, malformed):
+        admission.reject(caller.sock, malformed)
+        self._close(caller)
+
     def _admit(self, caller):
         """A whole request gets a thread, or waits a moment for one."""
         self._unwatch(caller)
@@ -200,8 +198,7 @@
 
     def _refuse(self, caller, cause, seconds):
         self._unwatch(caller)
-        failure = failures.Overloaded(1000 * seconds, cause)
-        admission.answer(caller.sock, 503, json.dumps(failures.as_json(failure)), seconds)
+        admission.answer(caller.sock, 503, failures.Overloaded(1000 * seconds, cause), seconds)
         self._close(caller)
 
     def _serve(self, caller):
@@ -236,6 +233,5 @@
             if not c.kind and now_s - c.since_s > (self._arrive_s if c.data else self._idle_s)
         ]:
             if caller.data:
-                failure = failures.BodyMalformed("not whole in time")
-                admission.answer(caller.sock, 408, json.dumps(failures.as_json(failure)))
+                admission.reject(caller.sock, request_framing.Malformed(408, "not whole in time"))
             self._close(caller)
--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/request_framing.py
@@ -0,0 +1,116 @@
+"""Where one HTTP/1.1 request ends in the bytes of a connection (RFC 9112, 2 to 7).
+
+Strict on purpose: a request whose length can be read in two ways, whose head is not
+whole, or that holds a line no parser agrees on is refused and never passed on.
+"""
+
+import re
+from dataclasses import dataclass
+
+__all__ = ["Complete", "Incomplete", "Malformed", "measure", "HEAD_LIMIT_BYTES"]
+
+HEAD_LIMIT_BYTES = 32 << 10
+# A chunk's size line, with its extension; longer ones are refused.
+_SIZE_LINE_LIMIT_BYTES = 256
+_HEAD_END = b"\r\n\r\n"
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_FIELD = _TOKEN + rb":[^\r\n\0]*\r\n"
+_HEAD = re.compile(_TOKEN + rb" [!-~\x80-\xff]+ HTTP/1\.[01]\r\n(?:" + _FIELD + rb")*\r\n")
+_TRAILERS = re.compile(rb"(?:" + _FIELD + rb")*\r\n")
+_FRAMING_FIELD = re.compile(rb"\r\n(content-length|transfer-encoding|host):[ \t]*([^\r]*)", re.I)
+_LENGTH = re.compile(rb"[0-9]{1,12}")
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n\0]*)?\r\n")
+
+
+@dataclass(frozen=True)
+class Incomplete:
+    """More bytes must come before anything can be said."""
+
+
+@dataclass(frozen=True)
+class Complete:
+    """One whole request; bytes after it belong to nobody."""
+
+    head: bytes
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Malformed:
+    """What no request may look like, and the status that says so."""
+
+    status: int
+    cause: str
+
+
+def measure(data, body_limit_bytes):
+    """The first request in `data`: Complete, Incomplete or Malformed."""
+    end = data.find(_HEAD_END, 0, HEAD_LIMIT_BYTES + len(_HEAD_END))
+    if end < 0:
+        return Malformed(431, "head") if len(data) > HEAD_LIMIT_BYTES else Incomplete()
+    end += len(_HEAD_END)
+    head = bytes(data[:end])
+    if not _HEAD.fullmatch(head):
+        return Malformed(400, "head")
+    length = _body_length(head)
+    if isinstance(length, Malformed):
+        return length
+    if length is None:
+        return _chunked(data, end, head, body_limit_bytes)
+    if length > body_limit_bytes:
+        return Malformed(413, "body")
+    if len(data) < end + length:
+        return Incomplete()
+    return Complete(head, bytes(data[end : end + length]))
+
+
+def _body_length(head):
+    """The body's bytes, None if it comes in chunks, or Malformed."""
+    found = {b"content-length": [], b"transfer-encoding": [], b"host": []}
+    for name, value in _FRAMING_FIELD.findall(head):
+        found[name.lower()].append(value.strip(b" \t"))
+    lengths, codings = found[b"content-length"], found[b"transfer-encoding"]
+    if len(lengths) + len(codings) > 1 or len(found[b"host"]) > 1:
+        return Malformed(400, "a field that stands twice")
+    if codings:
+        return None if codings[0].lower() == b"chunked" else Malformed(400, "transfer-encoding")
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        return Malformed(400, "content-length")
+    return int(lengths[0]) if lengths else 0
+
+
+def _chunked(data, at, head, body_limit_bytes):
+    """A body in chunks that begins at `at`."""
+    spans, size = [], 0
+    while True:
+        line = _SIZE_LINE.match(data, at, at + _SIZE_LINE_LIMIT_BYTES)
+        if line is None:
+            return _line_missing(data, at)
+        count, at = int(line[1], 16), line.end()
+        if count == 0:
+            return _trailers(data, at, head, spans)
+        size += count
+        if size > body_limit_bytes:
+            return Malformed(413, "body")
+        if len(data) < at + count + 2:
+            return Incomplete()
+        if data[at + count : at + count + 2] != b"\r\n":
+            return Malformed(400, "chunk")
+        spans.append((at, at + count))
+        at += count + 2
+
+
+def _line_missing(data, at):
+    rest = bytes(data[at : at + _SIZE_LINE_LIMIT_BYTES])
+    if b"\n" in rest or len(rest) == _SIZE_LINE_LIMIT_BYTES:
+        return Malformed(400, "chunk size")
+    return Incomplete()
+
+
+def _trailers(data, at, head, spans):
+    """What follows the last chunk is read over and not passed on."""
+    if _TRAILERS.match(data, at):
+        return Complete(head, b"".join(bytes(data[start:end]) for start, end in spans))
+    if len(data) - at > HEAD_LIMIT_BYTES or data.find(_HEAD_END, at) >= 0:
+        return Malformed(400, "trailers")
+    return Incomplete()
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -6,6 +6,7 @@
 import tempfile
 
 from pulleyhitch import admission
+from pulleyhitch.request_framing import Complete, Incomplete, Malformed
 from simulation import crowding, deployments
 from simulation.fleet import Fleet
 from testtools import TestCase
@@ -62,11 +63,14 @@
 class Knocking(TestCase):
     def test_whole_and_kind(self):
         post = b"POST /v1/task HTTP/1.1\r\nContent-Length: 20\r\n\r\n"
-        self.assertFalse(admission.whole(post[:-2]))
-        self.assertFalse(admission.whole(post + b"x" * 19))
-        self.assertTrue(admission.whole(post + b"x" * 20))
-        self.assertTrue(admission.whole(post.replace(b"20", b"99999999")))
-        self.assertTrue(admission.whole(b"x" * 40000))
+        for data, found in (
+            (post[:-2], Incomplete()),
+            (post + b"x" * 19, Incomplete()),
+            (post + b"x" * 20, Complete(post, b"x" * 20)),
+            (post.replace(b"20", b"99999999"), Malformed(413, "body")),
+            (b"x" * 40000, Malformed(431, "head")),
+        ):
+            self.assertThat(admission.measured(data), Equals(found))
         ranks = {"night": 2}
         for data, kind in (
             (b"GET /operator/fleet HTTP/1.1", "operator"),
