A caller that leaves as its task goes on no longer ends the listener

Cause: the listener's thread looked whether `left` was set, then whether the caller had gone, then called it; meanwhile a leg's thread may have taken the task over and cleared it. Calling None ended the thread, and with it all callers of the node.

Change: who leaves and who goes on take it under one lock, so it is called at most once and never after the task was taken over.

Red before: tests/test_listener.py Leaving (TypeError in the listener's thread). With it a stress test of waiting, leaving, resetting and cut callers with a switch interval of a microsecond: every answer its caller's own, each task finished once, thread and byte counters back to their start.

--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -137,8 +137,8 @@
     def _hear(self, caller):
         if caller.kind:
             self._unwatch(caller)
-            if caller.left and admission.peek(caller.sock) == b"":
-                caller.left()
+            if admission.peek(caller.sock) == b"":
+                self._leave(caller)
             return
         try:
             got = caller.sock.recv(1 << 18)
@@ -169,6 +169,13 @@
         admission.reject(caller.sock, malformed)
         self._close(caller)
 
+    def _leave(self, caller):
+        """The caller has left: told once, and only while its task still waits."""
+        with self._lock:
+            left, caller.left = caller.left, None
+        if left is not None:
+            left()
+
     def _admit(self, caller):
         """A whole request gets a thread, or waits a moment for one."""
         self._unwatch(caller)
@@ -216,7 +223,8 @@
             future.add_done_callback(lambda done: self._rest.submit(self._go_on, caller, done))
 
     def _go_on(self, caller, done):
-        finish, caller.finish, caller.left = caller.finish, None, None
+        with self._lock:
+            finish, caller.finish, caller.left = caller.finish, None, None
         try:
             finish(done.result())
         finally:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,11 +1,15 @@
 """The listener on real sockets: only whole requests go on, each answer goes to its own
 connection, and nothing is left behind, however threads take turns."""
 
+import random
 import socket
 import struct
+import sys
 import threading
 import time
+from concurrent.futures import Future, ThreadPoolExecutor
 
+from pulleyhitch import admission
 from pulleyhitch.listener import Door
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -125,3 +129,134 @@
             sock.sendall(sent)
             self.assertThat(received(sock).count(b"HTTP/1.1 200"), Equals(1))
         self.assertThat(self.begun, Equals([b"outer"] * 3))
+
+
+class Leaving(Listening):
+    def test_a_caller_that_leaves_as_its_task_goes_on(self):
+        """Found gone at the very moment at which another thread takes its task over."""
+        future, finished, left, peek = Future(), threading.Event(), [], admission.peek
+
+        def begin(caller):
+            if id_of(caller) == b"waits":
+                return future, lambda step: finished.set(), lambda: left.append(1)
+            answer(caller.sock, id_of(caller))
+            return None
+
+        def peek_slowly(sock):
+            seen = peek(sock)
+            if seen == b"" and not future.done():
+                future.set_result(None)
+                finished.wait(WAIT_S)
+            return seen
+
+        self.patch(admission, "peek", peek_slowly)
+        door = self.door(begin)
+        sock = self.connect()
+        sock.sendall(HEAD % b"waits" + b"Content-Length: 0\r\n\r\n")
+        sock.shutdown(socket.SHUT_WR)
+        self.assertTrue(finished.wait(WAIT_S))
+        other = self.connect()
+        other.sendall(HEAD % b"other" + b"Content-Length: 0\r\n\r\n")
+        self.assertTrue(received(other).endswith(b"other"))
+        self.until(lambda: not door._open)
+        self.assertThat(left, Equals([]))
+
+
+class Stress(Listening):
+    """Callers that wait, leave, reset and cut off, while threads switch as often as
+    they can."""
+
+    CALLERS, EACH = 12, 40
+
+    def setUp(self):
+        super().setUp()
+        before = sys.getswitchinterval()
+        self.addCleanup(sys.setswitchinterval, before)
+        sys.setswitchinterval(1e-6)
+        self.lock = threading.Lock()
+        self.waiting, self.finished, self.begun, self.left = [], [], [], []
+        self.stop = threading.Event()
+        self.serving = self.door(self.begin, threads=32)
+        resolver = threading.Thread(target=self.resolve, daemon=True)
+        resolver.start()
+        self.addCleanup(resolver.join, WAIT_S)
+        self.addCleanup(self.stop.set)
+
+    def begin(self, caller):
+        id_ = id_of(caller)
+        with self.lock:
+            self.begun.append(id_)
+        if random.Random(id_).random() < 0.4:
+            answer(caller.sock, id_)
+            return None
+        future = Future()
+
+        def finish(step):
+            with self.lock:
+                self.finished.append(id_)
+            if step == "leg":
+                answer(caller.sock, id_)
+
+        def left():
+            with self.lock:
+                self.left.append(id_)
+            self.settle(future, "gone")
+
+        with self.lock:
+            self.waiting.append(future)
+        return future, finish, left
+
+    def settle(self, future, step):
+        """The owner's word: the first one counts."""
+        with self.lock:
+            first = future in self.waiting
+            if first:
+                self.waiting.remove(future)
+        if first:
+            future.set_result(step)
+
+    def resolve(self):
+        rng = random.Random(5)
+        while not self.stop.is_set():
+            with self.lock:
+                future = rng.choice(self.waiting) if self.waiting else None
+            if future is not None:
+                self.settle(future, "leg")
+            time.sleep(0)
+
+    def calls(self, number):
+        """One caller's requests: (how many were answered, what was wrong)."""
+        rng, answered, wrong = random.Random(number), 0, []
+        for turn in range(self.EACH):
+            id_ = b"%d.%d" % (number, turn)
+            whole = HEAD % id_ + b"Content-Length: 3\r\n\r\nabc"
+            fate = rng.choice(("stay", "stay", "stay", "leave", "reset", "cut"))
+            with socket.create_connection(self.address, timeout=WAIT_S) as sock:
+                if fate == "cut":
+                    sock.sendall(whole[: rng.randrange(len(whole))])
+                    reset(sock)
+                    continue
+                sock.sendall(whole)
+                if fate == "reset":
+                    reset(sock)
+                elif fate == "stay":
+                    got = received(sock)
+                    answered += 1
+                    if got.partition(b"\r\n\r\n")[2] != id_:
+                        wrong.append((id_, got))
+        return answered, wrong
+
+    def test_each_answer_is_its_callers_own(self):
+        with ThreadPoolExecutor(self.CALLERS) as pool:
+            found = list(pool.map(self.calls, range(self.CALLERS)))
+        self.assertThat([wrong for _, wrong in found], Equals([[]] * self.CALLERS))
+        self.until(lambda: not self.serving._open)
+        door = self.serving
+        self.until(lambda: door._free == door._parts)
+        self.assertThat((door._bytes, door._line), Equals((0, [])))
+        with self.lock:
+            self.assertThat(self.waiting, Equals([]))
+            self.assertThat(len(set(self.finished)), Equals(len(self.finished)))
+            self.assertThat(len(set(self.begun)), Equals(len(self.begun)))
+            self.assertThat(len(set(self.left)), Equals(len(self.left)))
+            self.assertTrue(set(self.finished) <= set(self.begun))
