One request on one connection, sent as it came and whole only with a known end

Causes, each shown by an engine that misbehaves on a real socket: - curl sent a request without a body a second time by itself when a kept connection broke before an answer, though the engine had read it; - an interim answer that arrived with half of the final head made a head of that half (X-Not-Run or the request's id missing); - an answer without length or chunks counted as whole wherever it was cut; - orders and reports, whose answers bear no id, used connections of callers' requests, on which one answer too many may still come; - a target was read as a URL (fragments dropped) and a field beyond ASCII raised an error with a leg already given out; - "Connection: x, close" was not read as closing.

Change: a kept connection never opens a second one (if nothing was sent on it, a new exchange takes its place); heads count when whole; calls have connections of their own and an order one for itself; curl gets the target as such.

Ruled out, with tests: curl's retry on new connections or of bodies (its reader can't be rewound), redirects, `Expect`, headers of curl's own.

--- a/libs/routing/src/routing/passing.py
+++ b/libs/routing/src/routing/passing.py
@@ -13,37 +13,50 @@
 import pycurl
 
 from routing.legs import Ended
+from routing.pool import Pipe
 
 __all__ = ["Head", "stream", "call"]
 
 _WAIT_S = 0.25
 _LIMIT_BYTES = 8 << 20
 _DIGITS = 9
+_NEVER_MS = 1e12
+# The first status of a final answer; those below are interim.
+_FINAL = 200
+# Connections of our own calls are kept apart from those of callers' requests.
+_OURS = "call "
+_SAFE = ("GET", "HEAD")
+_WITHOUT_BODY = (204, 304)
 
 
 @dataclass(frozen=True)
 class Head:
+    """The head of an engine's final answer; `kept`: on a connection that has carried
+    another request before, so that it may be an answer to that one."""
+
     code: int
     reason: str
     headers: tuple
+    kept: bool = False
 
     def get(self, name, missing=None):
         """The first header of a name given in small letters."""
         return next((v for n, v in self.headers if n.lower() == name), missing)
 
 
-def _head(lines):
+def _head(lines, kept):
     """A Head of the header lines of the last answer begun."""
     words = lines[0].split(None, 2)
     pairs = tuple(
         (n.strip(), v.strip()) for n, s, v in (line.partition(":") for line in lines[1:]) if s
     )
-    return Head(int(words[1]), words[2].strip() if len(words) > 2 else "", pairs)
+    return Head(int(words[1]), words[2].strip() if len(words) > 2 else "", pairs, kept)
 
 
 def _prepare(curl, ask, timeout_ms, connect_ms):
-    curl.setopt(pycurl.URL, ask.url)
-    curl.setopt(pycurl.PATH_AS_IS, 1)
+    base, target = _parts(ask.url)
+    curl.setopt(pycurl.URL, base)
+    curl.setopt(pycurl.REQUEST_TARGET, target.encode("latin1"))
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
@@ -63,79 +76,141 @@
         headers.append("Content-Length: 0")
     elif ask.method == "HEAD":
         curl.setopt(pycurl.NOBODY, 1)
-    curl.setopt(pycurl.HTTPHEADER, headers)
+    curl.setopt(pycurl.HTTPHEADER, [header.encode("latin1") for header in headers])
 
 
-def stream(pool, base, ask, timeout_ms, connect_ms, fresh, silent_ms=None):
-    """The events of one leg; closing the generator breaks the leg off.  After
-    `silent_ms` without a head comes ("silent", None), once."""
-    lines, chunks, ends = [], [], []
+def _parts(url):
+    """(scheme and address, target): a caller's target is never read as a URL."""
+    end = url.find("/", url.find("://") + 3)
+    return (url, "/") if end < 0 else (url[:end], url[end:])
+
+
+class _Incoming:
+    """What curl has read of an answer: interim answers are dropped, a head counts once
+    its last line is here."""
 
-    def on_header(line):
+    def __init__(self):
+        self.chunks = []
+        self._lines, self._whole = [], False
+
+    def on_header(self, line):
         text = line.decode("latin1").rstrip("\r\n")
         if text.startswith("HTTP/"):
-            lines.clear()
-        if text:
-            lines.append(text)
+            self._lines, self._whole = [text], False
+        elif text:
+            self._lines.append(text)
         else:
-            ends.append(True)
+            self._whole = True
+
+    def head(self, kept):
+        """The final answer's head, or None as long as it isn't whole."""
+        if not self._whole:
+            return None
+        head = _head(self._lines, kept)
+        return head if head.code >= _FINAL else None
+
 
+def stream(pool, base, ask, timeout_ms, connect_ms, fresh, silent_ms=None):
+    """The events of one leg; closing the generator breaks the leg off.  After
+    `silent_ms` without a head comes ("silent", None), once.  `base` is the address for
+    which the connection is kept, or None if it isn't."""
     pipe, kept = pool.take(base, fresh)
+    ended = yield from _exchange(pool, base, pipe, kept, ask, timeout_ms, connect_ms, silent_ms)
+    if kept and not ended.begun:
+        # Found closed before anything was sent on it: this is the first connection.
+        ended = yield from _exchange(
+            pool, base, Pipe(), False, ask, timeout_ms, connect_ms, silent_ms
+        )
+    yield "end", ended
+
+
+def _exchange(pool, base, pipe, kept, ask, timeout_ms, connect_ms, silent_ms):
+    """One request on one connection; yields events and returns how it ended."""
+    incoming, added, keep = _Incoming(), False, False
     curl, multi = pipe.curl, pipe.multi
-    _prepare(curl, ask, timeout_ms, connect_ms)
-    if not ask.body:
-        curl.setopt(pycurl.FRESH_CONNECT, 0 if kept else 1)
-    curl.setopt(pycurl.HEADERFUNCTION, on_header)
-    curl.setopt(pycurl.WRITEFUNCTION, chunks.append)
-    multi.add_handle(curl)
-    head, ended = None, None
-    silent_s = time.monotonic() + (silent_ms if silent_ms else 1e9) / 1000
     try:
-        while ended is None:
-            _, active = multi.perform()
-            if head is None and ends and lines:
-                made = _head(lines)
-                if made.code >= 200:
-                    head = made
-                    yield "head", head
-                ends.clear()
-            while chunks:
-                yield "data", chunks.pop(0)
-            _, good, bad = multi.info_read()
-            if good:
-                ended = Ended(head.code if head else 0, b"", True)
-            elif bad:
-                ended = Ended(0, b"", _begun(curl), str(bad[0][1]))
-            elif active:
-                now_s = time.monotonic()
-                if head is None and now_s >= silent_s:
-                    silent_s = float("inf")
-                    yield "silent", None
-                multi.select(
-                    min(_WAIT_S, max(0.001, silent_s - now_s)) if head is None else _WAIT_S
-                )
-                yield "idle", None
+        _prepare(curl, ask, timeout_ms, connect_ms)
+        _bind(curl, incoming, kept)
+        multi.add_handle(curl)
+        added = True
+        head, ended = yield from _transfer(curl, multi, incoming, kept, silent_ms)
+        if ended.code and not _delimited(ask.method, head):
+            ended = Ended(0, b"", True, "no end")
         fd = curl.getinfo(pycurl.LASTSOCKET)
-        multi.remove_handle(curl)
-        if head is not None and ended.code and _keeps(head):
-            pool.give(base, pipe, fd, _keep_s(head))
-            pipe = None
-        yield "end", ended
+        keep = base is not None and bool(ended.code) and _keeps(head) and fd >= 0
+        return ended
     finally:
-        if pipe is not None:
-            if ended is None:
-                multi.remove_handle(curl)
+        if added:
+            multi.remove_handle(curl)
+        if keep:
+            pool.give(base, pipe, fd, _keep_s(head))
+        else:
             pipe.close()
 
 
+def _bind(curl, incoming, kept):
+    """A kept pipe never opens a second connection: curl would send a request that has
+    no body once more by itself if the first connection broke before an answer."""
+    curl.setopt(pycurl.HEADERFUNCTION, incoming.on_header)
+    curl.setopt(pycurl.WRITEFUNCTION, incoming.chunks.append)
+    if kept:
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, lambda purpose, address: pycurl.SOCKET_BAD)
+    else:
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _transfer(curl, multi, incoming, kept, silent_ms):
+    """Yield the events up to the end; returns (head, Ended)."""
+    head = None
+    silent_s = time.monotonic() + (silent_ms if silent_ms else _NEVER_MS) / 1000
+    while True:
+        _, active = multi.perform()
+        if head is None:
+            head = incoming.head(kept)
+            if head is not None:
+                yield "head", head
+        while incoming.chunks:
+            yield "data", incoming.chunks.pop(0)
+        _, good, bad = multi.info_read()
+        if good:
+            return head, Ended(head.code if head else 0, b"", True)
+        if bad:
+            return head, Ended(0, b"", _begun(curl), str(bad[0][1]))
+        if not active:
+            continue
+        now_s = time.monotonic()
+        if head is None and now_s >= silent_s:
+            silent_s = float("inf")
+            yield "silent", None
+        multi.select(min(_WAIT_S, max(0.001, silent_s - now_s)) if head is None else _WAIT_S)
+        yield "idle", None
+
+
 def _begun(curl):
+    """Whether a byte of the request's head was handed to the system's socket."""
     return curl.getinfo(pycurl.REQUEST_SIZE) > 0
 
 
+def _delimited(method, head):
+    """Whether an answer tells where it ends: one that runs to the end of its
+    connection looks the same whole and cut off."""
+    return (
+        method == "HEAD"
+        or head.code in _WITHOUT_BODY
+        or head.get("content-length") is not None
+        or _tokens(head, "transfer-encoding")[-1:] == ["chunked"]
+    )
+
+
+def _tokens(head, name):
+    """The words of a list header, in small letters."""
+    values = ",".join(v for n, v in head.headers if n.lower() == name)
+    return [word.strip().lower() for word in values.split(",") if word.strip()]
+
+
 def _keeps(head):
-    return head.get("connection", "").lower() != "close" and (
-        head.get("content-length") is not None
-        or "chunked" in head.get("transfer-encoding", "").lower()
+    return "close" not in _tokens(head, "connection") and (
+        head.get("content-length") is not None or "chunked" in _tokens(head, "transfer-encoding")
     )
 
 
@@ -149,12 +224,14 @@
 
 
 def call(pool, ask, timeout_ms, not_after_ms=None):
-    """One call of ours, whole answer; refuses by itself when it is too late."""
+    """One call of ours, whole answer; refuses by itself when it is too late.  Answers
+    to calls bear no id, so a call never uses a connection of callers' requests, where
+    one answer too many may still come, and an order one of its own."""
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         return Ended(0, b"", False, "late")
-    base = "/".join(ask.url.split("/", 3)[:3])
+    base = _OURS + _parts(ask.url)[0] if ask.method in _SAFE else None
     chunks, ended = [], Ended(0, b"", False, "none")
-    for kind, value in stream(pool, base, ask, timeout_ms, timeout_ms / 2, False):
+    for kind, value in stream(pool, base, ask, timeout_ms, timeout_ms / 2, base is None):
         if kind == "data":
             chunks.append(value)
             if sum(map(len, chunks)) > _LIMIT_BYTES:
--- /dev/null
+++ b/tests/test_answer_identity.py
@@ -0,0 +1,283 @@
+"""One connection to an engine that misbehaves: which answer is whose, which is whole,
+what was sent, and how often."""
+
+import socket
+import struct
+import threading
+
+from adapter.dialect import DIALECT
+from routing import legs, passing
+from routing import pool as passing_pool
+from routing.engines import Ask
+from routing.pool import Pool
+from testtools import TestCase
+from testtools.matchers import Equals
+
+WAIT_S = 30
+RESET = struct.pack("ii", 1, 0)
+KEPT = "Keep-Alive: timeout=60"
+
+
+def answer(body, *headers, length=None):
+    told = len(body) if length is None else length
+    lines = ["HTTP/1.1 200 OK", f"Content-Length: {told}", KEPT, *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Engine:
+    """Each connection gets the next script: a list of `read` (a head), `rest` (n more
+    bytes), `reset`, `close`, events to wait for, and bytes to send."""
+
+    def __init__(self, *scripts):
+        self.requests, self.connections, self._scripts = [], 0, list(scripts)
+        self.ended = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = "http://127.0.0.1:%d" % self._listener.getsockname()[1]
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _run(self):
+        for script in self._scripts:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(sock, script), daemon=True).start()
+
+    def _serve(self, sock, script):
+        with sock:
+            self._play(sock, script)
+        self.ended.set()
+
+    def _play(self, sock, script):
+        for step in script:
+            if step == "read":
+                self._read(sock)
+            elif step == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                return
+            elif step == "close":
+                return
+            elif isinstance(step, threading.Event):
+                step.wait(WAIT_S)
+            else:
+                sock.sendall(step)
+        sock.recv(1)
+
+    def _read(self, sock):
+        got = b""
+        while b"\r\n\r\n" not in got:
+            part = sock.recv(65536)
+            if not part:
+                return
+            got += part
+        self.requests.append(got)
+
+
+class Exchanges(TestCase):
+    def engine(self, *scripts):
+        engine = Engine(*scripts)
+        self.addCleanup(engine.close)
+        return engine
+
+    def ask(self, engine, pool=None, method="GET", body=b"", headers=(), fresh=False, target="/x"):
+        """(head, data, how it ended)"""
+        events = list(
+            passing.stream(
+                pool or Pool(),
+                engine.url,
+                Ask(method, engine.url + target, body, headers),
+                WAIT_S * 1000,
+                5000,
+                fresh,
+            )
+        )
+        heads = [value for kind, value in events if kind == "head"]
+        data = b"".join(value for kind, value in events if kind == "data")
+        return (heads[0] if heads else None), data, events[-1][1]
+
+
+class SentOnce(Exchanges):
+    def test_a_broken_connection_is_no_reason_to_send_by_itself_again(self):
+        """The engine has read the request on a kept connection and breaks off: it may
+        have run, and what is sent again is the router's to decide."""
+        for end in ("close", "reset"):
+            for method, body in (("GET", b""), ("POST", b""), ("POST", b"q"), ("HEAD", b"")):
+                engine = self.engine(["read", answer(b""), "read", end], ["read", answer(b"again")])
+                pool = Pool()
+                self.assertThat(self.ask(engine, pool, method, body)[2].code, Equals(200))
+                head, data, ended = self.ask(engine, pool, method, body)
+                self.assertThat((head, data), Equals((None, b"")))
+                self.assertThat((ended.code, ended.begun), Equals((0, True)))
+                self.assertThat((engine.connections, len(engine.requests)), Equals((1, 2)))
+
+    def test_nor_on_a_new_connection(self):
+        for end in ("close", "reset"):
+            for body in (b"", b"q"):
+                engine = self.engine(["read", end], ["read", answer(b"again")])
+                _, _, ended = self.ask(engine, method="POST", body=body, fresh=True)
+                self.assertThat((ended.code, ended.begun), Equals((0, True)))
+                self.assertThat((engine.connections, len(engine.requests)), Equals((1, 1)))
+
+    def test_nor_for_our_own_callers(self):
+        for end in ("close", "reset"):
+            engine = self.engine(["read", end], ["read", answer(b"again")])
+            ended = legs.call(Ask("POST", engine.url + "/task", b"q"), WAIT_S * 1000)
+            self.assertThat((ended.code, ended.begun), Equals((0, True)))
+            self.assertThat((engine.connections, len(engine.requests)), Equals((1, 1)))
+
+    def test_a_large_body_on_a_connection_that_breaks(self):
+        engine = self.engine(["read", "reset"], ["read", answer(b"again")])
+        _, _, ended = self.ask(engine, method="POST", body=b"x" * (4 << 20), fresh=True)
+        self.assertThat((ended.code, ended.begun), Equals((0, True)))
+        self.assertThat((engine.connections, len(engine.requests)), Equals((1, 1)))
+
+    def test_a_kept_connection_that_was_reset_unseen_is_replaced(self):
+        """Nothing was sent on it, so the request is sent on a new one, once."""
+        engine = self.engine(["read", answer(b"one"), "reset"], ["read", answer(b"two")])
+        pool = Pool()
+        self.ask(engine, pool)
+        self.assertTrue(engine.ended.wait(WAIT_S))
+        self.patch(passing_pool, "_silent", lambda fd: True)
+        self.assertThat(self.ask(engine, pool)[1], Equals(b"two"))
+        self.assertThat((engine.connections, len(engine.requests)), Equals((2, 2)))
+
+    def test_nothing_was_sent_where_nobody_listens(self):
+        engine = self.engine()
+        engine.close()
+        self.assertThat(self.ask(engine, fresh=True)[2].begun, Equals(False))
+
+    def test_redirects_are_answers(self):
+        engine = self.engine(
+            [
+                "read",
+                b"HTTP/1.1 307 Go\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n",
+                "read",
+                answer(b"no"),
+            ]
+        )
+        self.assertThat(self.ask(engine)[0].code, Equals(307))
+        self.assertThat(len(engine.requests), Equals(1))
+
+
+class SentAsItCame(Exchanges):
+    def test_targets(self):
+        for target in ("/a#b", "/a/../b?c=/%2e", "/a//b", "/\xe9?\xff", "/@h:1/x", "/[0-9]{a,b}"):
+            engine = self.engine(["read", answer(b"")])
+            self.ask(engine, target=target)
+            line = engine.requests[0].split(b"\r\n")[0]
+            self.assertThat(line, Equals(b"GET %s HTTP/1.1" % target.encode("latin1")))
+
+    def test_headers(self):
+        engine = self.engine(["read", answer(b"")])
+        self.ask(engine, method="POST", body=b"q", headers=("A: \xe9", "B;", "Host: h"))
+        lines = engine.requests[0].split(b"\r\n")
+        for line in (b"A: \xe9", b"B:", b"Host: h"):
+            self.assertTrue(line in lines, lines)
+        for name in (b"Expect", b"User-Agent", b"Accept", b"Accept-Encoding", b"Cookie"):
+            self.assertFalse(any(line.startswith(name + b":") for line in lines), lines)
+
+
+class Whole(Exchanges):
+    def test_an_interim_answer_before_half_a_head(self):
+        """The final head counts once it is all here."""
+        rest = threading.Event()
+        engine = self.engine(
+            [
+                "read",
+                b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n",
+                rest,
+                b"B: 2\r\nContent-Length: 2\r\n\r\nok",
+            ]
+        )
+        source = passing.stream(
+            Pool(), engine.url, Ask("GET", engine.url + "/", b""), WAIT_S * 1000, 5000, False
+        )
+        seen = []
+        for kind, value in source:
+            seen.append((kind, value))
+            if kind == "idle":
+                rest.set()
+        heads = [value for kind, value in seen if kind == "head"]
+        self.assertThat([head.get("b") for head in heads], Equals(["2"]))
+
+    def test_only_what_tells_its_end_can_be_whole(self):
+        """An answer that runs to the end of its connection looks whole when it is cut."""
+        for method, sent, whole in (
+            ("GET", b"HTTP/1.1 200 OK\r\n\r\nhalf", False),
+            ("GET", b"HTTP/1.0 200 OK\r\n\r\nhalf", False),
+            ("GET", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", False),
+            ("GET", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", False),
+            (
+                "GET",
+                b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nhalf.",
+                False,
+            ),
+            ("GET", b"HTTP/1.1 200 OK\r\nContent-Le", False),
+            ("GET", b"nothing that is an answer\r\n\r\n", False),
+            ("GET", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", True),
+            ("GET", b"HTTP/1.1 204 OK\r\n\r\n", True),
+            ("GET", b"HTTP/1.1 304 OK\r\n\r\n", True),
+            ("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", True),
+            ("HEAD", b"HTTP/1.1 200 OK\r\n\r\n", True),
+        ):
+            engine = self.engine(["read", sent, "close"])
+            _, _, ended = self.ask(engine, method=method)
+            self.assertThat(ended.code > 0, Equals(whole), f"{method} {sent}")
+
+    def test_an_answer_before_the_request_was_sent_whole(self):
+        sent = b"HTTP/1.1 503 No\r\nX-Not-Run: full\r\nContent-Length: 0\r\n\r\n"
+        engine = self.engine(["read", sent], ["read", answer(b"next")])
+        pool = Pool()
+        head, _, _ = self.ask(engine, pool, "POST", b"x" * (16 << 20))
+        self.assertThat((head.code, head.get("x-not-run")), Equals((503, "full")))
+        self.assertThat(self.ask(engine, pool)[1], Equals(b"next"))
+
+
+class Kept(Exchanges):
+    def test_a_late_second_answer_is_told_from_ours(self):
+        """It comes after the connection was looked at and before our answer."""
+        stray = answer(b"stray", "X-Try-Id: first", "X-Postmark: p")
+        engine = self.engine(
+            ["read", answer(b"one", "X-Try-Id: first", "X-Postmark: p"), "read", stray]
+        )
+        pool = Pool()
+        self.ask(engine, pool)
+        head, _, _ = self.ask(engine, pool)
+        self.assertThat((head.kept, engine.connections), Equals((True, 1)))
+        self.assertThat(DIALECT.judged({"id": "second"}, head), Equals("foreign"))
+
+    def test_calls_use_no_connection_of_requests(self):
+        """Answers to calls bear no id: one answer too many would be taken for theirs."""
+        engine = self.engine(
+            ["read", answer(b"one"), "read", answer(b"stray")],
+            ["read", answer(b"order")],
+            ["read", answer(b"report")],
+        )
+        pool = Pool()
+        self.ask(engine, pool)
+        for method, body in (("POST", b"{}"), ("GET", b"")):
+            ended = passing.call(pool, Ask(method, engine.url + "/o", body), WAIT_S * 1000)
+            self.assertThat(ended.data, Equals(b"order" if body else b"report"))
+        self.assertThat(engine.connections, Equals(3))
+
+    def test_an_order_takes_a_new_connection(self):
+        engine = self.engine(
+            ["read", answer(b"report"), "read", answer(b"stray")], ["read", answer(b"order")]
+        )
+        pool = Pool()
+        passing.call(pool, Ask("GET", engine.url + "/r", b""), WAIT_S * 1000)
+        ended = passing.call(pool, Ask("POST", engine.url + "/o", b"{}"), WAIT_S * 1000)
+        self.assertThat((ended.data, engine.connections), Equals((b"order", 2)))
+
+    def test_not_after_any_word_of_closing(self):
+        for header in ("Connection: close", "Connection: x, Close", "Connection: CLOSE"):
+            engine = self.engine(["read", answer(b"one", header)], ["read", answer(b"two")])
+            pool = Pool()
+            self.assertThat(
+                [self.ask(engine, pool)[1], self.ask(engine, pool)[1], engine.connections],
+                Equals([b"one", b"two", 2]),
+            )
