An answer that doesn't repeat the request's id proves nothing on a kept connection

Cause: an answer without X-Try-Id passed as the request's own if it bore a stamp. On a connection that carried another request before, it may be that one's second answer; a late refusal would have been taken as proof that this request has not run.

Red before: tests/test_answer_identity.py Judged, both tests.

--- a/tests/test_answer_identity.py
+++ b/tests/test_answer_identity.py
@@ -9,6 +9,7 @@
 from routing import legs, passing
 from routing import pool as passing_pool
 from routing.engines import Ask
+from routing.passing import Head
 from routing.pool import Pool
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -281,3 +282,33 @@
                 [self.ask(engine, pool)[1], self.ask(engine, pool)[1], engine.connections],
                 Equals([b"one", b"two", 2]),
             )
+
+
+class Judged(TestCase):
+    """Whose an answer is, by its head alone."""
+
+    def judged(self, code, kept=False, **headers):
+        named = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+        return DIALECT.judged({"id": "t1"}, Head(code, "", named, kept))
+
+    def test_without_the_requests_id(self):
+        """On a connection that carried another request it proves nothing."""
+        self.assertThat(self.judged(200, X_Postmark="p"), Equals("foreign"))
+        for kept, found in ((False, "not-run"), (True, "foreign")):
+            self.assertThat(self.judged(421, kept), Equals(found))
+            self.assertThat(self.judged(503, kept, X_Not_Run="full"), Equals(found))
+
+    def test_with_it(self):
+        for kept in (False, True):
+            for id_, found in (("t1", "not-run"), ("t2", "foreign"), ("", "foreign")):
+                self.assertThat(self.judged(421, kept, X_Try_Id=id_), Equals(found))
+                self.assertThat(
+                    self.judged(503, kept, X_Try_Id=id_, X_Not_Run="full"), Equals(found)
+                )
+            self.assertThat(self.judged(200, kept, X_Try_Id="t1", X_Postmark="p"), Equals("ours"))
+            self.assertThat(self.judged(200, kept, X_Try_Id="t1"), Equals("foreign"))
+            self.assertThat(self.judged(500, kept, X_Try_Id="t1"), Equals("ours"))
+            for code in (408, 429, 503):
+                self.assertThat(
+                    self.judged(code, kept, X_Try_Id="t1", X_Postmark="p"), Equals("foreign")
+                )
