Close kept connections of engines that have gone

Cause: connections past their time were closed only when their address was asked for again, so those to engines that had gone stayed open for good, up to 32 for each address there ever was.

Change: what is past its time is looked for every 5 s when one is given back.

Red before: the new test of tests/test_platform_pool.py.

--- a/libs/routing/src/routing/pool.py
+++ b/libs/routing/src/routing/pool.py
@@ -18,6 +18,8 @@
 _UNTOLD_S = 0.8
 _MARGIN = 0.7
 _MOST = 32
+# How often connections that nobody took in their time are looked for and closed.
+_SWEEP_S = 5.0
 
 
 class Pipe:
@@ -39,6 +41,7 @@
     def __init__(self):
         self._idle = {}
         self._lock = threading.Lock()
+        self._swept_s = time.monotonic()
 
     def take(self, base, fresh):
         """(pipe, whether it was kept) for an address."""
@@ -61,9 +64,22 @@
         with self._lock:
             kept = self._idle.setdefault(base, [])
             kept.append(pipe)
-            old = kept.pop(0) if len(kept) > _MOST else None
-        if old is not None:
-            old.close()
+            old = [kept.pop(0)] if len(kept) > _MOST else []
+            old += self._expired(time.monotonic())
+        for pipe in old:
+            pipe.close()
+
+    def _expired(self, now_s):
+        """Take out what is past its time, of engines that have gone as well."""
+        if now_s - self._swept_s < _SWEEP_S:
+            return []
+        self._swept_s, found = now_s, []
+        for base, kept in list(self._idle.items()):
+            found += [pipe for pipe in kept if pipe.until_s <= now_s]
+            self._idle[base] = [pipe for pipe in kept if pipe.until_s > now_s]
+            if not self._idle[base]:
+                del self._idle[base]
+        return found
 
 
 def _silent(fd):
--- a/tests/test_platform_pool.py
+++ b/tests/test_platform_pool.py
@@ -85,6 +85,16 @@
             found.append(pipe)
         self.assertThat(found, Equals(given[-1:-33:-1]))
 
+    def test_connections_of_engines_that_have_gone_are_closed(self):
+        """Nobody asks for their addresses any more, and others are given back."""
+        closed = []
+        self.patch(pool.Pipe, "close", lambda pipe: closed.append(pipe))
+        gone = self.give(1)
+        self.clock.now_s += 6.0
+        other, _ = self.pool.take("http://f", True)
+        self.pool.give("http://f", other, self.ours.fileno(), 10)
+        self.assertThat((closed, list(self.pool._idle)), Equals(([gone], ["http://f"])))
+
 
 class Told(TestCase):
     def test_how_long_an_engine_keeps_a_pipe(self):
