No promise after a leg that may have run; a cut looks cut; every task ends

Causes: - after a leg of unknown end the router could still refuse with 503 (all busy, no room, stale), which promises that the request has not run; so could a thread whose question to the owner got no word; - a stream that ended because the caller's side looked closed was ended in order, so that a caller that had only shut down its sending half got a cut stream that looked whole; - an engine that told a length and sent chunks of another had its length passed on, so bytes of one answer lay beyond it; - an error on a leg's thread, a HEAD or a 204 on a stream's route, or an answer nobody read never told the owner that the task was over: its place on the engine stayed taken for good.

Change: `failures.once_begun` is the one place that says what may be told; the length told is that of what is passed on; each way out of a task tells the owner.

--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -10,7 +10,7 @@
 from transport.ends import hung_up
 from werkzeug.wrappers import Response
 
-from routing import passing
+from routing import answers, passing
 from routing.engines import Ask
 from routing.router import Leg, Stay
 
@@ -18,27 +18,8 @@
 
 _SILENT = 0.5
 _LEAST_SILENT_MS = 250.0
-_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-
-
-def _streamed(told, head):
-    """Whether an answer is passed on as it comes; failures are whole or not at all."""
-    return told["kind"] == "stream" and head.code < 300
-
-
-class _CutOff(ConnectionError):
-    """Breaks the answer off, so that nothing cut looks complete."""
+# How a leg may end that certainly has not run.
+_NOT_RUN = ("not-run", "no-pipe")
 
 
 class Relaying:
@@ -49,34 +30,49 @@
         self._dialect, self._connect_ms = dialect, connect_ms
 
     def serve(self, token, told, step, environ):
-        """The response to a caller, whose first step is `step`."""
+        """The response to a caller, whose first step is `step`.  Whatever goes wrong on
+        the way, the owner hears that the task is over."""
         sock = environ.get("werkzeug.socket")
 
         def gone():
             return sock is not None and hung_up(sock)
 
-        last = None
+        try:
+            return self._serve(token, told, step, gone)
+        except BaseException:
+            self._over(token)
+            raise
+
+    def _over(self, token):
+        self._ask(token, "ended", {"proof": "gone"})
+
+    def _serve(self, token, told, step, gone):
+        last, may_have_run = None, False
         while isinstance(step, Leg):
             source = self._leg(told, step, 0)
             head, first, proof = self._begin(token, told, source, gone)
             if isinstance(proof, (Leg, failures.Failure)):
                 source.close()
-                step = proof
+                step, may_have_run = proof, True
                 continue
             if head is not None and not (told["repeatable"] and head.code >= 500):
                 return self._answer(token, told, head, first, source, gone)
             if head is not None:
-                last = self._response(head, [first])
+                last = answers.response(told, head, [first])
             source.close()
+            may_have_run = may_have_run or proof not in _NOT_RUN
             step = self._ask(token, "ended", {"proof": proof})
         if last is not None:
             return last
-        if isinstance(step, failures.Failure):
-            return self._refusal(step)
-        return self._refusal(failures.OutcomeUnknown("caller-left"))
+        if not isinstance(step, failures.Failure):
+            step = failures.OutcomeUnknown("caller-left")
+        return self._refusal(step, may_have_run)
 
-    def _refusal(self, failure):
+    def _refusal(self, failure, may_have_run):
+        """Our own final answer; a promise only if no leg may have run."""
         status, headers, body = self._dialect.refusal(failure)
+        if may_have_run and status in failures.NOT_RUN_STATUSES:
+            status, headers, body = self._dialect.refusal(failures.OutcomeUnknown("leg-broken"))
         return Response(body, status, headers)
 
     def _leg(self, told, leg, after):
@@ -106,7 +102,7 @@
                     return None, b"", "not-run"
                 if judged != "ours":
                     return None, b"", "unknown"
-                if _streamed(told, value):
+                if answers.streamed(told, value):
                     return value, b"", "unknown"
                 return self._whole(value, source, gone)
             if kind == "idle" and gone():
@@ -128,16 +124,18 @@
                 return (head, b"".join(data), "unknown") if value.code else (None, b"", "unknown")
         return None, b"", "unknown"
 
-    def _response(self, head, body):
-        headers = [(n, v) for n, v in head.headers if n.lower() not in _HOP]
-        return Response(body, f"{head.code} {head.reason}", headers, direct_passthrough=True)
-
     def _answer(self, token, told, head, first, source, gone):
-        if not _streamed(told, head):
+        if not answers.streamed(told, head):
             source.close()
             self._ask(token, "ended", {"proof": "done"})
-            return self._response(head, [first])
-        return self._response(head, self._events(token, told, head, source, gone))
+            return answers.response(told, head, [first])
+
+        def unread():
+            source.close()
+            self._over(token)
+
+        events = self._events(token, told, head, source, gone)
+        return answers.response(told, head, answers.Passing(events, unread))
 
     def _events(self, token, told, head, source, gone):
         """The stream as it comes; when it breaks, go on elsewhere if that may be."""
@@ -156,7 +154,7 @@
                         if out:
                             yield out
                     elif kind == "idle" and gone():
-                        return
+                        raise answers.CutOff("caller left")
                     elif kind == "end":
                         ended = value
                 if ended is not None and ended.code:
@@ -164,13 +162,11 @@
                     if held:
                         yield bytes(held)
                     return
-                proof = "unknown"
                 source, head = self._go_on(token, told, whole, last, gone)
                 if source is None:
                     proof = ""
-                    raise _CutOff("stream")
+                    raise answers.CutOff("stream")
                 held.clear()
-                proof = "gone"
         finally:
             if source is not None:
                 source.close()
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -38,6 +38,10 @@
 
 
 def _fail(r, task, failure):
+    """The task's final answer; what promises that it has not run is told only if no leg
+    may have."""
+    if task.may_have_run:
+        failure = failures.once_begun(failure)
     r.tasks.pop(task.token, None)
     r.refused += 1
     gone = _unhold(r, task, "refused")
--- a/libs/routing/src/routing/serving.py
+++ b/libs/routing/src/routing/serving.py
@@ -13,6 +13,9 @@
 
 __all__ = ["Serving"]
 
+# How a leg may end that certainly has not run.
+_NOT_RUN = ("not-run", "no-pipe")
+
 
 class Serving:
     """`serve` is the one public method.  `ask(token, verb, body)` puts an event to
@@ -23,17 +26,25 @@
         self._connect_ms = connect_ms
 
     def serve(self, token, told, step, environ):
-        gone = _gone_check(environ)
+        """The response to a caller, whose first step is `step`.  Whatever goes wrong on
+        the way, the owner hears that the task is over."""
+        try:
+            return self._serve(token, told, step, _gone_check(environ))
+        except BaseException:
+            self._ask(token, "ended", {"proof": "gone"})
+            raise
+
+    def _serve(self, token, told, step, gone):
+        may_have_run = False
         while isinstance(step, Leg):
             if told["stream"]:
                 return self._stream(token, told, step, gone)
             found, proof = self._whole(told, step)
+            may_have_run = may_have_run or proof not in _NOT_RUN
             step = self._ask(token, "ended", {"proof": proof})
             if found is not None:
                 return found
-        if isinstance(step, failures.Failure):
-            return callers.refusal(step)
-        return callers.refusal(failures.OutcomeUnknown("caller-left"))
+        return _refusal(step, may_have_run)
 
     def _whole(self, told, leg):
         """Run a leg for a whole answer: (response or None, proof)."""
@@ -53,6 +64,7 @@
 
     def _stream(self, token, told, leg, gone):
         """Find a leg whose first piece is good, then pass its pieces on."""
+        may_have_run = False
         while isinstance(leg, Leg):
             source = legs.stream(engines.task_ask(leg.url, told), leg.timeout_ms, self._connect_ms)
             run = pieces.Run(told["id"])
@@ -62,11 +74,9 @@
                 chunks = self._pass_on(token, run, passed, passing, source, gone)
                 return callers.stream_response(chunks)
             source.close()
+            may_have_run = may_have_run or proof not in _NOT_RUN
             leg = self._ask(token, "ended", {"proof": "unknown" if proof == "broken" else proof})
-        failed = (
-            leg if isinstance(leg, failures.Failure) else (failures.OutcomeUnknown("caller-left"))
-        )
-        return callers.refusal(failed)
+        return _refusal(leg, may_have_run)
 
     def _pass_on(self, token, run, passed, passing, source, gone):
         proof = "gone"
@@ -103,6 +113,13 @@
         return legs.stream(engines.resume_ask(leg.url, run), leg.timeout_ms, self._connect_ms)
 
 
+def _refusal(step, may_have_run):
+    """Our own final answer; a promise only if no leg may have run."""
+    if not isinstance(step, failures.Failure):
+        step = failures.OutcomeUnknown("caller-left")
+    return callers.refusal(failures.once_begun(step) if may_have_run else step)
+
+
 class _CutOff(ConnectionError):
     """Breaks the chunked body off, so that nothing cut looks complete."""
 
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -41,8 +41,13 @@
     "Unreachable",
     "as_json",
     "retry_after",
+    "once_begun",
+    "NOT_RUN_STATUSES",
 ]
 
+# Statuses by which a caller is promised that its request has not run and never will.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
 
 @dataclass(frozen=True)
 class Failure:
@@ -226,6 +231,11 @@
     return {"failure": failure.tag, **dataclasses.asdict(failure)}
 
 
+def once_begun(failure):
+    """What may be told of work that may have run: nothing that promises it hasn't."""
+    return OutcomeUnknown("leg-broken") if failure.status in NOT_RUN_STATUSES else failure
+
+
 def retry_after(failure):
     """Whole seconds for the Retry-After header, or None where none belongs."""
     wait_ms = getattr(failure, "retryMs", None)
--- /dev/null
+++ b/tests/test_task_ends.py
@@ -0,0 +1,175 @@
+"""The owner hears of each task's end, whatever goes wrong on its way; a caller hears a
+promise only of what has not run, and a cut never looks whole."""
+
+import socket
+
+from adapter.dialect import DIALECT
+from configuration import passages
+from configuration.registry import Registry
+from placement import floor
+from routing import choice, passing, router
+from routing.legs import Ended
+from routing.passing import Head
+from routing.relaying import Relaying
+from routing.router import Leg
+from routing.tasks import Done
+from simulation.placing import SHARDS, engine_facts
+from testtools import TestCase
+from testtools.matchers import Equals
+from transport import failures
+from werkzeug.test import EnvironBuilder
+
+OWN = (("X-Try-Id", "t1"), ("X-Postmark", "p"))
+CREW = choice.Crew("c0", ("c0",), "z")
+
+
+class Relayed(TestCase):
+    """One leg whose events are given; `ends` is what the owner heard."""
+
+    def relay(self, events, environ=None, step=None, **told):
+        self.ends, self.closed = [], []
+
+        def stream(*args):
+            try:
+                for event in events:
+                    if isinstance(event, Exception):
+                        raise event
+                    yield event
+            finally:
+                self.closed.append(True)
+
+        def ask(token, verb, body):
+            self.ends.append(body["proof"])
+            over = body["proof"] in ("done", "gone", "cut")
+            return Done() if over else step or failures.OutcomeUnknown("x")
+
+        self.patch(passing, "stream", stream)
+        self.told = {
+            "id": "t1",
+            "method": "POST",
+            "target": "/a",
+            "body": b"",
+            "headers": (),
+            "aimMs": 500.0,
+            "kind": "stream",
+            "resumable": False,
+            "repeatable": False,
+            **told,
+        }
+        relaying = Relaying(ask, None, DIALECT, 100)
+        return relaying.serve("k", self.told, Leg("e", "http://e", 1000.0), environ or {})
+
+    def test_an_error_on_the_way_ends_the_task(self):
+        for events in ([ValueError()], [("head", Head(200, "", OWN)), ValueError()]):
+            self.assertRaises(ValueError, self.relay, events, kind="safe")
+            self.assertThat((self.ends, self.closed), Equals((["gone"], [True])))
+
+    def test_an_error_within_a_stream_ends_it_and_the_task(self):
+        events = [("head", Head(200, "", OWN)), ("data", b"id: 1\n\n"), ValueError()]
+        response = self.relay(events)
+        parts = iter(response.response)
+        self.assertThat(next(parts), Equals(b"id: 1\n\n"))
+        self.assertRaises(ValueError, next, parts)
+        self.assertThat((self.ends, self.closed), Equals((["gone"], [True])))
+
+    def test_a_stream_that_nobody_reads_ends(self):
+        response = self.relay([("head", Head(200, "", OWN)), ("data", b"x")])
+        response.close()
+        self.assertThat((self.ends, self.closed), Equals((["gone"], [True])))
+        response.close()
+        self.assertThat(self.ends, Equals(["gone"]))
+
+    def test_answers_without_a_body(self):
+        """Neither a HEAD nor a 204 is a stream, whatever the route's kind."""
+        for method, code in (("HEAD", 200), ("POST", 204), ("POST", 304)):
+            head = Head(code, "", (*OWN, ("Content-Length", "9")))
+            response = self.relay([("head", head), ("end", Ended(code, b"", True))], method=method)
+            environ = EnvironBuilder(method=method).get_environ()
+            body, status, headers = (
+                response.get_app_iter(environ),
+                response.status_code,
+                (response.get_wsgi_headers(environ)),
+            )
+            self.assertThat((list(body), status), Equals(([], code)))
+            self.assertThat(self.ends, Equals(["done"]))
+            if method == "HEAD":
+                self.assertThat(headers["Content-Length"], Equals("9"))
+
+    def test_the_length_is_that_of_what_is_passed_on(self):
+        """An engine that tells a length and sends chunks of another."""
+        lengths = (*OWN, ("Content-Length", "3"), ("Transfer-Encoding", "chunked"))
+        events = [("head", Head(200, "", lengths)), ("data", b"hello"), ("end", Ended(200, b"", 1))]
+        response = self.relay(events, kind="safe")
+        self.assertThat(response.headers.getlist("Content-Length"), Equals(["5"]))
+        response = self.relay(events)
+        self.assertThat(response.headers.getlist("Content-Length"), Equals([]))
+        self.assertThat(b"".join(response.response), Equals(b"hello"))
+
+    def test_a_caller_that_ended_its_side_gets_no_whole_stream(self):
+        """It may still listen: what was cut because it seemed gone must look cut."""
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        theirs.shutdown(socket.SHUT_WR)
+        events = [("head", Head(200, "", OWN)), ("data", b"id: 1\n\n"), ("idle", None)]
+        for resumable in (False, True):
+            response = self.relay(events, {"werkzeug.socket": ours}, resumable=resumable)
+            parts = iter(response.response)
+            self.assertThat(next(parts), Equals(b"id: 1\n\n"))
+            self.assertRaises(ConnectionError, next, parts)
+            self.assertThat(self.ends, Equals(["gone"]))
+
+    def test_no_promise_once_a_leg_may_have_run(self):
+        for failure in (
+            failures.Overloaded(1000, "x"),
+            failures.MajorityLost(1000),
+            failures.Stale(1, 1),
+            failures.NoRoom(1000, "m", "x"),
+            failures.DeadlinePassed(1000, False),
+        ):
+            for end, status in (
+                ([("end", Ended(0, b"", True))], 502),
+                ([("end", Ended(0, b"", False))], 503),
+                ([("head", Head(503, "", (*OWN, ("X-Not-Run", "full"))))], 503),
+                ([("head", Head(200, "", ()))], 502),
+            ):
+                self.assertThat(self.relay(end, step=failure).status_code, Equals(status))
+
+
+class Routed(TestCase):
+    """The router's own last words."""
+
+    def setUp(self):
+        super().setUp()
+        section = passages.section({}, {"s": {"kind": "plain", "warmPerS": 0.0, "warmMs": 0.0}})
+        self.floor = floor.Floor(
+            SHARDS,
+            registry=Registry(
+                sections={"floor": section},
+                engines={f"e{n}": engine_facts(f"e{n}", "s") for n in range(2)},
+            ),
+        )
+
+    def ends(self, *proofs, now_ms=1100.0):
+        """What is said after legs that ended so."""
+        terms = router.Terms(1e12, 1000.0, 100.0, 1.0, 10000.0, 1e6, retryAllowance=100.0)
+        routing = router.Router(terms)
+        task = router.Task(
+            "t", "t", "s", "", "", "rank1", "", True, False, 9000.0, aimMs=500.0, told=True
+        )
+        (reply,) = router.begin(routing, 1000.0, self.floor, 0.0, CREW, task)
+        for proof in proofs:
+            self.assertIsInstance(reply.outcome, Leg)
+            reply, *_ = router.ended(routing, now_ms, self.floor, 0.0, CREW, "t", proof)
+        return reply.outcome
+
+    def test_promised_only_what_has_not_run(self):
+        for proofs, status in (
+            (("not-run", "not-run"), 503),
+            (("no-pipe", "no-pipe"), 503),
+            (("unknown", "unknown"), 502),
+            (("unknown", "not-run"), 502),
+            (("not-run", "unknown"), 502),
+            (("unknown", "no-pipe"), 502),
+        ):
+            self.assertThat(self.ends(*proofs).status, Equals(status), str(proofs))
