A question to the owner that was given up leaves nothing behind

Cause: `ask` that ran out of time left its token among those waited for, for good if the owner never answered.

Change: the token is taken out under the lock; a word that came at the very end still counts.

Red before: tests/test_task_ends.py Asking, first test. The second asks from many threads with a switch interval of a microsecond; it was green before.

--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -131,10 +131,20 @@
         self._queue.put(e.Asked(token, verb, body))
 
     def ask(self, token, verb, body, wait_s=600.0):
+        future = self.post(token, verb, body)
         try:
-            return self.post(token, verb, body).result(timeout=wait_s)
+            return future.result(timeout=wait_s)
         except TimeoutError:
-            return failures.MajorityLost(1000)
+            return self._given_up(token, future)
+
+    def _given_up(self, token, future):
+        """Nobody waits any more: a late word has nowhere to go.  One that came at the very
+        end still counts."""
+        with self._lock:
+            if self._waiting.get(token) is future:
+                del self._waiting[token]
+                return failures.MajorityLost(1000)
+        return future.result()
 
     def _own(self):
         """Events as they come, and a tick whenever one is due, however many wait.
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -2,21 +2,28 @@
 promise only of what has not run, and a cut never looks whole."""
 
 import socket
+import sys
+import threading
+from concurrent.futures import ThreadPoolExecutor
 
 from adapter.dialect import DIALECT
 from configuration import passages
 from configuration.registry import Registry
 from placement import floor
+from pulleyhitch import config, node
+from pulleyhitch.process import Process
 from routing import choice, passing, router
 from routing.legs import Ended
 from routing.passing import Head
 from routing.relaying import Relaying
 from routing.router import Leg
 from routing.tasks import Done
+from simulation.fleet import free_ports
 from simulation.placing import SHARDS, engine_facts
 from testtools import TestCase
 from testtools.matchers import Equals
 from transport import failures
+from transport.effects import Reply
 from werkzeug.test import EnvironBuilder
 
 OWN = (("X-Try-Id", "t1"), ("X-Postmark", "p"))
@@ -173,3 +180,69 @@
             (("unknown", "no-pipe"), 502),
         ):
             self.assertThat(self.ends(*proofs).status, Equals(status), str(proofs))
+
+
+class Asking(TestCase):
+    """Tokens of those who wait for the owner's word."""
+
+    def process(self, handle):
+        ports = free_ports(2)
+        made = Process(
+            config.check(
+                {
+                    "name": "c0",
+                    "role": "counter",
+                    "zone": "x",
+                    "address": f"127.0.0.1:{ports[0]}",
+                    "http": f"127.0.0.1:{ports[1]}",
+                    "seeds": [f"127.0.0.1:{ports[0]}"],
+                }
+            )
+        )
+        self.addCleanup(made._pipes.close)
+        self.addCleanup(made._stopped.set)
+        self.patch(node, "handle", lambda _, now_ms, event: handle(event))
+        return made.start()
+
+    def test_a_word_that_comes_too_late_is_nobodys(self):
+        said = threading.Event()
+
+        def handle(event):
+            if getattr(event, "verb", "") == "late":
+                return []
+            if getattr(event, "verb", "") == "say":
+                said.set()
+                return [Reply("t", Done()), Reply(event.token, Done())]
+            return []
+
+        process = self.process(handle)
+        self.assertIsInstance(process.ask("t", "late", {}, 0.01), failures.MajorityLost)
+        self.assertThat(process._waiting, Equals({}))
+        self.assertIsInstance(process.ask("u", "say", {}, 30), Done)
+        self.assertThat((said.is_set(), process._waiting), Equals((True, {})))
+
+    def test_each_word_goes_to_whoever_asked(self):
+        """Many threads, some of which give up at once."""
+        before = sys.getswitchinterval()
+        self.addCleanup(sys.setswitchinterval, before)
+        sys.setswitchinterval(1e-6)
+
+        def handle(event):
+            token = getattr(event, "token", "")
+            return [Reply(token, failures.NotFound(token))] if token else []
+
+        process = self.process(handle)
+
+        def asks(number):
+            wrong = []
+            for turn in range(300):
+                token = f"{number}.{turn}"
+                found = process.ask(token, "x", {}, 0.0 if turn % 7 == 0 else 30)
+                gave_up = isinstance(found, failures.MajorityLost)
+                if found != failures.NotFound(token) and not (gave_up and turn % 7 == 0):
+                    wrong.append((token, found))
+            return wrong
+
+        with ThreadPoolExecutor(12) as pool:
+            self.assertThat(sum(pool.map(asks, range(12)), []), Equals([]))
+        self.assertThat(process._waiting, Equals({}))
