Operators no longer choose the id under which a command travels

Cause: an `id` in the body of an operator's change became the id of the command between nodes. Two operators who chose the same overwrote each other's pending command: one got the other's answer, or none.

Change: the id is the node's own; `change` goes on naming a change.

Red before: tests/test_task_ends.py Commands.

--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -204,4 +204,7 @@
             return callers.refusal(failures.WrongPartner(actor, "(token)"))
         if _PLATFORM in self._config.tokens and (verb == "engines") != (actor == _PLATFORM):
             return callers.refusal(failures.WrongPartner(actor, f"({verb})"))
+        # The id under which a command travels is the node's own: two operators who
+        # chose the same would be given each other's answers.
+        body.pop("id", None)
         return self._ask(verb, {**body, "actor": actor})
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -5,12 +5,13 @@
 import sys
 import threading
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 from adapter.dialect import DIALECT
 from configuration import passages
 from configuration.registry import Registry
 from placement import floor
-from pulleyhitch import config, node
+from pulleyhitch import config, node, server
 from pulleyhitch.process import Process
 from routing import choice, passing, router
 from routing.legs import Ended
@@ -25,6 +26,7 @@
 from transport import failures
 from transport.effects import Reply
 from werkzeug.test import EnvironBuilder
+from werkzeug.wrappers import Request
 
 OWN = (("X-Try-Id", "t1"), ("X-Postmark", "p"))
 CREW = choice.Crew("c0", ("c0",), "z")
@@ -246,3 +248,24 @@
         with ThreadPoolExecutor(12) as pool:
             self.assertThat(sum(pool.map(asks, range(12)), []), Equals([]))
         self.assertThat(process._waiting, Equals({}))
+
+
+class Commands(TestCase):
+    def test_operators_do_not_choose_the_id_of_a_command(self):
+        """Two that chose the same would get each other's answers."""
+        asked = []
+
+        class Asked:
+            config = SimpleNamespace(
+                http="127.0.0.1:0", httpThreads=4, bounds=config.Bounds(), tokens={}
+            )
+
+            def ask(self, token, verb, body):
+                asked.append(body)
+                return Done()
+
+        told = Request(
+            EnvironBuilder(method="POST", json={"id": "mine", "change": "c"}).get_environ()
+        )
+        server.Server(Asked())._change(told, "layout")
+        self.assertThat(asked, Equals([{"change": "c", "actor": ""}]))
