--- a/libs/simulation/src/simulation/platform_callers.py
+++ b/libs/simulation/src/simulation/platform_callers.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass, field
 
-__all__ = ["Request", "Answer", "send", "ask", "made", "wrong"]
+__all__ = ["Request", "Answer", "send", "sent", "read", "ask", "made", "wrong"]
 
 _PROMISES = (408, 421, 429, 503)
 _PATIENCE_S = 1.5
@@ -55,23 +55,28 @@
 def send(address, request, timeout_s=20.0):
     """One try on a connection of its own; the body has a length, or comes in chunks."""
     answer = Answer(f"{random.SystemRandom().getrandbits(64):016x}")
-    head = [
-        f"POST {request.path} HTTP/1.1",
-        f"Host: {request.host}",
-        f"X-Try-Id: {answer.id}",
-        f"X-Deadline-Ms: {request.deadlineMs}",
-        *request.headers,
-    ]
     host, _, port = address.rpartition(":")
     got = b""
     try:
         with socket.create_connection((host, int(port)), timeout=timeout_s) as sock:
-            sock.sendall("\r\n".join(head).encode() + _body(request.body))
+            sock.sendall(sent(answer.id, request))
             while part := sock.recv(65536):
                 got += part
     except OSError:
         pass
-    return _read(answer, got)
+    return read(answer, got)
+
+
+def sent(id_, request):
+    """The bytes of a try with an id of its own."""
+    head = [
+        f"POST {request.path} HTTP/1.1",
+        f"Host: {request.host}",
+        f"X-Try-Id: {id_}",
+        f"X-Deadline-Ms: {request.deadlineMs}",
+        *request.headers,
+    ]
+    return "\r\n".join(head).encode() + _body(request.body)
 
 
 def _body(data):
@@ -86,7 +91,8 @@
     )
 
 
-def _read(answer, got):
+def read(answer, got):
+    """The answer, filled in from all the bytes that came."""
     head, found, rest = got.partition(b"\r\n\r\n")
     if not found:
         return answer
--- a/libs/simulation/src/simulation/platform_serving.py
+++ b/libs/simulation/src/simulation/platform_serving.py
@@ -3,13 +3,16 @@
 import json
 import threading
 import time
+from collections import deque
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from simulation import platform_engine as core
+from simulation import platform_faults
 
 __all__ = ["Answering", "EngineDoor", "now_ms", "reply"]
 
 _KEEP_S = 3
+_STREAM = ("Content-Type: text/event-stream", "X-Weight-Versions: 1")
 _ONE = threading.Lock()
 
 
@@ -43,6 +46,17 @@
     handler.wfile.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
 
+def _whole(headers, body):
+    """The bytes of a good answer with a length."""
+    lines = ["HTTP/1.1 200 Told", f"Keep-Alive: timeout={_KEEP_S}", *headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def _plain_body(handler, asked, body):
+    return f"{asked.id} {handler.command} {handler.path} {body.hex()}".encode()
+
+
 class _Http(ThreadingHTTPServer):
     daemon_threads, request_queue_size, allow_reuse_address = True, 256, True
 
@@ -65,11 +79,13 @@
 
 
 class EngineDoor:
-    """One engine on its address; `close` ends it at once, whatever it runs."""
+    """One engine on its address; `close` ends it at once, whatever it runs.  Each
+    request takes the next of `faults`, if there is one."""
 
     def __init__(self, engine):
         self.engine = engine
         self._changed = threading.Condition(threading.Lock())
+        self.faults, self._previous = deque(), b""
         self._answering = Answering(engine.address, self._app)
 
     def close(self):
@@ -101,6 +117,12 @@
 
     def _request(self, handler, body):
         asked = _asked(handler)
+        fault = self.faults.popleft() if self.faults else None
+        if fault is platform_faults.Fault.RESET_UNRUN:
+            return platform_faults.reset(handler)
+        if fault in platform_faults.NOT_RUN:
+            told = (f"X-Try-Id: {asked.id}", "X-Not-Run: fault")
+            return reply(handler, platform_faults.NOT_RUN[fault], told)
         with self._changed:
             code = core.admit(self.engine, now_ms(), asked)
         stamp = (f"X-Try-Id: {asked.id}", f"X-Postmark: {self.engine.id}.{len(body)}.{asked.id}")
@@ -110,6 +132,8 @@
             missing = self._begin(asked)
             if missing is None:
                 return reply(handler, 503, (stamp[0], "X-Not-Run: late"))
+            if fault is not None:
+                return self._misbehave(handler, asked, body, stamp, fault)
             return self._run(handler, asked, body, stamp, missing)
         finally:
             with self._changed:
@@ -127,29 +151,37 @@
             return core.start(self.engine, now_ms(), asked)
 
     def _run(self, handler, asked, body, stamp, missing):
-        if self.engine.plain:
+        if not self._streams(asked):
             self._pause(self.engine.sizes.work_ms)
-            told = f"{asked.id} {handler.command} {handler.path} {body.hex()}".encode()
-            return reply(handler, 200, stamp, told)
+            answer = _whole(stamp, _plain_body(handler, asked, body))
+            handler.wfile.write(answer)
+            self._previous = answer
+            return
         self._pause(core.read_ms(self.engine, missing))
-        reply(
-            handler,
-            200,
-            (
-                *stamp,
-                "Content-Type: text/event-stream",
-                "X-Weight-Versions: 1",
-                "Transfer-Encoding: chunked",
-            ),
-            length=False,
-        )
-        events = -(-asked.most // self.engine.sizes.event_tokens)
-        for number in range(asked.after + 1, events + 1):
-            if number > asked.after + 1:
+        reply(handler, 200, (*stamp, *_STREAM, "Transfer-Encoding: chunked"), length=False)
+        for turn, event in enumerate(self._events(asked)):
+            if turn:
                 self._pause(core.event_ms(self.engine))
-            event = f"id: {number}\ndata: {asked.id}:{number}:{events}\n\n".encode()
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-        return handler.wfile.write(b"0\r\n\r\n")
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def _streams(self, asked):
+        """A plain engine streams as well, if tokens are asked for."""
+        return not self.engine.plain or asked.most > 0
+
+    def _events(self, asked):
+        events = -(-asked.most // self.engine.sizes.event_tokens)
+        for number in range(asked.after + 1, events + 1):
+            yield f"id: {number}\ndata: {asked.id}:{number}:{events}\n\n".encode()
+
+    def _misbehave(self, handler, asked, body, stamp, fault):
+        """The same answer at once, and whatever the fault makes of it."""
+        if self._streams(asked):
+            good = _whole((*stamp, *_STREAM), b"".join(self._events(asked)))
+        else:
+            good = _whole(stamp, _plain_body(handler, asked, body))
+        platform_faults.deliver(handler, fault, good, self._previous)
+        self._previous = good
 
     def _pause(self, pauseMs):
         time.sleep(pauseMs / 1000)
