--- a/libs/replication/src/replication/segment_format.py
+++ b/libs/replication/src/replication/segment_format.py
@@ -63,22 +63,22 @@
     return Entry(head.index, head.term, body), head.known, end + -end % BLOCK_BYTES
 
 
-def scan(data):
+def scan(data, last=0):
     """Read a segment: its whole entries in order, up to the first hole; `known` is
-    up to where the log was known synced when its first entry was written."""
-    entries, at, first = [], 0, 0
+    up to where the log was known synced when its last entry was written, and `last`
+    the last entry of the segments before."""
+    entries, at, known = [], 0, 0
     while at < len(data):
         found = _entry_at(data, at)
         if found is None:
             break
-        first = first if entries else found[1]
-        entry, _, at = found
+        entry, known, at = found
         entries.append(entry)
     if not data[at:].strip(b"\0"):
-        return Scan(tuple(entries), False, False, first)
-    last = entries[-1].index if entries else 0
+        return Scan(tuple(entries), False, False, known)
+    last = entries[-1].index if entries else last
     for block in range(at, len(data), BLOCK_BYTES):
         found = _entry_at(data, block)
         if found and found[1] > last and found[0].index > last + 1:
-            return Scan(tuple(entries), True, True, first)
-    return Scan(tuple(entries), True, False, first)
+            return Scan(tuple(entries), True, True, known)
+    return Scan(tuple(entries), True, False, known)
