Bound what the recorded answers take by bytes, long refusals cut

Each checkpoint carries the answers of up to 4,096 changes, refusals with their whole texts: seen red, 27.7 KB for a refusal of 101 routes and 1.0 MB for one that repeats a long text, so that a few hundred refusals made checkpoints of many MB. The first answer is told whole as before; what is recorded keeps the tag, the status and as much as fits into 2 KB, and all answers 512 KB, the oldest going first, the newest always kept. All who follow the records, also from a checkpoint on the way, keep the same.

--- /dev/null
+++ b/libs/configuration/src/configuration/answers.py
@@ -0,0 +1,60 @@
+"""The answers that changes got, kept under the changes' ids so that a repeated order is
+answered alike.  They ride in every checkpoint, so their number and bytes are bounded:
+the oldest go first, and of a long refusal what fits is kept."""
+
+import json
+
+__all__ = ["ANSWER_BYTES", "KEPT", "KEPT_BYTES", "Answers", "shortened"]
+
+KEPT = 4096
+KEPT_BYTES = 512 << 10
+ANSWER_BYTES = 2 << 10
+_TEXT_LENGTH = 300
+
+
+def _size(answer):
+    return len(json.dumps(answer, separators=(",", ":")))
+
+
+class Answers(dict):
+    """Answers by change id, in the order in which they were given."""
+
+    def __init__(self, found=()):
+        super().__init__(found)
+        self._bytes = sum(len(change) + _size(answer) for change, answer in self.items())
+
+    def remember(self, change, answer):
+        """Keep an answer, and drop the oldest that there is no room for."""
+        self._forget(change)
+        self[change] = answer
+        self._bytes += len(change) + _size(answer)
+        while len(self) > KEPT or (self._bytes > KEPT_BYTES and len(self) > 1):
+            self._forget(next(iter(self)))
+
+    def _forget(self, change):
+        if change in self:
+            self._bytes -= len(change) + _size(self.pop(change))
+
+
+def shortened(answer):
+    """A refusal with long texts cut, and of a long list as many items as fit."""
+    if _size(answer) <= ANSWER_BYTES:
+        return answer
+    return {**answer, "told": _cut(answer["told"], ANSWER_BYTES)}
+
+
+def _cut(value, room):
+    if isinstance(value, str):
+        return value[:_TEXT_LENGTH]
+    if isinstance(value, dict):
+        return {key: _cut(inner, room) for key, inner in value.items()}
+    if not isinstance(value, (list, tuple)):
+        return value
+    found = []
+    for inner in value:
+        short = _cut(inner, room)
+        room -= _size(short)
+        if room < 0 and found:
+            break
+        found.append(short)
+    return found
--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -19,7 +19,8 @@
     as_json,
 )
 
-from configuration import documents, engine_list, merging, passages
+from configuration import answers, documents, engine_list, merging, passages
+from configuration.answers import Answers
 
 __all__ = [
     "Registry",
@@ -34,7 +35,6 @@
 ]
 
 VERBS = ("layout", "zone", "engine", "engines", "written")
-_KEPT_CHANGES = 4096
 
 
 @dataclass
@@ -45,7 +45,7 @@
     zones: dict = field(default_factory=dict)
     zoneStamps: dict = field(default_factory=dict)
     engines: dict = field(default_factory=dict)
-    changes: dict = field(default_factory=dict)
+    changes: Answers = field(default_factory=Answers)
     document: dict = field(default_factory=lambda: documents.EMPTY)
     zonesKnown: tuple = ()
     reader: object = field(default=None, repr=False, compare=False)
@@ -107,9 +107,7 @@
             if engine["state"] == "gone":
                 del registry.engines[engine["name"]]
     if told.get("change"):
-        registry.changes[told["change"]] = told.get("answer", told["stamp"])
-        while len(registry.changes) > _KEPT_CHANGES:
-            del registry.changes[next(iter(registry.changes))]
+        registry.changes.remember(told["change"], told.get("answer", told["stamp"]))
 
 
 def _reread(registry):
@@ -135,7 +133,7 @@
     told, failure = _judged(registry, verb, body)
     stamp = registry.stamp + (told is not None)
     if failure:
-        answer = {"status": failure.status, "told": as_json(failure)}
+        answer = answers.shortened({"status": failure.status, "told": as_json(failure)})
         told = {"k": "refused", "answer": answer}
     elif told is None:
         answer = {"status": 200, "told": {"stamp": stamp, "same": True}}
@@ -225,5 +223,6 @@
     if not body:
         return Registry(zonesKnown=zonesKnown, reader=reader)
     registry = Registry(**json.loads(body), zonesKnown=zonesKnown, reader=reader)
+    registry.changes = Answers(registry.changes)
     _reread(registry)
     return registry
--- /dev/null
+++ b/tests/test_answers_kept.py
@@ -0,0 +1,80 @@
+"""Answers kept under their changes' ids: within some bytes, the newest always."""
+
+import json
+import random
+
+from adapter import configuration
+from configuration import answers
+from configuration import registry as registries
+from simulation import platform_made as made
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+
+def wrong(number, routes=200):
+    """A document of which each route is refused with a long text."""
+    found = made.configuration(random.Random(number), 5, routes=3)
+    route = {**found["routes"][0], "transitLimitMs": "x" * 5000}
+    found["routes"] = [{**route, "name": f"{n}.{'long' * 50}"} for n in range(routes)]
+    for item in found["routes"][1:]:
+        item.update(transitLimitMs=1000, kind="odd")
+    found["routes"][0].update(transitLimitMs=1000, kind="odd")
+    return found
+
+
+class Kept(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.registry = registries.Registry(reader=configuration.READER)
+        self.send("first", made.configuration(random.Random(1), 1), 0)
+
+    def send(self, change, told, expect):
+        body = {"expect": expect, "written": told, "partial": False, "change": change}
+        record, answer, failure = registries.decide(self.registry, "written", body)
+        if record is not None:
+            registries.apply(self.registry, record)
+        return record, answer, failure
+
+    def test_hundreds_of_refusals_take_bounded_bytes(self):
+        self.patch(answers, "KEPT_BYTES", 64 << 10)
+        told = wrong(1, routes=101)
+        for number in range(60):
+            record, _, failure = self.send(f"c{number}", told, 1)
+            self.assertThat(len(record), LessThan(6000))
+            self.assertThat(len(failure.fields), Equals(100), "the first answer is whole")
+        size = len(json.dumps(self.registry.changes))
+        self.assertThat(size, LessThan((64 << 10) + 20_000))
+        self.assertThat(len(registries.dump(self.registry)), LessThan(100_000))
+        _, _, again = self.send("c59", told, 1)
+        self.assertThat(again.status, Equals(422))
+        self.assertThat(again.told["failure"], Equals("layout-wrong"))
+        self.assertThat(len(again.told["fields"]), GreaterThan(0))
+
+    def test_many_short_answers_are_all_kept(self):
+        for number in range(answers.KEPT + 50):
+            stale = {**made.configuration(random.Random(2), 9), "edition": 9}
+            self.send(f"{number:032d}", stale, 8)
+        self.assertThat(len(self.registry.changes), GreaterThan(3000))
+        self.assertThat(len(self.registry.changes), LessThan(answers.KEPT + 1))
+        _, _, again = self.send(f"{answers.KEPT + 49:032d}", {}, 0)
+        self.assertThat(again.status, Equals(409))
+
+    def test_all_who_follow_keep_the_same(self):
+        """Also one that was started from a checkpoint on the way."""
+        self.patch(answers, "KEPT_BYTES", 64 << 10)
+        follower = registries.load(registries.dump(self.registry), reader=configuration.READER)
+        rng = random.Random(3)
+        for number in range(120):
+            told = wrong(number, routes=rng.randrange(1, 60))
+            record, _, _ = self.send(f"c{number}", told, 1)
+            registries.apply(follower, record)
+            if number % 30 == 20:
+                follower = registries.load(registries.dump(follower), reader=configuration.READER)
+        self.assertThat(follower.changes, Equals(self.registry.changes))
+        self.assertThat(list(follower.changes), Equals(list(self.registry.changes)))
+
+    def test_a_very_long_text_is_cut(self):
+        told = made.configuration(random.Random(4), 5)
+        told["routes"][0]["transitLimitMs"] = "x" * 1_000_000
+        record, _, _ = self.send("long", told, 1)
+        self.assertThat(len(record), LessThan(6000))
