Give tasks on the product's interface their own body limit at the listener

Cause: strict framing answered 400 (cut short) to a task that declares a body over its limit and sends no more, where the documented answer is 413; the listener knew only one limit for all requests. Ruled out: a fault of the test, which is the interface's contract. Change: the product's interface passes its limit by path; platform listeners keep the general one.

--- a/libs/pulleyhitch/src/pulleyhitch/admission.py
+++ b/libs/pulleyhitch/src/pulleyhitch/admission.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 from configuration.schema import RANK
+from routing.callers import LIMIT_BYTES as TASK_LIMIT_BYTES
 from transport import failures
 
 from pulleyhitch import request_framing
@@ -14,6 +15,7 @@
 __all__ = [
     "parts",
     "measured",
+    "product_body_limit",
     "BODY_LIMIT_BYTES",
     "kind",
     "answer",
@@ -26,6 +28,7 @@
 ]
 
 BODY_LIMIT_BYTES = 8 << 20
+_TASK_START = b"POST /v1/"
 _SHARES = {"operator": 0.0625, "lookup": 0.25, "rank0": 0.375, "rank1": 0.1875, "rank2": 0.125}
 MAY_USE = {
     "operator": ("operator",),
@@ -44,9 +47,14 @@
     return {name: max(1, int(share * threads)) for name, share in _SHARES.items()}
 
 
-def measured(data):
+def measured(data, body_limit_bytes=BODY_LIMIT_BYTES):
     """The first request in what a connection has sent."""
-    return request_framing.measure(data, BODY_LIMIT_BYTES)
+    return request_framing.measure(data, body_limit_bytes)
+
+
+def product_body_limit(data):
+    """How many bytes a body may have on the product's own interface: tasks are small."""
+    return TASK_LIMIT_BYTES if data.startswith(_TASK_START) else BODY_LIMIT_BYTES
 
 
 def kind(data, rank_of):
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -33,8 +33,11 @@
     waits: `finish` gets a thread once the future is there, `left` is called if
     the caller leaves before."""
 
-    def __init__(self, host, port, threads, begin, kind_of, arrive_s, idle_s=None):
+    def __init__(
+        self, host, port, threads, begin, kind_of, arrive_s, idle_s=None, body_limit_of=None
+    ):
         self._begin, self._kind_of, self._arrive_s = begin, kind_of, arrive_s
+        self._body_limit_of = body_limit_of or (lambda data: admission.BODY_LIMIT_BYTES)
         self._idle_s = idle_s or arrive_s
         self._listener = socket.create_server((host, port), backlog=1024)
         self._listener.setblocking(False)
@@ -149,7 +152,8 @@
             return
         caller.data += got
         self._bytes += len(got)
-        self._judge(caller, admission.measured(caller.data), not got)
+        limit_bytes = self._body_limit_of(caller.data)
+        self._judge(caller, admission.measured(caller.data, limit_bytes), not got)
 
     def _judge(self, caller, measured, ended):
         """Only a whole request goes on: what was cut off or can't be read is nobody's."""
