The build names the tool, library or package that is missing

Cause: without pip, certificates or a C++ runtime the build ended in a traceback, or built and each process died at its first import.

Change: deploy/libraries.py reads what compiled parts ask of the system; the build checks pip, certificates and these libraries, and ends with one line that names Debian's package. The functions of build.py are named and split; what is installed and copied is the same.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,64 +1,119 @@
 """Makes target/deps: the libraries that the product names, and the product itself.
 
 Libraries are installed again only when what is asked for has changed; our own
-sources are copied at every build, so a change of them is never missed.
+sources are copied at every build, so a change of them is never missed. What the
+machine lacks is named with the Debian package that brings it.
 """
 
 import compileall
+import importlib.util
 import pathlib
 import shutil
+import ssl
 import subprocess
 import sys
-import tomllib
+
+import libraries
+
+try:
+    import tomllib
+except ImportError:
+    sys.exit("build: Python 3.11 or newer is missing (Debian package python3)")
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-DEPS, TOLD = ROOT / "target" / "deps", ROOT / "target" / "asked.txt"
-PROVED_ONLY = {"simulation"}
+DEPS = ROOT / "target" / "deps"
+INSTALLED_REQUIREMENTS = ROOT / "target" / "asked.txt"
+TEST_ONLY_PROJECTS = {"simulation"}
+OWN_PREFIX = "pulleyhitch"
+
+
+class BuildError(Exception):
+    """What keeps the build from its end, as the operator is to read it."""
 
 
-def projects():
-    return [
-        p for p in sorted(ROOT.glob("libs/*/pyproject.toml")) if p.parent.name not in PROVED_ONLY
-    ]
+def product_projects() -> list[pathlib.Path]:
+    """The project files of the libraries that run in production."""
+    found = sorted(ROOT.glob("libs/*/pyproject.toml"))
+    return [path for path in found if path.parent.name not in TEST_ONLY_PROJECTS]
 
 
-def asked():
-    found = set()
-    for project in projects():
-        for word in tomllib.loads(project.read_text())["project"].get("dependencies", ()):
-            if not word.startswith("pulleyhitch"):
-                found.add(word)
+def outside_requirements(projects: list[pathlib.Path]) -> list[str]:
+    """What the projects ask of the package registry, once each."""
+    found: set[str] = set()
+    for project in projects:
+        declared = tomllib.loads(project.read_text())["project"]
+        for requirement in declared.get("dependencies", ()):
+            if not requirement.startswith(OWN_PREFIX):
+                found.add(requirement)
     return sorted(found)
 
 
-def main():
-    words = asked()
-    if not TOLD.exists() or TOLD.read_text() != "\n".join(words):
-        shutil.rmtree(DEPS, ignore_errors=True)
-        subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "pip",
-                "install",
-                "-q",
-                "--disable-pip-version-check",
-                "--target",
-                str(DEPS),
-                *words,
-            ],
-            check=True,
+def check_tools() -> None:
+    """Raises BuildError when the machine lacks what the package client needs."""
+    if importlib.util.find_spec("pip") is None:
+        raise BuildError(f"pip is missing for {sys.executable} (Debian package python3-pip)")
+    if not has_certificates():
+        raise BuildError(
+            "no certificates to check the package registry with (Debian package ca-certificates)"
         )
-        TOLD.write_text("\n".join(words))
-    for project in projects():
+
+
+def has_certificates() -> bool:
+    """Whether the system, or the environment, names a store of certificates."""
+    paths = ssl.get_default_verify_paths()
+    if paths.cafile is not None:
+        return True
+    return paths.capath is not None and any(pathlib.Path(paths.capath).iterdir())
+
+
+def install(requirements: list[str]) -> None:
+    """Installs the outside requirements, unless the same ones are there already."""
+    wanted = "\n".join(requirements)
+    if INSTALLED_REQUIREMENTS.exists() and INSTALLED_REQUIREMENTS.read_text() == wanted:
+        return
+    check_tools()
+    shutil.rmtree(DEPS, ignore_errors=True)
+    command = [sys.executable, "-m", "pip", "install", "-q", "--disable-pip-version-check"]
+    command += ["--target", str(DEPS), *requirements]
+    if subprocess.run(command).returncode != 0:
+        raise BuildError(
+            "pip could not install " + ", ".join(requirements) + "; its error stands above"
+        )
+    INSTALLED_REQUIREMENTS.write_text(wanted)
+
+
+def check_libraries() -> None:
+    """Raises BuildError when the installed wheels need a library that isn't there."""
+    missing = libraries.missing_libraries(libraries.system_libraries(DEPS))
+    if missing:
+        named = ", ".join(libraries.describe(name) for name in missing)
+        raise BuildError(f"shared libraries are missing: {named}")
+
+
+def copy_sources(projects: list[pathlib.Path]) -> None:
+    """Puts our own packages, compiled, beside the outside libraries."""
+    for project in projects:
         for package in (project.parent / "src").iterdir():
-            if package.is_dir() and package.suffix != ".egg-info":
-                shutil.rmtree(DEPS / package.name, ignore_errors=True)
-                shutil.copytree(
-                    package, DEPS / package.name, ignore=shutil.ignore_patterns("__pycache__")
-                )
-                compileall.compile_dir(DEPS / package.name, quiet=1)
+            if not package.is_dir() or package.suffix == ".egg-info":
+                continue
+            target = DEPS / package.name
+            shutil.rmtree(target, ignore_errors=True)
+            shutil.copytree(package, target, ignore=shutil.ignore_patterns("__pycache__"))
+            compileall.compile_dir(target, quiet=1)
+
+
+def main() -> int:
+    """Builds; the exit status is 1 when something is missing."""
+    projects = product_projects()
+    try:
+        install(outside_requirements(projects))
+        check_libraries()
+    except BuildError as error:
+        print(f"build: {error}", file=sys.stderr)
+        return 1
+    copy_sources(projects)
+    return 0
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(main())
