--- a/tests/test_deploy_packages.py
+++ b/tests/test_deploy_packages.py
@@ -13,6 +13,14 @@
 import build  # noqa: E402
 import libraries  # noqa: E402
 
+# What `build` and `run` call, apart from shared libraries.
+TOOLS = {"python3", "python3-pip", "ca-certificates"}
+
+
+def listed_packages():
+    """The top-level `packages` of the deploy file."""
+    return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["packages"]
+
 
 def installed_files():
     """The ELF files of every distribution that the product asks for, with what those ask for."""
@@ -42,6 +50,27 @@
     return requirement
 
 
+def loaded_libraries():
+    """What the installed wheels expect of the system."""
+    files = installed_files()
+    assert files, "no compiled part was found: the test would show nothing"
+    needed = set().union(*(libraries.needed_libraries(path) for path in files))
+    return needed - {path.name for path in files}
+
+
+def test_each_loaded_library_comes_with_a_listed_package():
+    unknown = loaded_libraries() - set(libraries.PACKAGE_OF_LIBRARY)
+    assert unknown == set()
+    wanted = {libraries.PACKAGE_OF_LIBRARY[name] for name in loaded_libraries()}
+    assert wanted <= set(listed_packages())
+
+
+def test_each_listed_package_is_a_tool_or_holds_a_loaded_library():
+    wanted = {libraries.PACKAGE_OF_LIBRARY[name] for name in loaded_libraries()}
+    assert set(listed_packages()) == TOOLS | wanted
+    assert len(listed_packages()) == len(set(listed_packages()))
+
+
 def test_needed_libraries_of_the_interpreter_name_the_c_library():
     path = pathlib.Path(sys.executable).resolve()
     assert "libc.so.6" in libraries.needed_libraries(path)
