A stopping depot waits for callers' answers alone, not for all its records

It ended up to a second late if any record of a lease it had given back was not known durable, also those that nobody waits for. Now only changes of the configuration that somebody waits for count.

--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -239,7 +239,7 @@
 def _before_the_end(node, now_ms, effects):
     """Hold `Finished` back while somebody waits for an answer, though not for long."""
     waited = now_ms - node.closing_ms > _ANSWERS_MS
-    if waited or not (node.operator.pending or shard_ownership.unacknowledged(node.owners)):
+    if waited or not (node.operator.pending or shard_ownership.answers_waiting(node.owners)):
         return effects
     return [effect for effect in effects if not isinstance(effect, Finished)]
 
--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -29,7 +29,7 @@
     "lease_end",
     "release_all",
     "flush",
-    "unacknowledged",
+    "answers_waiting",
 ]
 
 _ENDS = 0.8
@@ -227,6 +227,10 @@
     return effects
 
 
-def unacknowledged(ownership):
-    """Whether anything that was appended for a shard is not durable yet."""
-    return any(owner.held.unacked for owner in ownership.owners.values())
+def answers_waiting(ownership):
+    """Whether somebody waits until a change of the configuration is durable."""
+    return any(
+        owner.held.waiting
+        for owner in ownership.owners.values()
+        if isinstance(owner, ConfigurationOwner)
+    )
