Check the replication core over every order of events (`model`)

Change: `pulleyhitch-simulation model` runs the core's own functions, unchanged, on disks in memory. (a) A search, breadth first, of every order of deliveries, repeats, syncs, losses of power (each write under way kept or lost by itself), restarts, lost disks, timers, leaves and replacements; states that differ in replicas' names only are one.

Ruled out: an own model of the protocol (it would prove the model, not the code).

--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -39,7 +39,10 @@
     "trim",
 ]
 
+# Entries that go as one message.
 _PER_SEND = 64
+# Entries kept behind a snapshot, for members and followers that are a little behind.
+_KEPT_ENTRIES = 256
 
 
 def propose(replica, now_ms, body, inline=False):
@@ -345,7 +348,7 @@
         replica.commit,
         0,
     )
-    keep = max(replica.base_index, replica.commit - 256)
+    keep = max(replica.base_index, replica.commit - _KEPT_ENTRIES)
     term = term_at(replica, keep)
     del replica.log[: keep - replica.base_index]
     replica.base_index, replica.base_term = keep, term
--- a/libs/simulation/src/simulation/cli.py
+++ b/libs/simulation/src/simulation/cli.py
@@ -134,6 +134,32 @@
         return int(judge(sizes, int(self.option("workers"))) > 0)
 
 
+class ModelCommand(Command):
+    name = "model"
+    description = "Check the replication core over every order of events; exit 1 if it breaks."
+    options = [
+        option("replicas", None, "How many, comma between", flag=False, default="3,4,5"),
+        option("states", None, "States of each search", flag=False, default="20000"),
+        option("depth", None, "Most steps of a search", flag=False, default="40"),
+        option("walks", None, "Random walks", flag=False, default="400"),
+        option("steps", None, "Steps of each walk", flag=False, default="1500"),
+        option("seed", None, "Seed of the first walk", flag=False, default="1"),
+        option("workers", None, "Processes", flag=False, default="8"),
+        option("no-mutants", None, "Leave out the broken variants", flag=True),
+    ]
+
+    def handle(self):
+        from simulation.model.report import Plan, report
+
+        states, depth, walks, steps, seed, workers = (
+            int(self.option(n)) for n in ("states", "depth", "walks", "steps", "seed", "workers")
+        )
+        replicas = tuple(int(n) for n in self.option("replicas").split(","))
+        mutants = not self.option("no-mutants")
+        plan = Plan(replicas, states, depth, walks, steps, seed, mutants)
+        return int(report(plan, workers, self.line) > 0)
+
+
 class TrialCommand(Command):
     name = "trial"
     description = "The brief's faults on real processes; exit 1 if a checker is red."
@@ -249,6 +275,7 @@
         SweepCommand,
         ReplayCommand,
         MutantsCommand,
+        ModelCommand,
         TrialCommand,
         MeasureCommand,
         HollowCommand,
