--- a/libs/simulation/src/simulation/model/invariants.py
+++ b/libs/simulation/src/simulation/model/invariants.py
@@ -117,11 +117,12 @@
 
 
 def counts(replica, index, term):
-    """Whether a running replica still counts the entry as its own and synced."""
+    """Whether a running replica still counts the entry as its own and synced, or has it in
+    the snapshot on its disk."""
     if replica.core is None:
         return True
     group = replica.core.group
-    return index <= group.base_index or (
+    return index <= max(group.base_index, group.snapshot_index) or (
         group.synced >= index and groups.term_at(group, index) == term
     )
 
