--- a/libs/simulation/src/simulation/model/choices.py
+++ b/libs/simulation/src/simulation/model/choices.py
@@ -69,7 +69,7 @@
 
 def _running(world, replica, left):
     name, group = replica.name, replica.core.group
-    kinds = [("leave", group.role == "leader")]
+    kinds = [("leave", True)]
     if left.get("lose-disk", 0) > 0:
         kinds.append(("lose-disk", bool(replica.storage.slots) and tolerable(world, name)))
     if group.role == "leader":
--- a/libs/simulation/src/simulation/model/mutants.py
+++ b/libs/simulation/src/simulation/model/mutants.py
@@ -101,7 +101,9 @@
         script="differing_snapshot",
     ),
     Mutant(
-        "two changes of membership at once", "one-change", [(bootstrap, "_change", variants.swaps)]
+        "two changes of membership at once",
+        "one-change",
+        [(log_replication, "propose", variants.swaps)],
     ),
     Mutant(
         "an empty machine founds at any time",
--- a/libs/simulation/src/simulation/model/variants.py
+++ b/libs/simulation/src/simulation/model/variants.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 
-from replication import batch_writer, bootstrap, election, log_replication
+from replication import batch_writer, election, log_replication, state_machine
 from replication import disk as disks
 from replication import group as groups
+from transport.codec import to_bytes
 from transport.effects import Install, Save
-from transport.messages import Member
+from transport.messages import Batch, Member
 
 __all__ = [
     "unsaved",
@@ -109,13 +110,16 @@
     return effects
 
 
-def swaps(g, now_ms, wanted, verb, name):
+def swaps(g, now_ms, body, inline=False):
     """The lost member goes and its successor comes in one change."""
-    learners = [(i, o) for i, o in g.progress.items() if o.learner]
-    if verb == "removes" and learners:
-        identity, other = learners[0]
-        wanted = {**wanted, identity: Member(other.name, identity, other.address)}
-    return _REAL["_change"](g, now_ms, wanted, verb, name)
+    learners = [(i, peer) for i, peer in g.progress.items() if peer.learner]
+    wanted = state_machine.StateMachine()
+    state_machine.apply_body(wanted, body, 1)
+    if wanted.members and len(wanted.members) < len(groups.members(g)) and learners:
+        identity, peer = learners[0]
+        wanted.members[identity] = Member(peer.name, identity, peer.address)
+        body = to_bytes(Batch((state_machine.members_section(wanted.members),)))
+    return _REAL["propose"](g, now_ms, body, inline)
 
 
 def founds(handler):
@@ -173,7 +177,7 @@
     "on_entries": log_replication.on_entries,
     "_ack": log_replication._ack,
     "on_view": log_replication.on_view,
-    "_change": bootstrap._change,
+    "propose": log_replication.propose,
     "settle": batch_writer.settle,
     "load_entries": disks.load_entries,
     "trim": log_replication.trim,
