Model: the folder in memory follows the disk's new rules

Change: the same steps in memory; a lost write stays as a hole, so the product's reader meets the bytes that it would meet on a disk.

--- a/libs/simulation/src/simulation/model/choices.py
+++ b/libs/simulation/src/simulation/model/choices.py
@@ -95,7 +95,7 @@
 
 def _subsets(replica):
     """Which of the writes under way are on the disk after a loss of power."""
-    numbers = [s.number for s in replica.storage.slots if not s.synced][:4]
+    numbers = [s.number for s in replica.storage.under_way()][:4]
     return [kept for n in range(len(numbers) + 1) for kept in itertools.combinations(numbers, n)]
 
 
--- a/libs/simulation/src/simulation/model/hooks.py
+++ b/libs/simulation/src/simulation/model/hooks.py
@@ -36,7 +36,7 @@
     decode = functools.lru_cache(maxsize=_REMEMBERED)(codec.from_bytes)
     JUDGED.append(frozenset(judged or INVARIANTS))
     changes = [
-        (disks, "_sync_file", lambda path: None),
+        (disks, "sync_file", lambda path: None),
         (log_replication, "_KEPT_ENTRIES", settings.keep_entries),
         (log_replication, "_PER_SEND", settings.per_send),
         (state_machine, "from_bytes", decode),
--- a/libs/simulation/src/simulation/model/machine.py
+++ b/libs/simulation/src/simulation/model/machine.py
@@ -88,6 +88,8 @@
                     storage.promise(),
                     storage.view_index(),
                     storage.slots,
+                    [storage.first, storage.segment, storage.in_segment, storage.last],
+                    storage.tops,
                     storage.orphans,
                     self.core,
                 ]
--- a/libs/simulation/src/simulation/model/variants.py
+++ b/libs/simulation/src/simulation/model/variants.py
@@ -143,8 +143,8 @@
         g.commit = commit
 
 
-def drops_last(folder, after):
-    return _REAL["load_entries"](folder, after)[:-1]
+def drops_last(*args):
+    return _REAL["load_entries"](*args)[:-1]
 
 
 def removes_too_much(g):
--- a/libs/simulation/src/simulation/model/world.py
+++ b/libs/simulation/src/simulation/model/world.py
@@ -78,6 +78,7 @@
         except Untrusted as refused:
             replica.broken = True
             raise Violation("disk-trusted", f"{replica.identity}: {refused}") from refused
+        storage.opened(storage.view_index() + len(entries))
         groups.open_replica(group, storage.files, entries)
         group.elect_at_ms = NOW_MS + 1.5 * ELECT_MS
         replica.core = depots.Depot(group, 1, self._card(replica, group))
@@ -86,11 +87,12 @@
 
     def _read_back(self, replica):
         """What the product reads; it must be what was synced, and what was kept of more."""
-        slots, after = replica.storage.slots, replica.storage.view_index()
-        wanted = read(slots, after)
+        storage = replica.storage
+        slots, after, first = storage.slots, storage.view_index(), storage.first
+        wanted = read(slots, after, first)
         if not self.settings.reread:
             return wanted
-        entries = reread(slots, after)
+        entries = reread(slots, after, first)
         if entries != wanted:
             raise Violation(
                 "disk-kept", f"{replica.identity} reads {len(entries)} entries of {len(wanted)}"
