Look engines through only when the floor has changed, not at every tick and leg

Cause: every tick (25 a second), every ended leg and every news went through all engines and all that is on them, twice, and counted the counters to share with, also when nobody was in line and nothing had changed. All of it follows from the floor alone, so a count of the floor's changes tells when to look again. The crew is asked for only if somebody waits.

Ruled out: a break of an engine whose life is not known yet needs no look of its own; whoever could serve is known since the last look.

--- a/libs/placement/src/placement/floor.py
+++ b/libs/placement/src/placement/floor.py
@@ -17,15 +17,19 @@
 
 @dataclass
 class Floor:
+    """`changes` counts the news that changed anything here."""
+
     shards: int
     zones: tuple = ()
     reader: object = None
     registry: registries.Registry = field(default_factory=registries.Registry)
     ledgers: dict = field(default_factory=dict)
+    changes: int = 0
 
 
 def on_news(floor, book, news):
     """Apply a follower's news; True if anything that routing looks at changed."""
+    floor.changes += news.rebuilt or bool(news.sections)
     if news.rebuilt:
         _rebuild(floor, book)
         return True
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -12,7 +12,7 @@
 from placement import floor as floors
 from replication import depot as depots
 from replication import follower as follows
-from routing import router
+from routing import engine_lives, router
 from transport import events as e
 from transport import messages as m
 from transport.effects import Finished, Send
@@ -186,6 +186,10 @@
 
 
 def _wake(node, now_ms):
+    """Those in line try again; whom there is to share with matters only to them."""
+    engine_lives.notice(node.router, now_ms, node.floor)
+    if not any(task.waiting for task in node.router.tasks.values()):
+        return []
     return router.wake(
         node.router,
         now_ms,
--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -67,18 +67,11 @@
     if verb == "task":
         return _task(node, now_ms, event.token, body)
     if verb == "ended":
+        age_ms, sharing = follows.age(node.follow, now_ms), crew(node, now_ms)
         effects = router.ended(
-            node.router,
-            now_ms,
-            node.floor,
-            follows.age(node.follow, now_ms),
-            crew(node, now_ms),
-            event.token,
-            body["proof"],
-        )
-        return effects + router.wake(
-            node.router, now_ms, node.floor, follows.age(node.follow, now_ms), crew(node, now_ms)
+            node.router, now_ms, node.floor, age_ms, sharing, event.token, body["proof"]
         )
+        return effects + router.wake(node.router, now_ms, node.floor, age_ms, sharing)
     if verb == "silent":
         return router.silent(
             node.router,
--- /dev/null
+++ b/libs/routing/src/routing/engine_lives.py
@@ -0,0 +1,30 @@
+"""Which engines live, as the router has to know: whose life is new, and who is cold.
+
+All of this follows from the floor alone, so engines are looked through only when
+the floor has changed: whoever could serve by then is known already, and what is
+forgotten of an engine that broke a leg is not what is noticed here.
+"""
+
+from configuration import registry as registries
+from placement import floor as floors
+from placement import world
+
+from routing import choice, cold
+
+__all__ = ["notice"]
+
+
+def notice(r, now_ms, floor):
+    """Keep up with the engines' lives; nothing to do while the floor is as it was."""
+    if r.noticed_changes == floor.changes:
+        return
+    r.noticed_changes = floor.changes
+    for engine in floors.servable(floor):
+        choice.notice(r, now_ms, engine["name"], floors.incarnation(floor, engine))
+    cold.notice(
+        r,
+        now_ms,
+        floor.registry,
+        registries.services(floor.registry),
+        lambda engine: world.usable(floor.registry, engine),
+    )
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -13,7 +13,7 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, cold
+from routing import choice, engine_lives
 from routing.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 
 __all__ = [
@@ -26,6 +26,7 @@
     "begin",
     "ended",
     "wake",
+    "line",
     "tick",
     "held",
     "silent",
@@ -201,25 +202,21 @@
     return ended(r, now_ms, floor, age_ms, crew, token, "unknown", True)
 
 
+def line(r):
+    """The tasks that wait, in the order in which they try again."""
+    return sorted(
+        (t for t in r.tasks.values() if t.waiting),
+        key=lambda t: (t.rank, t.turn or 1 << 60, t.since_ms),
+    )
+
+
 def wake(r, now_ms, floor, age_ms, crew):
     """The floor changed, or a leg ended: those in line try again, in order."""
-    for engine in floors.servable(floor):
-        choice.notice(r, now_ms, engine["name"], floors.incarnation(floor, engine))
-    cold.notice(
-        r,
-        now_ms,
-        floor.registry,
-        registries.services(floor.registry),
-        lambda engine: world.usable(floor.registry, engine),
-    )
+    engine_lives.notice(r, now_ms, floor)
     if age_ms > r.terms.staleMs:
         return []
     effects = []
-    line = sorted(
-        (t for t in r.tasks.values() if t.waiting),
-        key=lambda t: (t.rank, t.turn or 1 << 60, t.since_ms),
-    )
-    for task in line:
+    for task in line(r):
         told = _dropped(floor, task)
         if told:
             task.waiting = False
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -96,3 +96,4 @@
     cold_until_ms: dict = field(default_factory=dict)
     cold_tokens: dict = field(default_factory=dict)
     heard_ms: dict = field(default_factory=dict)
+    noticed_changes: int = -1
