--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -1,6 +1,6 @@
 """The doors that a platform's callers and operators knock at, in its own dialect.
 
-`Gateway` lets callers' requests through to engines; `Desk` takes operators' words.
+`Gateway` lets callers' requests through to engines; `OperatorGateway` takes operators' words.
 Both stand behind the same door as the product's own interface, which goes on
 beside them.  `Status` answers whether callers may be sent here.
 """
@@ -17,7 +17,7 @@
 from pulleyhitch.listener import Door
 from pulleyhitch.operator_requests import Answered
 
-__all__ = ["Gateway", "BatchWriter", "Status"]
+__all__ = ["Gateway", "OperatorGateway", "Status"]
 
 _STEP = "pulleyhitch.step"
 
@@ -102,7 +102,7 @@
         return response(environ, start_response)
 
 
-class BatchWriter:
+class OperatorGateway:
     """Operators' changes and reads; `run` serves until the process stops."""
 
     def __init__(self, process):
--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -14,7 +14,7 @@
 
 from transport import failures
 
-from pulleyhitch.gateway import BatchWriter, Gateway, Status
+from pulleyhitch.gateway import Gateway, OperatorGateway, Status
 from pulleyhitch.process import CannotStart, Process
 from pulleyhitch.server import Server
 
@@ -32,7 +32,7 @@
 def _doors(process):
     """What serves, besides the product's own interface, as the config has it."""
     found = [("http", Server(process))]
-    for name, kind in (("callers", Gateway), ("operators", BatchWriter), ("status", Status)):
+    for name, kind in (("callers", Gateway), ("operators", OperatorGateway), ("status", Status)):
         if name in process.config.doors:
             found.append((name, kind(process)))
     return found
