An evacuation whose first question runs out of time is answered

Cause: the answer to the question which change a zone follows was read without a look at whether it is a failure, so the operator's call ended with a 500.

Change: the failure is the answer (503, to be sent again).

Red before: tests/test_task_ends.py Commands, the new test (AttributeError).

--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -140,6 +140,8 @@
     def _asked(self, verb, body):
         if verb == "zone":
             known = self._process.ask(secrets.token_hex(8), "since", {"zone": body["zone"]})
+            if isinstance(known, failures.Failure):
+                return known
             body = {**body, "since": known.body["since"], "change": secrets.token_hex(8)}
         wait_s = self._process.config.bounds.acknowledgeMs / 1000
         outcome = self._process.ask(secrets.token_hex(8), verb, body, wait_s)
