A caller that leaves is seen whatever it sent after its request

Cause: one byte was peeked at; a caller with bytes after its request, pipelined or not, always seemed to be there, and its attempt ran on.

Change: the system's own word for a closed or reset other end (POLLRDHUP).

Red before: tests/test_task_ends.py Gone, both tests.

--- a/libs/transport/src/transport/ends.py
+++ b/libs/transport/src/transport/ends.py
@@ -1,16 +1,17 @@
 """Whether the other end of a socket is still there."""
 
 import select
-import socket
 
 __all__ = ["hung_up"]
 
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 def hung_up(sock):
-    """Whether the other end has closed, without waiting or taking what it sent."""
+    """Whether the other end has closed, whatever it sent before, without waiting."""
     try:
         poll = select.poll()
-        poll.register(sock, select.POLLIN)
-        return bool(poll.poll(0)) and sock.recv(1, socket.MSG_PEEK) == b""
+        poll.register(sock, select.POLLRDHUP)
+        return any(events & _GONE for _, events in poll.poll(0))
     except (OSError, ValueError):
         return True
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -2,6 +2,7 @@
 promise only of what has not run, and a cut never looks whole."""
 
 import socket
+import struct
 import sys
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -25,6 +26,7 @@
 from testtools.matchers import Equals
 from transport import failures
 from transport.effects import Reply
+from transport.ends import hung_up
 from werkzeug.test import EnvironBuilder
 from werkzeug.wrappers import Request
 
@@ -145,6 +147,36 @@
                 self.assertThat(self.relay(end, step=failure).status_code, Equals(status))
 
 
+class Gone(TestCase):
+    """Whether a caller has left, whatever it sent before."""
+
+    def test_hung_up(self):
+        for sent in (b"", b"bytes after its request"):
+            for how in ("stay", "close", "half"):
+                ours, theirs = socket.socketpair()
+                self.addCleanup(ours.close)
+                self.addCleanup(theirs.close)
+                theirs.sendall(sent)
+                if how == "close":
+                    theirs.close()
+                elif how == "half":
+                    theirs.shutdown(socket.SHUT_WR)
+                self.assertThat(hung_up(ours), Equals(how != "stay"), f"{sent} {how}")
+                ours.close()
+                self.assertTrue(hung_up(ours))
+
+    def test_reset(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            theirs = socket.create_connection(listener.getsockname())
+            ours, _ = listener.accept()
+        self.addCleanup(ours.close)
+        theirs.sendall(b"bytes after its request")
+        self.assertFalse(hung_up(ours))
+        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        theirs.close()
+        self.assertTrue(hung_up(ours))
+
+
 class Routed(TestCase):
     """The router's own last words."""
 
