--- a/libs/simulation/src/simulation/sim/world.py
+++ b/libs/simulation/src/simulation/sim/world.py
@@ -68,6 +68,7 @@
     network: NetworkTerms = field(default_factory=NetworkTerms)
     replies: dict = field(default_factory=dict)
     on_call: object = None
+    dialect: object = None
     on_step: object = None
     steps: int = 0
 
@@ -104,9 +105,8 @@
         after_index = groups.read_snapshot_file(files["view"])[0] if files.get("view") else 0
         groups.open_replica(group, files, disks.load(host.disk, after_index))
         group.elect_at_ms = local(world, host) + group.times.elect_ms * (1 + world.random.random())
-    host.node = nodes.make(
-        host.config, f"{host.name}.{host.life}", world.random.getrandbits(32), group
-    )
+    incarnation, seed = f"{host.name}.{host.life}", world.random.getrandbits(32)
+    host.node = nodes.make(host.config, incarnation, seed, group, world.dialect)
     world.by_address[host.config.address] = host
     _ticker(world, host, host.life)
 
