Look at a caller's socket without ever waiting

Python goes on waiting for a socket with a time limit in spite of MSG_DONTWAIT, so admission.peek on a quiet connection that a thread serves waited for all of that limit and then called the caller gone. So far it was only called where there was something to read.

The socket is polled first. The test was red (it waited) before.

--- a/libs/pulleyhitch/src/pulleyhitch/admission.py
+++ b/libs/pulleyhitch/src/pulleyhitch/admission.py
@@ -3,6 +3,7 @@
 
 import json
 import re
+import select
 import socket
 from http import HTTPStatus
 
@@ -109,9 +110,12 @@
 
 
 def peek(sock):
-    """b"" once the other end has closed; None or data otherwise."""
+    """b"" once the other end has closed; None or data otherwise.  It never waits: a socket
+    with a time limit would, in spite of its flags, if there were nothing to read."""
+    ready = select.poll()
+    ready.register(sock, select.POLLIN)
     try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) if ready.poll(0) else None
     except BlockingIOError:
         return None
     except OSError:
