No order ends the node that judges it, nor the next one

Found by reading and by drawing bodies: a zone given as a list (POST /operator/zone), and any partner's layout where a written configuration is in force, raised in the holder's core, which stops its process; the command was then offered to each next holder. A body's own "id" was taken as the command's, so that two operators could get one another's answer, and a list there ended the node asked.

A zone must be a text; written routes are not checked as partners' routes, and the written configuration's section is not a partner's to set; commands are named by the node alone. What raises in spite of that is answered 500 and noted: nothing has changed by then, and stopping would hand the same order on.

--- a/libs/configuration/src/configuration/merging.py
+++ b/libs/configuration/src/configuration/merging.py
@@ -9,7 +9,7 @@
 
 from transport.failures import FieldWrong
 
-from configuration import schema
+from configuration import passages, schema
 
 __all__ = ["patched", "whole"]
 
@@ -116,6 +116,8 @@
 def _routes(merged, services, partner):
     wrong = []
     for owner, section in sorted(merged.items()):
+        if owner == passages.OWNER:
+            continue
         prefix = "routes" if owner == partner else f"({owner}).routes"
         for name, route in section["routes"].items():
             wrong += _target(section, services, f"{prefix}.{name}", route, False, section["models"])
--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -204,6 +204,8 @@
     partner, section = body.get("partner"), body.get("section")
     if not isinstance(partner, str) or not partner:
         return None, FieldWrong("partner", "missing")
+    if registry.reader is not None and partner == passages.OWNER:
+        return None, FieldWrong("partner", "kept for the written configuration")
     actor = body.get("actor")
     if actor != partner:
         return None, WrongPartner(str(actor), partner)
@@ -222,7 +224,7 @@
     zone, evacuated = body.get("zone"), body.get("evacuated")
     if not isinstance(evacuated, bool):
         return None, FieldWrong("evacuated", "not true or false")
-    if zone not in zone_names(registry):
+    if not isinstance(zone, str) or zone not in zone_names(registry):
         return None, FieldWrong("zone", f"unknown zone {zone}")
     if (zone in registry.zones) == evacuated:
         return None, None
--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -119,7 +119,7 @@
         shard,
         verb,
         body,
-        body.get("id") or f"{node.card.incarnation}.{_next(node)}",
+        f"{node.card.incarnation}.{_next(node)}",
     )
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -14,7 +14,7 @@
 from placement.state import Placer
 from replication import shard_log
 from transport import failures
-from transport.effects import Note, Reply, Send
+from transport.effects import Dump, Note, Reply, Send
 from transport.messages import Release
 
 __all__ = [
@@ -205,7 +205,10 @@
         return [Reply(token, failures.NoHolder(1000, shard))]
     if shard != 0:
         return placer.command(kept, now_ms, token, verb, body, floor.registry, terms)
-    record, answer, failure = registries.decide(kept.registry, verb, body)
+    try:
+        record, answer, failure = registries.decide(kept.registry, verb, body)
+    except Exception as failed:
+        return _not_judged(token, verb, failed)
     answer = failure if failure is not None else answer
     then = ("reply", token, answer)
     if record is not None:
@@ -215,6 +218,13 @@
     return [Reply(token, answer)] if shard_log.barrier(kept.held, then) else []
 
 
+def _not_judged(token, verb, failed):
+    """A defect of ours met an order that it can't judge.  Nothing has changed, and stopping
+    would only hand the same order to the next holder, and end that one too."""
+    failure = failures.CoreBroke(verb, repr(failed))
+    return [Reply(token, failure), Note("not-judged", failures.as_json(failure)), Dump(failure.tag)]
+
+
 def release_all(ownership, card, leader, successors):
     """On an orderly stop: give grants back, naming who should follow.  From here
     on nothing is sent for these shards; the next holder waits out our calls."""
