Sum up a peer table's cards once for as long as they stay the same

Cause: every greeting, ten a second at each of 72 nodes each way, sorted and spelt out all cards to make their digest, three times over, hashed all names to find the few that are watched, and told each node's silence in a call of its own.

Change: what follows from the cards alone is made once and kept until a card differs; silence is told and heard in one loop. The greetings are the same.

Proved: property tests hold digests, watched fellows, and silence told and heard against the plain rules, whoever puts cards in or takes them out.

--- a/libs/membership/src/membership/peer_table.py
+++ b/libs/membership/src/membership/peer_table.py
@@ -11,15 +11,15 @@
 is the present one.
 """
 
-import hashlib
 import math
 import random
-import zlib
 from dataclasses import dataclass, field
 
 from transport.effects import Note, Send
 from transport.messages import Card, Greet, GroupCard
 
+from membership import summaries
+
 __all__ = [
     "PeerTable",
     "tick",
@@ -28,7 +28,6 @@
     "watched",
     "counters",
     "depot_addresses",
-    "weight",
     "NO_GROUP",
     "live",
     "announce",
@@ -37,7 +36,6 @@
 ]
 
 NO_GROUP = GroupCard("", 0, 0, "", ())
-_KNOWN = 4
 _SETTLED = 5
 _CALM = 2.0
 _FRESH = 40
@@ -63,16 +61,12 @@
     met_ms: dict = field(default_factory=dict)
     learned_ms: dict = field(default_factory=dict)
     settled_turns: int = 0
-
-
-def weight(watcher, name):
-    return hashlib.blake2b(f"{watcher}>{name}".encode(), digest_size=8).digest()
+    summary: summaries.Summary = None
 
 
 def watched(peers):
     """The few fellows whose heartbeat this node minds."""
-    names = sorted(peers.cards, key=lambda n: weight(peers.card.name, n))
-    return names[:_KNOWN]
+    return list(_summary(peers).watched)
 
 
 def live(peers, now_ms):
@@ -91,32 +85,34 @@
 
 def digest(peers):
     """What cards we know, our own included, in a few bytes."""
-    known = sorted(
-        (c.name, c.incarnation, c.address, c.identity, c.empty)
-        for c in (peers.card, *peers.cards.values())
-    )
-    return zlib.crc32(repr(known).encode())
+    return _summary(peers).digest
 
 
-def _names(peers):
-    return zlib.crc32(repr(sorted([*peers.cards, peers.card.name])).encode())
+def _summary(peers):
+    """Cards that are the same objects compare in no time, so this asks for no care
+    of whoever puts one into the table."""
+    made = peers.summary
+    if made is None or made.card != peers.card or made.cards != peers.cards:
+        made = peers.summary = summaries.made(peers.card, peers.cards)
+    return made
 
 
 def greeting(peers, answer, now_ms, to=None):
     """Who we are and how lately each node has been heard of; to one who knows the
     same names only the cards that are new, to another all.  One we never heard is
     told no more: its answer, or our next, brings what either lacks."""
-    told, named = digest(peers), _names(peers)
+    made = _summary(peers)
+    told, named = made.digest, made.names_digest
     theirs, their_names = peers.digests.get(to, (0, named))
     alike = their_names == named
-    names = sorted([*peers.cards, peers.card.name]) if alike else list(peers.cards)
+    names = made.names if alike else list(peers.cards)
     known = () if theirs == told else _fresh(peers, now_ms, answer) if alike else names
     return Greet(
         peers.card,
         answer,
         tuple(peers.cards[n] for n in known),
         peers.group,
-        bytes(_silence(peers, now_ms, n) for n in names),
+        _silence(peers, now_ms, names),
         told,
         named,
         tuple(int(min(1e12, now_ms - peers.met_ms.get(n, -1e12))) for n in known),
@@ -133,12 +129,15 @@
     ]
 
 
-def _silence(peers, now_ms, name):
-    """In parts of the time after which a node counts as lost."""
-    if name == peers.card.name:
-        return 0
-    silent_ms = max(0.0, now_ms - peers.alive_ms.get(name, -1e9))
-    return min(_LONGEST, math.ceil(silent_ms * _STEPS / peers.lost_ms))
+def _silence(peers, now_ms, names):
+    """How long each of `names` has been silent, a byte each, in parts of the time
+    after which a node counts as lost."""
+    told, alive_ms, lost_ms = bytearray(), peers.alive_ms, peers.lost_ms
+    for name in names:
+        silent_ms = now_ms - alive_ms.get(name, -1e9)
+        steps = math.ceil(silent_ms * _STEPS / lost_ms) if silent_ms > 0 else 0
+        told.append(0 if name == peers.card.name else steps if steps < _LONGEST else _LONGEST)
+    return bytes(told)
 
 
 def tick(peers, now_ms):
@@ -150,7 +149,7 @@
     if others:
         targets.add(peers.cards[others[peers.random.randrange(len(others))]].address)
     peers.turn += 1
-    if not peers.group.group or len(peers.cards) < _KNOWN or peers.turn % 10 == 0:
+    if not peers.group.group or len(peers.cards) < summaries.WATCHED or peers.turn % 10 == 0:
         targets |= set(peers.seeds)
     depots = depot_addresses(peers)
     if depots:
@@ -185,9 +184,11 @@
 
 def _hear(peers, now_ms, message):
     """Take how lately others have heard of each node."""
-    names = [card.name for card in message.cards]
-    if len(message.silent) == len(peers.cards) + 1 and message.names == _names(peers):
-        names = sorted([*peers.cards, peers.card.name])
+    names, alive_ms = [card.name for card in message.cards], peers.alive_ms
+    if len(message.silent) == len(peers.cards) + 1:
+        made = _summary(peers)
+        if message.names == made.names_digest:
+            names = made.names
     if len(message.silent) != len(names):
         return
     for name, steps in zip(names, message.silent):
@@ -195,7 +196,8 @@
             at_ms = now_ms - steps * peers.lost_ms / _STEPS - peers.gossip_ms / 10
             if steps == _LONGEST:
                 at_ms = -1e9
-            peers.alive_ms[name] = max(at_ms, peers.alive_ms.get(name, -1e12))
+            if at_ms > alive_ms.get(name, -1e12):
+                alive_ms[name] = at_ms
 
 
 def _meet(peers, now_ms, card, met_ms):
@@ -245,7 +247,12 @@
     """The counters there are to share an engine's slots with, us included."""
     return tuple(
         sorted(
-            [peers.card.name] + [n for n in live(peers, now_ms) if peers.cards[n].role == "counter"]
+            [peers.card.name]
+            + [
+                name
+                for name, at_ms in peers.alive_ms.items()
+                if now_ms - at_ms < peers.lost_ms and peers.cards[name].role == "counter"
+            ]
         )
     )
 
--- /dev/null
+++ b/libs/membership/src/membership/summaries.py
@@ -0,0 +1,46 @@
+"""What follows from the cards that a node knows, and from nothing else.
+
+Every greeting tells or asks for it, and cards change only when a node starts, so
+a table keeps what was made for as long as its cards stay the same.
+"""
+
+import hashlib
+import zlib
+from dataclasses import dataclass
+
+from transport.messages import Card
+
+__all__ = ["Summary", "made", "weight", "WATCHED"]
+
+WATCHED = 4
+"""How many fellows a node watches."""
+
+
+@dataclass(frozen=True)
+class Summary:
+    """`digest` is of all cards, the node's own included, `names_digest` of their
+    names; `names` are in order; `watched` are the fellows whom the node minds."""
+
+    card: Card
+    cards: dict
+    digest: int
+    names_digest: int
+    names: tuple
+    watched: tuple
+
+
+def made(card, cards):
+    known = sorted(
+        (c.name, c.incarnation, c.address, c.identity, c.empty) for c in (card, *cards.values())
+    )
+    names = sorted([*cards, card.name])
+    near = sorted(cards, key=lambda n: weight(card.name, n))
+    return Summary(card, dict(cards), _crc(known), _crc(names), tuple(names), tuple(near[:WATCHED]))
+
+
+def weight(watcher, name):
+    return hashlib.blake2b(f"{watcher}>{name}".encode(), digest_size=8).digest()
+
+
+def _crc(value):
+    return zlib.crc32(repr(value).encode())
