Tell the body limit that a refused request has passed

Cause: a task refused at its own limit of 1 MiB was told the largest limit of all, 8 MiB.

Change: the verdict on a request bears the limit that was passed.

Red before: tests/test_listener.py, test_the_limit_that_was_passed_is_told (8388608 != 1048576).

--- a/libs/pulleyhitch/src/pulleyhitch/admission.py
+++ b/libs/pulleyhitch/src/pulleyhitch/admission.py
@@ -76,7 +76,7 @@
     """What no request may look like is told so."""
     failure = failures.BodyMalformed(malformed.cause)
     if malformed.status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-        failure = failures.BodyOversized(BODY_LIMIT_BYTES)
+        failure = failures.BodyOversized(malformed.limit_bytes)
     answer(sock, malformed.status, failure)
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/request_framing.py
+++ b/libs/pulleyhitch/src/pulleyhitch/request_framing.py
@@ -37,10 +37,11 @@
 
 @dataclass(frozen=True)
 class Malformed:
-    """What no request may look like, and the status that says so."""
+    """What no request may look like, the status that says so, and the limit if one is passed."""
 
     status: int
     cause: str
+    limit_bytes: int = 0
 
 
 def measure(data, body_limit_bytes):
@@ -58,7 +59,7 @@
     if length is None:
         return _chunked(data, end, head, body_limit_bytes)
     if length > body_limit_bytes:
-        return Malformed(413, "body")
+        return Malformed(413, "body", body_limit_bytes)
     if len(data) < end + length:
         return Incomplete()
     return Complete(head, bytes(data[end : end + length]))
@@ -91,7 +92,7 @@
             return _trailers(data, at, head, spans)
         size += count
         if size > body_limit_bytes:
-            return Malformed(413, "body")
+            return Malformed(413, "body", body_limit_bytes)
         if len(data) < at + count + 2:
             return Incomplete()
         if data[at + count : at + count + 2] != b"\r\n":
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -67,7 +67,7 @@
             (post[:-2], Incomplete()),
             (post + b"x" * 19, Incomplete()),
             (post + b"x" * 20, Complete(post, b"x" * 20)),
-            (post.replace(b"20", b"99999999"), Malformed(413, "body")),
+            (post.replace(b"20", b"99999999"), Malformed(413, "body", 8 << 20)),
             (b"x" * 40000, Malformed(431, "head")),
         ):
             self.assertThat(admission.measured(data), Equals(found))
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -1,6 +1,7 @@
 """The listener on real sockets: only whole requests go on, each answer goes to its own
 connection, and nothing is left behind, however threads take turns."""
 
+import json
 import random
 import socket
 import struct
@@ -28,8 +29,10 @@
 
 
 class Listening(TestCase):
-    def door(self, begin, threads=16, arrive_s=WAIT_S):
-        door = Door("127.0.0.1", 0, threads, begin, lambda data: "rank0", arrive_s)
+    def door(self, begin, threads=16, limit_of=None):
+        door = Door(
+            "127.0.0.1", 0, threads, begin, lambda data: "rank0", WAIT_S, body_limit_of=limit_of
+        )
         self.address = door._listener.getsockname()
         thread = threading.Thread(target=door.run, daemon=True)
         thread.start()
@@ -117,6 +120,16 @@
         self.assertThat(self.begun, Equals([]))
         self.asked_and_answered()
 
+    def test_the_limit_that_was_passed_is_told(self):
+        """The one of this request, not the largest of all."""
+        door = self.door(self.begin, limit_of=admission.product_body_limit)
+        sock = self.connect()
+        sock.sendall(b"POST /v1/task HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n{")
+        self.assertThat(
+            json.loads(received(sock).split(b"\r\n")[-1])["limitBytes"], Equals(1 << 20)
+        )
+        self.until(lambda: not door._open)
+
     def test_bytes_after_a_request_are_not_run(self):
         """Neither pipelined requests nor one inside a body."""
         inner = HEAD % b"inner" + b"Content-Length: 0\r\n\r\n"
