--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -145,6 +145,9 @@
     """What is wrong with an answer, or an empty text."""
     if answer.status in PROMISES and runs:
         return "a promise was broken"
+    told = answer.headers.get("content-length")
+    if told is not None and len(answer.body) > int(told):
+        return "bytes beyond the answer"
     if answer.status == 200 and answer.whole:
         return callers.wrong(request, answer)
     if answer.headers.get("x-try-id", answer.id) != answer.id:
