An order for a zone is never refused by a node that is behind

A node adds to an evacuation, or its withdrawal, the zone's state as it knows it, so that a copy that comes late changes nothing. Where it was behind, the holder turned the order away, and the operator was answered 412: the mapping to 503 only covered failures of the node's own, not a holder's answer.

Commands on their way to a holder are a module of their own now. It notes the zone's state as the order comes in, sends an order that was overtaken again on the present state while its operator still waits, and 503 is the answer otherwise.

--- /dev/null
+++ b/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
@@ -0,0 +1,198 @@
+"""Commands on their way to the holder of a shard.
+
+A command is offered again, under the same id, until the holder answers or its time is
+up; then the asker is told that there is no clear answer.
+"""
+
+import json
+from dataclasses import dataclass
+
+from placement import world
+from routing import router
+from transport import failures
+from transport.effects import Reply, Send
+from transport.messages import Command, CommandAnswer
+
+__all__ = [
+    "Answered",
+    "LOG_SHARD",
+    "answer_by",
+    "holder_address",
+    "on_answer",
+    "send",
+    "tick",
+    "translate",
+]
+
+LOG_SHARD = -1
+_CHANGES = ("layout", "zone", "engines", "written")
+# What a holder says that hasn't decided: the command is offered again.
+_UNDECIDED = ("no-holder",)
+# Of the time in which service must be back: how long a command may go without a holder.
+_LONGEST = 0.75
+
+
+@dataclass(frozen=True)
+class Answered:
+    """A holder's answer to a command."""
+
+    status: int
+    body: dict
+
+
+@dataclass
+class PendingCommand:
+    """A command that no holder has answered yet."""
+
+    token: str
+    shard: int
+    verb: str
+    body: dict
+    end_ms: float
+    sent_ms: float = -1e12
+
+
+def answer_by(node, now_ms):
+    """When an operator who asks now must have an answer, clear or not."""
+    bounds = node.config.bounds
+    return now_ms + min(_LONGEST * bounds.serviceBackMs, bounds.acknowledgeMs)
+
+
+def send(node, now_ms, token, shard, verb, body):
+    """Offer an operator's command to the holder of its shard."""
+    id_ = _next_id(node)
+    end_ms = answer_by(node, now_ms)
+    body = _identified(node, verb, body, id_)
+    return _begin(node, now_ms, id_, PendingCommand(token, shard, verb, body, end_ms))
+
+
+def _next_id(node):
+    node.operator.count += 1
+    return f"{node.card.incarnation}.{node.operator.count}"
+
+
+def _identified(node, verb, body, id_):
+    """A change has an id.  One for a zone that has none of its operator's goes with the
+    zone's state here, so that a copy that comes late, after others, changes nothing."""
+    if verb not in _CHANGES or body.get("change"):
+        return body
+    body = {**body, "change": id_}
+    zone = body.get("zone")
+    if verb == "zone" and isinstance(zone, str) and body.get("expect") is None:
+        body["since"] = node.floor.registry.zoneStamps.get(zone, 0)
+    return body
+
+
+def _begin(node, now_ms, id_, pending):
+    node.operator.pending[id_] = pending
+    return _offer(node, now_ms, pending, id_)
+
+
+def _offer(node, now_ms, pending, id_):
+    to = holder_address(node, pending.shard)
+    if not to:
+        return []
+    pending.sent_ms = now_ms
+    body = json.dumps(pending.body).encode()
+    return [Send(to, Command(id_, pending.shard, node.card.address, pending.verb, body))]
+
+
+def holder_address(node, shard):
+    """Where the holder of a shard is reached; empty if nobody knows."""
+    if shard == LOG_SHARD:
+        return node.peers.group.leader
+    part = node.follow.state.shards.get(shard)
+    if part is None or not part.holder:
+        return ""
+    if part.holder == node.card.name:
+        return node.card.address
+    card = node.peers.cards.get(part.holder)
+    return card.address if card else ""
+
+
+def tick(node, now_ms):
+    """Offer again what has no answer yet; end what has waited long enough."""
+    effects = []
+    for id_, pending in list(node.operator.pending.items()):
+        if now_ms >= pending.end_ms:
+            del node.operator.pending[id_]
+            effects += _finish(node, now_ms, pending, failures.NoHolder(1000, pending.shard))
+        elif now_ms - pending.sent_ms > node.times.ping_ms:
+            effects += _offer(node, now_ms, pending, id_)
+    return effects
+
+
+def on_answer(node, now_ms, message):
+    """The holder has answered; anything undecided is offered again."""
+    pending = node.operator.pending.get(message.id)
+    if pending is None:
+        return []
+    body = json.loads(message.body)
+    if body.get("failure") in _UNDECIDED:
+        return []
+    del node.operator.pending[message.id]
+    if pending.verb == "zone" and _overtaken(pending, body):
+        return _again(node, now_ms, pending, body["current"])
+    return _finish(node, now_ms, pending, Answered(message.status, body))
+
+
+def _overtaken(pending, body):
+    """Whether an order for a zone was turned away only because this node was behind."""
+    return body.get("failure") == "stamp-stale" and body.get("expected") == pending.body.get(
+        "since"
+    )
+
+
+def _again(node, now_ms, pending, since):
+    """The same order on top of the zone's present state, if its operator still waits."""
+    id_ = _next_id(node)
+    pending.body = {**pending.body, "change": id_, "since": since}
+    return _begin(node, now_ms, id_, pending)
+
+
+def _finish(node, now_ms, pending, outcome):
+    if pending.verb != "hold":
+        return [Reply(pending.token, outcome)] if pending.token else []
+    if isinstance(outcome, Answered) and outcome.status != 200:
+        outcome = failures.NoRoom(
+            int(outcome.body.get("retryMs", 3000)),
+            pending.body["model"],
+            str(outcome.body.get("cause", "waitlist")),
+        )
+    elif isinstance(outcome, Answered):
+        outcome = outcome.body
+    return router.held(node.router, now_ms, pending.body["id"], outcome)
+
+
+def translate(node, now_ms, effects):
+    """Turn holds into commands and answers to commands into messages."""
+    out, queue = [], list(effects)
+    while queue:
+        effect = queue.pop(0)
+        if isinstance(effect, router.Hold):
+            queue = _hold(node, now_ms, effect) + queue
+        elif isinstance(effect, Reply) and effect.token.startswith("cmd|"):
+            out.append(_command_answer(effect))
+        else:
+            out.append(effect)
+    return out
+
+
+def _hold(node, now_ms, effect):
+    """A router's wish for the placer of a service, under an id of its own."""
+    shard = effect.shard
+    if shard < 0:
+        shard = world.shard_of(effect.body["service"], node.config.shards)
+    body = {**effect.body, "node": node.card.name, "life": node.card.incarnation}
+    bounds = node.config.bounds
+    end_ms = now_ms + min(_LONGEST * bounds.serviceBackMs, bounds.acknowledgeMs)
+    pending = PendingCommand("", shard, effect.verb, body, end_ms)
+    return _begin(node, now_ms, f"{effect.verb}.{effect.body['id']}", pending)
+
+
+def _command_answer(effect):
+    _, address, id_ = effect.token.split("|", 2)
+    outcome, status = effect.outcome, 200
+    if isinstance(outcome, failures.Failure):
+        outcome, status = failures.as_json(outcome), outcome.status
+    return Send(address, CommandAnswer(id_, status, json.dumps(outcome).encode()))
--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -13,9 +13,9 @@
 from werkzeug.serving import WSGIRequestHandler, make_server
 from werkzeug.wrappers import Request, Response
 
+from pulleyhitch.command_forwarding import Answered
 from pulleyhitch.http_handler import Front, Handler
 from pulleyhitch.listener import Door
-from pulleyhitch.operator_requests import Answered
 
 __all__ = ["Gateway", "OperatorGateway", "Status"]
 
@@ -138,11 +138,6 @@
         return Response(body, status, headers)(environ, start_response)
 
     def _asked(self, verb, body):
-        if verb == "zone":
-            known = self._process.ask(secrets.token_hex(8), "since", {"zone": body["zone"]})
-            if isinstance(known, failures.Failure):
-                return known
-            body = {**body, "since": known.body["since"], "change": secrets.token_hex(8)}
         wait_s = self._process.config.bounds.acknowledgeMs / 1000
         outcome = self._process.ask(secrets.token_hex(8), verb, body, wait_s)
         return (
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -17,8 +17,8 @@
 from transport import messages as m
 from transport.effects import Finished, Send
 
+from pulleyhitch import command_forwarding, operator_requests, shard_ownership
 from pulleyhitch import config as configs
-from pulleyhitch import operator_requests, shard_ownership
 
 __all__ = ["Node", "make", "handle", "leader_of"]
 
@@ -122,7 +122,7 @@
     if node.closing:
         effects = _before_the_end(node, now_ms, effects)
     effects += shard_ownership.flush(node.owners, now_ms, node.card, leader_of(node))
-    return operator_requests.translate(node, now_ms, effects)
+    return command_forwarding.translate(node, now_ms, effects)
 
 
 def _depot(node, now_ms, event):
@@ -236,7 +236,7 @@
     if isinstance(message, m.Command):
         return operator_requests.on_command(node, now_ms, message)
     if isinstance(message, m.CommandAnswer):
-        return operator_requests.on_answer(node, now_ms, message)
+        return command_forwarding.on_answer(node, now_ms, message)
     return []
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -23,9 +23,9 @@
 from werkzeug.wrappers import Request
 
 from pulleyhitch import admission
+from pulleyhitch.command_forwarding import Answered
 from pulleyhitch.http_handler import Front, Handler
 from pulleyhitch.listener import Door
-from pulleyhitch.operator_requests import Answered
 
 __all__ = ["Server"]
 
--- a/tests/test_platform_written.py
+++ b/tests/test_platform_written.py
@@ -7,7 +7,7 @@
 from adapter import configuration
 from configuration import documents
 from configuration import registry as registries
-from pulleyhitch.operator_requests import Answered
+from pulleyhitch.command_forwarding import Answered
 from simulation import platform_made as made
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, GreaterThan
