The fleet's view waits for a majority's word, as other reads do

A log node that was cut off answered /operator/fleet from what it remembered until it noticed, up to one and a half elections later. It now confirms that it leads by a mark of its own.

--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -29,6 +29,7 @@
     "asker",
 ]
 
+_FLEET = "fleet"
 # Of the time in which service must be back: how long a read waits to be confirmed.
 _READ_WITHIN = 0.5
 # The role under which a stopping node asks for news.
@@ -182,12 +183,22 @@
     for read in list(node.operator.reads):
         if node.follow.current_ms >= read.asked_ms:
             node.operator.reads.remove(read)
-            effects.append(
-                Reply(read.token, Answered(200, introspection.read(node, now_ms, read.body)))
-            )
+            effects.append(Reply(read.token, _found(node, now_ms, read)))
     return effects
 
 
+def _found(node, now_ms, read):
+    if read.body.get("what") != _FLEET:
+        return Answered(200, introspection.read(node, now_ms, read.body))
+    if not _leads(node):
+        return failures.MajorityLost(1000)
+    return introspection.fleet(node, now_ms)
+
+
+def _leads(node):
+    return node.depot is not None and node.depot.writer.serving
+
+
 def on_command(node, now_ms, message):
     """Another node's command, for a shard held here or for the log node."""
     token = f"cmd|{message.address}|{message.id}"
@@ -196,9 +207,7 @@
     except ValueError:
         return []
     if message.shard == LOG_SHARD:
-        if node.depot is None or not node.depot.writer.serving:
-            return []
-        return [Reply(token, introspection.fleet(node, now_ms))]
+        return _read(node, now_ms, token, {"what": _FLEET}) if _leads(node) else []
     return shard_ownership.command(
         node.owners,
         now_ms,
