Operators are answered before they tire of waiting, at once where no majority is heard

bounds.answerMs says by when an operator's call is answered, clear or not (on the platform 0.9 s, below its second). A node to which no majority has confirmed anything for two elections and two pings answers within one ping; it still offers the order once, since a cut may lie between it and the log node only. One that has just started waits, as it can't tell yet.

--- a/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
+++ b/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
@@ -1,13 +1,15 @@
 """Commands on their way to the holder of a shard.
 
 A command is offered again, under the same id, until the holder answers or its time is
-up; then the asker is told that there is no clear answer.
+up; then the asker is told that there is no clear answer.  A node that no majority has
+confirmed anything to lately says so at once, so that its operator goes elsewhere.
 """
 
 import json
 from dataclasses import dataclass
 
 from placement import world
+from replication import follower as follows
 from routing import router
 from transport import failures
 from transport.effects import Reply, Send
@@ -19,6 +21,7 @@
     "answer_by",
     "holder_address",
     "on_answer",
+    "out_of_touch",
     "send",
     "tick",
     "translate",
@@ -30,6 +33,7 @@
 _UNDECIDED = ("no-holder",)
 # Of the time in which service must be back: how long a command may go without a holder.
 _LONGEST = 0.75
+_NEVER_MS = -1e11
 
 
 @dataclass(frozen=True)
@@ -52,10 +56,22 @@
     sent_ms: float = -1e12
 
 
+def out_of_touch(node, now_ms):
+    """Whether no majority has confirmed anything to this node for longer than a change of
+    leaders takes.  One that has only just started can't tell yet."""
+    longest_ms = 2 * (node.times.elect_ms + node.times.ping_ms)
+    return node.follow.current_ms > _NEVER_MS and follows.age(node.follow, now_ms) > longest_ms
+
+
 def answer_by(node, now_ms):
     """When an operator who asks now must have an answer, clear or not."""
     bounds = node.config.bounds
-    return now_ms + min(_LONGEST * bounds.serviceBackMs, bounds.acknowledgeMs)
+    wait_ms = min(_LONGEST * bounds.serviceBackMs, bounds.acknowledgeMs)
+    if bounds.answerMs:
+        wait_ms = min(wait_ms, bounds.answerMs)
+    if out_of_touch(node, now_ms):
+        wait_ms = min(wait_ms, node.times.ping_ms)
+    return now_ms + wait_ms
 
 
 def send(node, now_ms, token, shard, verb, body):
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -36,6 +36,7 @@
     acknowledgeMs: int = 9000
     turnMs: int = 0
     graceMs: int = 0
+    answerMs: int = 0
 
 
 @dataclass(frozen=True)
@@ -85,6 +86,7 @@
     acknowledgeMs = fields.Integer(strict=True, load_default=9000, validate=validate.Range(min=100))
     turnMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
     graceMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
+    answerMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
 
 
 class _ConfigSchema(_Strict):
--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -30,8 +30,6 @@
 ]
 
 _FLEET = "fleet"
-# Of the time in which service must be back: how long a read waits to be confirmed.
-_READ_WITHIN = 0.5
 # The role under which a stopping node asks for news.
 _STOPPING = "stopping"
 
@@ -89,7 +87,7 @@
 
 def _read(node, now_ms, token, body):
     """Confirm it by a mark that is asked for now."""
-    end_ms = now_ms + _READ_WITHIN * node.config.bounds.serviceBackMs
+    end_ms = command_forwarding.answer_by(node, now_ms)
     node.operator.reads.append(PendingRead(token, body, now_ms, end_ms))
     leader = node.peers.group.leader
     return [follows.ask(node.follow, now_ms, asker(node), leader)] if leader else []
--- a/libs/simulation/src/simulation/register/cluster.py
+++ b/libs/simulation/src/simulation/register/cluster.py
@@ -23,6 +23,7 @@
     "serviceBackMs": 12000,
     "acknowledgeMs": 4000,
     "graceMs": 8000,
+    "answerMs": 900,
 }
 
 
