Operators' calls wait without a thread, and end when their operator leaves

Each held one of the threads for operators (3 of 48) until it was answered, up to 4 s: of eight orders under way at once five were turned away after 0.6 s. A node that had stood still, or whose link had, carried out orders whose operators had long left and asked another node; an order for a zone has no number that would show it to be old.

The gateway lets a call wait at the listener, as callers' requests do. One whose operator has left is not handed on; one that waits is forgotten. What is on its way to the holder by then may still be taken: no clear answer was given.

--- a/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
+++ b/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
@@ -19,6 +19,7 @@
     "Answered",
     "LOG_SHARD",
     "answer_by",
+    "forget",
     "holder_address",
     "on_answer",
     "out_of_touch",
@@ -138,6 +139,13 @@
     return effects
 
 
+def forget(node, token):
+    """The asker has left: its command isn't offered any more."""
+    for id_, pending in list(node.operator.pending.items()):
+        if pending.token == token:
+            del node.operator.pending[id_]
+
+
 def on_answer(node, now_ms, message):
     """The holder has answered; anything undecided is offered again."""
     pending = node.operator.pending.get(message.id)
--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -1,6 +1,7 @@
 """The doors that a platform's callers and operators knock at, in its own dialect.
 
-`Gateway` lets callers' requests through to engines; `OperatorGateway` takes operators' words.
+`Gateway` lets callers' requests through to engines; `OperatorGateway` takes operators'
+calls.
 Both stand behind the same door as the product's own interface, which goes on
 beside them.  `Status` answers whether callers may be sent here.
 """
@@ -13,6 +14,7 @@
 from werkzeug.serving import WSGIRequestHandler, make_server
 from werkzeug.wrappers import Request, Response
 
+from pulleyhitch import admission
 from pulleyhitch.command_forwarding import Answered
 from pulleyhitch.http_handler import Front, Handler
 from pulleyhitch.listener import Door
@@ -20,6 +22,8 @@
 __all__ = ["Gateway", "OperatorGateway", "Status"]
 
 _STEP = "pulleyhitch.step"
+# How long a thread waits for an answer before it lets the caller wait alone.
+_FIRST_LOOK_S = 0.005
 
 
 def _split(address):
@@ -76,7 +80,7 @@
         token = secrets.token_hex(8)
         future = self._process.post(token, "passage", told)
         try:
-            future.exception(0.005)
+            future.exception(_FIRST_LOOK_S)
         except TimeoutError:
             pass
 
@@ -122,30 +126,43 @@
         self._door.run()
 
     def _begin(self, caller):
+        """First look at a call: answer it, or find that it must wait.  Nothing is done for
+        an operator who has left by now and has perhaps asked another node since."""
         handler = Handler(caller, caller.address, self._front)
-        if handler.whole:
+        if not handler.whole:
+            return None
+        told = self._dialect.read_operator(Request(handler.told))
+        if isinstance(told, failures.Failure):
+            handler.told[_STEP] = ("", told)
+            handler.run_wsgi()
+            return None
+        if admission.peek(caller.sock) == b"":
+            return None
+        verb, body = told
+        token = secrets.token_hex(8)
+        future = self._process.post(token, verb, body)
+        try:
+            future.exception(_FIRST_LOOK_S)
+        except TimeoutError:
+            pass
+
+        def finish(outcome):
+            handler.told[_STEP] = (verb, outcome)
             handler.run_wsgi()
 
+        def left():
+            self._process.tell(token, "abandoned", {})
+
+        if future.done():
+            finish(future.result())
+            return None
+        return future, finish, left
+
     def _app(self, environ, start_response):
-        told = self._dialect.read_operator(Request(environ))
-        verb = ""
-        if isinstance(told, failures.Failure):
-            outcome = told
-        else:
-            verb, body = told
-            outcome = self._asked(verb, body)
+        verb, outcome = environ[_STEP]
         status, headers, body = self._dialect.operator_answer(verb, outcome)
         return Response(body, status, headers)(environ, start_response)
 
-    def _asked(self, verb, body):
-        wait_s = self._process.config.bounds.acknowledgeMs / 1000
-        outcome = self._process.ask(secrets.token_hex(8), verb, body, wait_s)
-        return (
-            outcome
-            if isinstance(outcome, (Answered, failures.Failure))
-            else (Answered(200, outcome))
-        )
-
 
 class Status:
     """Answers 200 while callers may come; `run` serves until the process stops."""
--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -93,6 +93,13 @@
     return [follows.ask(node.follow, now_ms, asker(node), leader)] if leader else []
 
 
+def _abandoned(node, now_ms, token, body):
+    """An operator has left before its answer: nothing is done for it any more."""
+    command_forwarding.forget(node, token)
+    node.operator.reads = [read for read in node.operator.reads if read.token != token]
+    return [Reply(token, failures.MajorityLost(1000))]
+
+
 def _passage(node, now_ms, token, body):
     return passages.begin(node, now_ms, token, body, crew(node, now_ms))
 
@@ -156,6 +163,7 @@
     "resume": _resume,
     "believes": _believes,
     "read": _read,
+    "abandoned": _abandoned,
     "passage": _passage,
     "ready": _ready,
     "leave": _leave,
