A change that overtook the one it builds on is not refused for good

Operators may have several orders under way. One that built on an edition whose own change was still on its way was refused with 412, and since refusals are kept under the change's id, the same valid change was refused ever after, also on top of the newest edition. A refusal can't be taken back either: what was refused must never be in force.

While an operator waits, a change that builds on an edition ahead of the present one is left undecided and offered again; in the second half of that wait it is refused as before. Nothing is logged until then.

--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from transport.failures import (
+    EditionAhead,
     FieldWrong,
     LayoutWrong,
     NotFound,
@@ -153,6 +154,8 @@
     if change and change in registry.changes:
         return None, *_told_before(registry.changes[change])
     told, failure = _judged(registry, verb, body)
+    if body.get("may_wait") and _is_ahead(failure):
+        return None, None, EditionAhead(failure.expected, failure.current)
     stamp = registry.stamp + (told is not None)
     if failure:
         answer = answers.shortened({"status": failure.status, "told": as_json(failure)})
@@ -168,6 +171,10 @@
     return record, {"stamp": stamp, **({"same": True} if told["k"] == "same" else {})}, None
 
 
+def _is_ahead(failure):
+    return isinstance(failure, StampStale) and failure.expected > failure.current
+
+
 def _told_before(kept):
     if isinstance(kept, dict) and kept["status"] == 200:
         return {**kept["told"], "again": True}, None
--- a/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
+++ b/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
@@ -31,9 +31,11 @@
 LOG_SHARD = -1
 _CHANGES = ("layout", "zone", "engines", "written")
 # What a holder says that hasn't decided: the command is offered again.
-_UNDECIDED = ("no-holder",)
+_UNDECIDED = ("no-holder", "edition-ahead")
 # Of the time in which service must be back: how long a command may go without a holder.
 _LONGEST = 0.75
+# Of an operator's wait: how long a change may wait for the edition that it builds on.
+_MAY_WAIT = 0.5
 _NEVER_MS = -1e11
 
 
@@ -54,6 +56,7 @@
     verb: str
     body: dict
     end_ms: float
+    final_ms: float = 0.0
     sent_ms: float = -1e12
 
 
@@ -79,8 +82,9 @@
     """Offer an operator's command to the holder of its shard."""
     id_ = _next_id(node)
     end_ms = answer_by(node, now_ms)
+    final_ms = now_ms + _MAY_WAIT * (end_ms - now_ms)
     body = _identified(node, verb, body, id_)
-    return _begin(node, now_ms, id_, PendingCommand(token, shard, verb, body, end_ms))
+    return _begin(node, now_ms, id_, PendingCommand(token, shard, verb, body, end_ms, final_ms))
 
 
 def _next_id(node):
@@ -110,7 +114,10 @@
     if not to:
         return []
     pending.sent_ms = now_ms
-    body = json.dumps(pending.body).encode()
+    told = pending.body
+    if pending.verb == "written" and now_ms < pending.final_ms:
+        told = {**told, "may_wait": True}
+    body = json.dumps(told).encode()
     return [Send(to, Command(id_, pending.shard, node.card.address, pending.verb, body))]
 
 
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -26,6 +26,7 @@
     "Stale",
     "NoHolder",
     "OutcomeUnknown",
+    "EditionAhead",
     "EngineFailed",
     "DeadlinePassed",
     "StreamCut",
@@ -133,6 +134,14 @@
     age_ms: int
 
 
+@_kind("edition-ahead", 503)
+class EditionAhead(Failure):
+    """The change builds on an edition that isn't there yet and may be on its way."""
+
+    expected: int
+    current: int
+
+
 @_kind("no-holder", 503)
 class NoHolder(Failure):
     retryMs: int
--- a/tests/test_register_duplicates.py
+++ b/tests/test_register_duplicates.py
@@ -169,6 +169,21 @@
             self.assertThat(sorted([mine.outcome, rival.outcome]), Equals([200, 412]), str(seed))
             self.assertTrue(self.operators.judge().linearizable, str(seed))
 
+    def test_one_that_came_before_the_edition_it_builds_on(self):
+        """Both are on their way at once, and the later one is first at the holder."""
+        self.begin(7)
+        first = made.configuration(self.rng, 5, routes=1)
+        second = made.configuration(self.rng, 9, routes=1)
+        later = self.operators.change("PUT", second, 5)
+        self.cluster.spin(60)
+        sooner = self.operators.change("PUT", first, 3)
+        self.cluster.spin(2000)
+        self.assertThat([sooner.outcome, later.outcome], Equals([200, 200]))
+        never = self.operators.change("PUT", made.configuration(self.rng, 20), 12)
+        self.cluster.spin(2000)
+        self.assertThat(never.outcome, Equals(412))
+        self.assertTrue(self.operators.judge().linearizable)
+
 
 class Zones(_Clustered):
     """Evacuations have no number and no id: POST and DELETE are sent again as they were."""
