A configuration is known again by what it says, not by its bytes

Whether that very configuration has been taken was judged by the bytes of its body: the same, written with keys in another order or other blanks, was refused as a rival.

--- a/tests/test_register_duplicates.py
+++ b/tests/test_register_duplicates.py
@@ -133,6 +133,16 @@
             self.assertThat([call.outcome for call in calls], Equals([200] * 4))
         self.assertTrue(self.operators.judge().linearizable)
 
+    def test_the_same_content_written_otherwise(self):
+        """Keys in another order, other blanks: that very configuration has been taken."""
+        self.begin(6)
+        told = made.configuration(self.rng, 4)
+        self.assertThat(self.put(told, 3), Equals(200))
+        turned = {key: told[key] for key in reversed(list(told))}
+        self.assertThat(self.put(turned, 3), Equals(200))
+        differs = {**told, "limits": {**told["limits"], "idleLimitMs": 15000.0}}
+        self.assertThat(self.put(differs, 3), Equals(412))
+
     def test_rivals_under_one_number(self):
         """Eight at once, each sent by each operator until its answer is clear: one is taken."""
         for seed in range(10, 16):
