--- a/libs/configuration/src/configuration/answers.py
+++ b/libs/configuration/src/configuration/answers.py
@@ -1,6 +1,6 @@
 """The answers that changes got, kept under the changes' ids so that a repeated order is
 answered alike.  They ride in every checkpoint, so their number and bytes are bounded:
-the oldest go first, and of a long refusal what fits is kept."""
+refusals go first, then the oldest, and of a long refusal what fits is kept."""
 
 import json
 
@@ -10,6 +10,8 @@
 KEPT_BYTES = 512 << 10
 ANSWER_BYTES = 2 << 10
 _TEXT_LENGTH = 300
+# The status of a change that was taken.
+_DONE = 200
 
 
 def _size(answer):
@@ -24,12 +26,21 @@
         self._bytes = sum(len(change) + _size(answer) for change, answer in self.items())
 
     def remember(self, change, answer):
-        """Keep an answer, and drop the oldest that there is no room for."""
+        """Keep an answer, and drop the least needed that there is no room for."""
         self._forget(change)
         self[change] = answer
         self._bytes += len(change) + _size(answer)
         while len(self) > KEPT or (self._bytes > KEPT_BYTES and len(self) > 1):
-            self._forget(next(iter(self)))
+            self._forget(self._least_needed())
+
+    def _least_needed(self):
+        """The oldest refusal; the oldest change that was taken only where there is none.
+        A refused change, judged again, is refused again; a taken one wouldn't be
+        confirmed."""
+        for change, answer in self.items():
+            if isinstance(answer, dict) and answer["status"] != _DONE:
+                return change
+        return next(iter(self))
 
     def _forget(self, change):
         if change in self:
--- a/tests/test_register_duplicates.py
+++ b/tests/test_register_duplicates.py
@@ -287,3 +287,12 @@
             self.registry = registries.load(
                 registries.dump(self.registry), ZONES, configuration.READER
             )
+
+    def test_refusals_never_push_out_what_was_taken(self):
+        rng = random.Random(3)
+        whole = made.configuration(rng, 1, routes=1)
+        self.assertThat(self.send(whole, 0, "PUT"), Equals(200))
+        for number in range(5000):
+            told = {"edition": 2, "number": number, "upsert": {}, "remove": {}}
+            self.assertThat(self.send(told, 7), Equals("stamp-stale"))
+        self.assertThat(self.send(whole, 0, "PUT"), Equals(200))
