An operator's body that is cut short is not a refusal

It was answered 400, which ends an operator's call, though the order may have been taken before, whole. It is answered 408, after which it is sent again.

--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -17,6 +17,7 @@
     "StampStale",
     "WrongPartner",
     "BodyOversized",
+    "BodyIncomplete",
     "BodyMalformed",
     "UnknownModel",
     "UnknownService",
@@ -97,6 +98,11 @@
     cause: str
 
 
+@_kind("body-incomplete", 408)
+class BodyIncomplete(Failure):
+    """The request ended before its body did; what was sent in full may be sent again."""
+
+
 @_kind("unknown-model", 404)
 class UnknownModel(Failure):
     service: str
--- a/tests/test_operator_gateway.py
+++ b/tests/test_operator_gateway.py
@@ -113,3 +113,17 @@
         token, *_ = self.process.posted.get(timeout=WAIT_S)
         sock.close()
         self.assertThat(self.process.told.get(timeout=WAIT_S), Equals((token, "abandoned")))
+
+    def test_a_body_that_is_cut_short(self):
+        """Not a refusal: the same order, whole, may have been taken already."""
+        self.serve()
+        host, _, port = self.process.address.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=WAIT_S) as sock:
+            head = "PUT /config HTTP/1.1\r\nHost: x\r\nIf-Match: 3\r\nContent-Length: 90\r\n\r\n"
+            sock.sendall(head.encode() + b'{"edition": 4')
+            sock.shutdown(socket.SHUT_WR)
+            got = b""
+            while chunk := sock.recv(65536):
+                got += chunk
+        self.assertThat(got.split()[1], Equals(b"408"))
+        self.assertTrue(self.process.posted.empty())
