--- a/tests/test_register_machine.py
+++ b/tests/test_register_machine.py
@@ -223,6 +223,11 @@
     def test_part_3(self):
         run(3)
 
+    def test_without_the_holder_s_clock(self):
+        """No answer hangs on the lease: a holder that never doubts its own tells the same."""
+        self.patch(shard_ownership, "lease_end", lambda follow, times: float("inf"))
+        run(4)
+
 
 class Mutants(TestCase):
     """Each way to go wrong is seen."""
