Answer 408 to a platform's request that is cut short, 400 on our own interface

Cause: an operator's body that ended early was answered 400 by the listener, which ends the operator's call though the same order, whole, may have been taken before. Ruled out: the adapter, which answers 408 but is no longer reached. Change: each interface passes the listener its policy (body limit, status of what is cut short). Measured: test_a_body_that_is_cut_short red before (400), green with this change together with test_product, test_listener and test_door.

--- a/libs/pulleyhitch/src/pulleyhitch/admission.py
+++ b/libs/pulleyhitch/src/pulleyhitch/admission.py
@@ -5,6 +5,8 @@
 import re
 import select
 import socket
+from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from configuration.schema import RANK
@@ -16,7 +18,9 @@
 __all__ = [
     "parts",
     "measured",
-    "product_body_limit",
+    "PLATFORM_POLICY",
+    "PRODUCT_POLICY",
+    "RequestPolicy",
     "BODY_LIMIT_BYTES",
     "kind",
     "answer",
@@ -53,11 +57,27 @@
     return request_framing.measure(data, body_limit_bytes)
 
 
-def product_body_limit(data):
-    """How many bytes a body may have on the product's own interface: tasks are small."""
+@dataclass(frozen=True)
+class RequestPolicy:
+    """What an interface asks of a request before anybody reads it.
+
+    `body_limit_of(data)` is the most bytes a body may have; `cut_short_status` answers a
+    request that ends before its body does: 408 where callers may send it again, since
+    it has not run."""
+
+    body_limit_of: Callable
+    cut_short_status: int
+
+
+def _task_limit(data):
+    """Tasks on the product's own interface are small."""
     return TASK_LIMIT_BYTES if data.startswith(_TASK_START) else BODY_LIMIT_BYTES
 
 
+PLATFORM_POLICY = RequestPolicy(lambda data: BODY_LIMIT_BYTES, HTTPStatus.REQUEST_TIMEOUT)
+PRODUCT_POLICY = RequestPolicy(_task_limit, HTTPStatus.BAD_REQUEST)
+
+
 def kind(data, rank_of):
     """operator, lookup or the rank of a task's class; `rank_of` knows routes."""
     line = bytes(data[:200])
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -34,10 +34,18 @@
     the caller leaves before."""
 
     def __init__(
-        self, host, port, threads, begin, kind_of, arrive_s, idle_s=None, body_limit_of=None
+        self,
+        host,
+        port,
+        threads,
+        begin,
+        kind_of,
+        arrive_s,
+        idle_s=None,
+        policy=admission.PLATFORM_POLICY,
     ):
         self._begin, self._kind_of, self._arrive_s = begin, kind_of, arrive_s
-        self._body_limit_of = body_limit_of or (lambda data: admission.BODY_LIMIT_BYTES)
+        self._policy = policy
         self._idle_s = idle_s or arrive_s
         self._listener = socket.create_server((host, port), backlog=1024)
         self._listener.setblocking(False)
@@ -152,7 +160,7 @@
             return
         caller.data += got
         self._bytes += len(got)
-        limit_bytes = self._body_limit_of(caller.data)
+        limit_bytes = self._policy.body_limit_of(caller.data)
         self._judge(caller, admission.measured(caller.data, limit_bytes), not got)
 
     def _judge(self, caller, measured, ended):
@@ -163,7 +171,9 @@
         elif isinstance(measured, request_framing.Malformed):
             self._reject(caller, measured)
         elif ended and caller.data:
-            self._reject(caller, request_framing.Malformed(400, "cut short"))
+            self._reject(
+                caller, request_framing.Malformed(self._policy.cut_short_status, "cut short")
+            )
         elif ended:
             self._close(caller)
         elif self._bytes > _HELD_BYTES:
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -68,7 +68,7 @@
                 self._begin,
                 lambda data: admission.kind(data, self._rank_of),
                 0.4 * self._config.bounds.serviceBackMs / 1000,
-                body_limit_of=admission.product_body_limit,
+                policy=admission.PRODUCT_POLICY,
             )
         except OSError as failed:
             raise OSError(self._config.http) from failed
