A leaver waits for its removal once its successor was added

The successor is no learner any more then, so none was in sight, and the leaver was told that nothing needs it: of four voters, with one lost that was heard of a moment ago, two were left. While there are more voters than there should be, or a change of the membership is under way, a leaver is not let go but by its removal.

--- a/libs/replication/src/replication/leaving.py
+++ b/libs/replication/src/replication/leaving.py
@@ -121,7 +121,7 @@
     departure = replica.departures.setdefault(identity, Departure(now_ms))
     departure.asked_ms = now_ms
     _set_aside(replica, now_ms, identity, departure)
-    if _successor_in_sight(replica, now_ms):
+    if _to_be_replaced(replica, now_ms):
         return []
     if not departure.released and not _can_spare(replica, now_ms, identity, departure):
         return []
@@ -179,6 +179,12 @@
     return departure is not None and departure.released
 
 
+def _to_be_replaced(replica, now_ms):
+    """Whether a successor may yet come, or has come and the leaver's removal is due."""
+    surplus = len(members(replica)) > replica.times.depots
+    return surplus or bool(replica.member_entries) or _successor_in_sight(replica, now_ms)
+
+
 def _successor_in_sight(replica, now_ms):
     """Whether a learner speaks that may yet take a place."""
     return any(
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -490,3 +490,19 @@
     groups.open_replica(reopened, {"view": snapshot}, [plain_entry(6, 2), plain_entry(7, 2)])
     assert (groups.last_index(reopened), groups.last_term(reopened)) == (5, 3)
     assert reopened.synced == 5
+
+
+def test_a_leaver_waits_for_its_removal_once_its_successor_was_added():
+    """Of four, the leaver would be missed: b may be lost already, and not yet known to be."""
+    leader, cards = committed_leader(), {n: depot_card(n) for n in "abcd"}
+    learner_of(leader, "d")
+    for name in "bcd":
+        acked(leader, name, 2, 10.0)
+    assert ask_to_leave(leader, "c", 20.0) == []
+    assert changes(reconfiguration.tick(leader, 20.0, cards)) == ["member-adds"]
+    assert ask_to_leave(leader, "c", 25.0) == [], "its adding is not committed yet"
+    log_replication.on_written(leader, 30.0, 3, leader.term)
+    for name in "bd":
+        acked(leader, name, 3, 30.0)
+    assert leader.commit == 3
+    assert ask_to_leave(leader, "c", 35.0) == [], "its own removal is due"
