A leaver is let go on words that came after it asked

A member that was heard of within the last election counted as running, so a leaver could end in the moment after another was lost, and no majority was left until one was back. The leader now counts who spoke since the request, which a heartbeat brings. The test of two leavers was given those words; what it demands is the same and one answer more.

Red before: test_a_leaver_waits_for_a_word_of_the_others_since_it_asked.

--- a/libs/replication/src/replication/leaving.py
+++ b/libs/replication/src/replication/leaving.py
@@ -38,7 +38,8 @@
     that all after it is on a majority without it; None while they are needed.
     """
 
-    asked_ms: float
+    began_ms: float
+    asked_ms: float = -1e12
     set_aside_at: int | None = None
     released: bool = False
 
@@ -148,10 +149,15 @@
 
 
 def _can_spare(replica, now_ms, identity, departure):
-    """Whether a majority without this member holds what it may have been counted for."""
+    """Whether a majority without this member holds what it may have been counted for, and
+    was heard of since it asked: one that was lost a moment ago is not known to be."""
     if departure.set_aside_at is None:
         return False
-    holding = _staying(replica, now_ms, identity, departure.set_aside_at)
+    holding = [
+        other
+        for other in _staying(replica, now_ms, identity, departure.set_aside_at)
+        if other == replica.identity or replica.progress[other].heard_ms > departure.began_ms
+    ]
     return len(holding) >= majority(replica)
 
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -368,13 +368,17 @@
 
 def test_of_two_leavers_only_one_ends_at_a_time():
     leader = committed_leader()
-    assert ask_to_leave(leader, "c", 10.0) == [LeaveReply("g", "c", False)]
+    assert ask_to_leave(leader, "c", 10.0) == []
+    acked(leader, "b", 2, 15.0)
+    assert ask_to_leave(leader, "c", 20.0) == [LeaveReply("g", "c", False)]
     assert ask_to_leave(leader, "b", 20.0) == []
-    back_ms = 10.0 + 2 * TIMES.elect_ms
+    back_ms = 20.0 + 2 * TIMES.elect_ms
     acked(leader, "c", 2, back_ms)
     acked(leader, "b", 2, back_ms)
     leaving.watch(leader, back_ms)
-    assert ask_to_leave(leader, "b", back_ms) == [LeaveReply("g", "b", False)]
+    assert ask_to_leave(leader, "b", back_ms) == []
+    acked(leader, "c", 2, back_ms + 10.0)
+    assert ask_to_leave(leader, "b", back_ms + 20.0) == [LeaveReply("g", "b", False)]
 
 
 def test_a_leaver_that_runs_is_removed_after_its_successor_was_added():
@@ -506,3 +510,13 @@
         acked(leader, name, 3, 30.0)
     assert leader.commit == 3
     assert ask_to_leave(leader, "c", 35.0) == [], "its own removal is due"
+
+
+def test_a_leaver_waits_for_a_word_of_the_others_since_it_asked():
+    """One that was heard of just before may be lost by now."""
+    leader = committed_leader()
+    acked(leader, "b", 2, 100.0)
+    assert ask_to_leave(leader, "c", 110.0) == []
+    assert ask_to_leave(leader, "c", 200.0) == []
+    acked(leader, "b", 2, 210.0)
+    assert ask_to_leave(leader, "c", 220.0) == [LeaveReply("g", "c", False)]
