Send states in chunks and entries by bytes, so that a member far behind catches up

Seen red on the code before (the tests' counts): - a state of 40 MB, as one frame of 32 MB at most, never arrived, however long one waited; - 40 entries of 1 MB in one frame never arrived either; - one message lost of 30 with 50 KB each had 45 MB sent again: each later one was answered by the same refusal, and each refusal answered by the same entries; - 31 MB were put on a connection that drops what lies beyond 8 MB; a leader kept 62 MB of entries for peers a little behind (256 entries of any size). Now a replica, a follower of the feed, a fellow and the holder of a new lease are given states in chunks (snapshot_transfer), messages of entries end at 1 MB, at most 4 MB (2 MB for followers) are under way, and of equal refusals the first counts. Followers' entries count as lost only if a link of 8 Mbit/s would have brought them. Recovery is the same bytes at whoever leads, so it goes on after a change of leader. A probe is a heartbeat: rounds, leases and elections are as before. The check of on_view and its acknowledgement are untouched. The mutant "older views taken" now has a fellow hand on an older state as a chunk and the receiver's look at its own place left out; test_desk's page counts became chunk counts, with each byte counted once.

--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -24,7 +24,7 @@
     """The shard is recovered: read reports, but order nothing yet.  A life of ours
     that held it before is over, so only what it sent last may still be on its way."""
     p.ledger = ledgers.load(p.held.checkpoint)
-    for record in p.held.pages:
+    for record in p.held.records:
         ledgers.apply(p.ledger, record)
     p.not_before_ms = now_ms + (
         _OWN * terms.call_ms if p.own and terms.turnMs else max(terms.call_ms, terms.turnMs)
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -28,7 +28,8 @@
 _DEPOT_TALK = (
     m.AppendEntries,
     m.AppendReply,
-    m.SnapshotPart,
+    m.ReplicaChunk,
+    m.ReplicaChunkReply,
     m.VoteRequest,
     m.VoteReply,
     m.TransferLeadership,
@@ -39,6 +40,8 @@
     m.Append,
     m.RecoverAsk,
     m.Release,
+    m.FeedChunkReply,
+    m.ShardChunkReply,
 )
 
 
@@ -214,13 +217,17 @@
         return effects
     if isinstance(message, m.Mark):
         follows.on_mark(node.follow, message)
-        return follows.relay(node.follow) + operator_requests.current(node, now_ms)
+        return follows.relay(node.follow, now_ms) + operator_requests.current(node, now_ms)
     if isinstance(message, m.FeedItems):
         effects = _news(node, now_ms, follows.on_items(node.follow, message))
-        return effects + follows.relay(node.follow) + operator_requests.current(node, now_ms)
-    if isinstance(message, m.FeedSnapshot):
-        effects = _news(node, now_ms, follows.on_view(node.follow, message))
+        effects += follows.relay(node.follow, now_ms)
         return effects + operator_requests.current(node, now_ms)
+    if isinstance(message, m.FeedChunk):
+        effects, news = follows.on_chunk(node.follow, now_ms, node.card.name, sender, message)
+        effects += _news(node, now_ms, news)
+        return effects + operator_requests.current(node, now_ms)
+    if isinstance(message, m.FeedChunkReply):
+        return follows.on_chunk_reply(node.follow, now_ms, sender, message)
     if isinstance(message, m.Ask):
         if node.depot is None:
             return follows.on_relay_ask(node.follow, now_ms, sender, message)
@@ -231,8 +238,8 @@
         )
     if isinstance(message, m.Refused):
         return shard_ownership.on_refused(node.owners, message)
-    if isinstance(message, m.RecoverPage):
-        return shard_ownership.on_page(node.owners, now_ms, message, node.terms)
+    if isinstance(message, m.ShardChunk):
+        return shard_ownership.on_chunk(node.owners, now_ms, sender, message, node.terms)
     if isinstance(message, m.Command):
         return operator_requests.on_command(node, now_ms, message)
     if isinstance(message, m.CommandAnswer):
--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -22,7 +22,7 @@
     "ConfigurationOwner",
     "tick",
     "on_durable",
-    "on_page",
+    "on_chunk",
     "on_refused",
     "on_called",
     "command",
@@ -124,18 +124,22 @@
     return shard_log.offer_checkpoint(held, card, leader, body)
 
 
-def on_page(ownership, now_ms, page, terms):
-    kept = ownership.owners.get(page.shard)
-    if kept is None or not shard_log.on_page(kept.held, page):
+def on_chunk(ownership, now_ms, sender, message, terms):
+    """A chunk of a shard that we were given came."""
+    kept = ownership.owners.get(message.shard)
+    if kept is None:
         return []
+    effects, whole = shard_log.on_chunk(kept.held, now_ms, sender, message)
+    if not whole:
+        return effects
     if kept.shard == 0:
         kept.registry = registries.load(kept.held.checkpoint, ownership.zones, ownership.reader)
-        for record in kept.held.pages:
-            registries.apply(kept.registry, record)
+        registries.replay(kept.registry, kept.held.records)
     else:
         placer.taken_over(kept, now_ms, terms)
-    kept.held.pages = []
-    return [Note("recovered", {"shard": page.shard, "epoch": page.epoch, "next": kept.held.next})]
+    kept.held.checkpoint, kept.held.records = b"", []
+    facts = {"shard": message.shard, "epoch": message.epoch, "next": kept.held.next}
+    return effects + [Note("recovered", facts)]
 
 
 def on_durable(ownership, now_ms, message, follow, floor, times, terms):
--- a/libs/replication/src/replication/batch_writer.py
+++ b/libs/replication/src/replication/batch_writer.py
@@ -52,6 +52,7 @@
     turnMs: dict = field(default_factory=dict)
     told_ms: dict = field(default_factory=dict)
     hold_until_ms: float = 0.0
+    recoveries: dict = field(default_factory=dict)
     batches: int = 0
     records: int = 0
 
--- a/libs/replication/src/replication/depot.py
+++ b/libs/replication/src/replication/depot.py
@@ -16,10 +16,13 @@
     bootstrap,
     election,
     feed,
+    feed_snapshots,
     leases,
     leaving,
     log_replication,
     reconfiguration,
+    snapshot_receiving,
+    snapshot_sending,
 )
 from replication.group import Replica, group_card
 
@@ -81,8 +84,8 @@
         if message.term > replica.term:
             return election.step_back(replica, message.term, now_ms)
         return log_replication.on_ack(replica, now_ms, message)
-    if isinstance(message, m.SnapshotPart):
-        return log_replication.on_view(replica, now_ms, sender, message)
+    if isinstance(message, (m.ReplicaChunk, m.ReplicaChunkReply)):
+        return _on_snapshot_message(replica, now_ms, sender, message)
     if isinstance(message, m.VoteRequest):
         return election.on_vote_request(replica, now_ms, sender, message)
     if isinstance(message, m.VoteReply):
@@ -100,9 +103,21 @@
     return _serve(depot, now_ms, sender, message)
 
 
+def _on_snapshot_message(replica, now_ms, sender, message):
+    if isinstance(message, m.ReplicaChunk):
+        return snapshot_receiving.on_chunk(replica, now_ms, sender, message)
+    if message.term > replica.term:
+        return election.step_back(replica, message.term, now_ms)
+    return snapshot_sending.on_chunk_reply(replica, now_ms, message)
+
+
 def _serve(depot, now_ms, sender, message):
     """The log node's duties; any other depot says whom it follows instead."""
     replica, writer, nodes = depot.group, depot.writer, depot.nodes
+    if isinstance(message, m.FeedChunkReply):
+        return feed_snapshots.on_chunk_reply(replica, nodes, message)
+    if isinstance(message, m.ShardChunkReply):
+        return leases.on_chunk_reply(writer, sender, message)
     if not isinstance(message, (m.Ask, m.Append, m.RecoverAsk, m.Release)):
         return []
     if not writer.serving:
@@ -130,6 +145,7 @@
                 batches=depot.writer.batches, records=depot.writer.records
             )
             depot.asks = feed.Asks()
+            replica.feed_retains = None
             depot.nodes = leases.NodeTable(tick_ms=depot.nodes.tick_ms)
     elif not depot.writer.serving and replica.commit >= replica.term_index:
         depot.writer = batch_writer.open_writer(replica, depot.writer)
--- a/libs/replication/src/replication/feed.py
+++ b/libs/replication/src/replication/feed.py
@@ -9,14 +9,18 @@
 from dataclasses import dataclass, field
 
 from transport.effects import Send
-from transport.messages import FeedItems, FeedSnapshot, Mark
+from transport.messages import FeedItems, Mark
 
-from replication import log_replication
-from replication.group import entry_at, snapshot_file, term_at
+from replication import entry_batch, feed_snapshots, log_replication
+from replication.group import entry_at
 
 __all__ = ["Asks", "on_ask", "answer", "push"]
 
 _PER_SEND = 128
+_BYTES_PER_SEND = 1 << 20
+_WINDOW_BYTES = 2 << 20
+# A link this slow (8 Mbit/s) is not taken for a broken one.
+_SLOWEST_BYTES_PER_MS = 1000
 
 
 @dataclass
@@ -25,18 +29,37 @@
 
 
 def on_ask(replica, nodes, asks, now_ms, sender, ask):
-    """Queue the ask behind a new round, and send what the asker lacks.  What was
-    sent before its last ask and is not there by now was lost on the way."""
+    """Queue the ask behind a new round, and send what the asker lacks."""
     node = nodes.seen[ask.name]
-    if ask.place < node.sent_at_ask:
-        node.sent_place = ask.place
-    node.sent_place = max(node.sent_place, ask.place)
-    node.sent_at_ask = node.sent_place
+    _learn_place(replica, node, now_ms, ask.place)
     asks.waiting.append((sender, ask, replica.round + 1))
     effects = []
     if log_replication.confirmed_round(replica) >= replica.round:
         effects += log_replication.new_round(replica, now_ms)
-    return effects + push_to(replica, node, now_ms)
+    feed_snapshots.refresh(replica, nodes, now_ms)
+    if node.transfer and ask.place >= node.transfer.snapshot.id.index:
+        feed_snapshots.finish(replica, nodes, node)
+    if node.transfer:
+        return effects + feed_snapshots.heartbeat(replica, node)
+    return effects + push_to(replica, nodes, node, now_ms)
+
+
+def _learn_place(replica, node, now_ms, place):
+    """What was sent before a node's last ask and isn't there by now was lost on the way,
+    unless it is so much that a slow link may still be at it."""
+    node.in_flight = [f for f in node.in_flight if f[0] > place]
+    if place > node.asked_place or not node.in_flight:
+        node.moved_ms = now_ms
+    node.asked_place = place
+    patience_ms = _under_way(node) / _SLOWEST_BYTES_PER_MS
+    if place < node.sent_at_ask and now_ms - node.moved_ms >= patience_ms:
+        node.sent_place, node.in_flight = place, []
+    node.sent_place = max(node.sent_place, place)
+    node.sent_at_ask = node.sent_place
+
+
+def _under_way(node):
+    return sum(size for _, size in node.in_flight)
 
 
 def answer(replica, asks, now_ms):
@@ -60,29 +83,29 @@
     effects = []
     for node in nodes.seen.values():
         if node.sent_place < replica.commit and now_ms - node.heard_ms < 3 * replica.times.ping_ms:
-            effects += push_to(replica, node, now_ms)
+            effects += push_to(replica, nodes, node, now_ms)
     return effects
 
 
-def push_to(replica, node, now_ms):
-    if node.sent_place >= replica.commit:
+def push_to(replica, nodes, node, now_ms):
+    if node.sent_place >= replica.commit or node.transfer:
         return []
     node.sent_ms = now_ms
     if node.sent_place < replica.base_index:
-        node.sent_place = replica.commit
-        return [
-            Send(
-                node.address,
-                FeedSnapshot(
-                    replica.term,
-                    replica.commit,
-                    term_at(replica, replica.commit),
-                    snapshot_file(replica)[16:],
-                ),
-            )
-        ]
-    first = node.sent_place + 1
-    last = min(replica.commit, node.sent_place + _PER_SEND)
-    node.sent_place = last
-    entries = tuple(entry_at(replica, i) for i in range(first, last + 1))
-    return [Send(node.address, FeedItems(replica.term, last, entries))]
+        return feed_snapshots.start(replica, nodes, node, now_ms)
+    if _under_way(node) >= _WINDOW_BYTES:
+        return []
+    entries, size = _due(replica, node.sent_place + 1)
+    if not node.in_flight:
+        node.moved_ms = now_ms
+    node.sent_place = entries[-1].index
+    node.in_flight.append((node.sent_place, size))
+    return [Send(node.address, FeedItems(replica.term, node.sent_place, entries))]
+
+
+def _due(replica, first):
+    """(the entries from `first` on that go in one message, their bytes)."""
+    last = min(replica.commit, first + _PER_SEND - 1)
+    return entry_batch.up_to_bytes(
+        (entry_at(replica, index) for index in range(first, last + 1)), _BYTES_PER_SEND
+    )
--- a/libs/replication/src/replication/follower.py
+++ b/libs/replication/src/replication/follower.py
@@ -11,14 +11,24 @@
 from dataclasses import dataclass, field
 
 from transport.effects import Send
-from transport.messages import Ask, FeedItems, FeedSnapshot, Mark
-
-from replication import state_machine
+from transport.messages import (
+    Ask,
+    FeedChunk,
+    FeedChunkReply,
+    FeedItems,
+    FeedSnapshot,
+    Mark,
+)
+from transport.transfer_messages import ChunkAck
+
+from replication import entry_batch, snapshot_transfer, state_machine
 
 __all__ = [
     "Follow",
     "News",
     "ask",
+    "on_chunk",
+    "on_chunk_reply",
     "on_items",
     "on_view",
     "on_mark",
@@ -28,6 +38,20 @@
 ]
 
 _RECENT = 512
+_RECENT_BYTES = 8 << 20
+_BYTES_PER_SEND = 1 << 20
+# How long a sender of the state may be silent before another's is taken instead.
+_PATIENCE_MS = 2000.0
+_RELAYS_AT_ONCE = 4
+_RELAY_MS = 10_000.0
+
+
+@dataclass
+class Relayed:
+    """Our state on its way to a fellow, and when that was last heard of."""
+
+    outgoing: snapshot_transfer.Outgoing
+    heard_ms: float = -1e12
 
 
 @dataclass
@@ -36,7 +60,10 @@
     term: int = 0
     snapshot_term: int = 0
     state: state_machine.StateMachine = field(default_factory=state_machine.StateMachine)
-    recent: deque = field(default_factory=lambda: deque(maxlen=_RECENT))
+    recent: deque = field(default_factory=deque)
+    recent_bytes: int = 0
+    incoming: snapshot_transfer.Incoming = field(default_factory=snapshot_transfer.Incoming)
+    relayed: dict = field(default_factory=dict)
     marks: list = field(default_factory=list)
     current_ms: float = -1e12
     direct_ms: float = -1e12
@@ -79,17 +106,45 @@
             continue
         sections += state_machine.apply_body(follow.state, entry.body, entry.index)
         follow.place = entry.index
-        follow.recent.append(entry)
+        _remember(follow, entry)
     _settle(follow)
     return News(tuple(sections))
 
 
+def _remember(follow, entry):
+    """Keep the newest entries for fellows who ask, within some bytes."""
+    follow.recent.append(entry)
+    follow.recent_bytes += len(entry.body)
+    while len(follow.recent) > _RECENT or follow.recent_bytes > _RECENT_BYTES:
+        follow.recent_bytes -= len(follow.recent.popleft().body)
+
+
+def on_chunk(follow, now_ms, name, sender, message):
+    """Take a chunk of the state: (effects, News)."""
+    chunk = message.chunk
+    if _reached(follow, chunk.snapshot.index):
+        ack = ChunkAck(chunk.snapshot, chunk.sequence, chunk.snapshot.size)
+        return [Send(sender, FeedChunkReply(name, ack))], News()
+    ack, whole = snapshot_transfer.on_chunk(follow.incoming, chunk, now_ms, _PATIENCE_MS)
+    effects = [Send(sender, FeedChunkReply(name, ack))] if ack else []
+    if whole is None:
+        return effects, News()
+    follow.incoming = snapshot_transfer.Incoming()
+    snapshot = FeedSnapshot(message.term, chunk.snapshot.index, chunk.snapshot.term, whole)
+    return effects, on_view(follow, snapshot)
+
+
+def _reached(follow, place):
+    return place <= follow.place
+
+
 def on_view(follow, message):
-    if message.place <= follow.place:
+    if _reached(follow, message.place):
         return News()
     follow.state, follow.place = state_machine.restore(message.body), message.place
     follow.snapshot_term = message.snapshot_term
     follow.recent.clear()
+    follow.recent_bytes = 0
     _settle(follow)
     return News(rebuilt=True)
 
@@ -118,23 +173,64 @@
     return []
 
 
-def relay(follow):
+def relay(follow, now_ms):
     """Answer the fellows whose question is older than our newest mark."""
     effects = []
     for sender, asked, at_ms in follow.relays:
         if follow.current_ms < at_ms:
             continue
         if asked.place < follow.place:
-            effects.append(Send(sender, _catch_up(follow, asked.place)))
+            effects += _catch_up(follow, now_ms, sender, asked.place)
         effects.append(Send(sender, Mark(asked.sent_ms, follow.term, follow.place, False)))
     follow.relays = [r for r in follow.relays if follow.current_ms < r[2]]
     return effects
 
 
-def _catch_up(follow, place):
+def _catch_up(follow, now_ms, sender, place):
+    """What a fellow at `place` lacks: entries, or the state if we don't have them all."""
     if follow.recent and follow.recent[0].index <= place + 1:
-        entries = tuple(e for e in follow.recent if e.index > place)
-        return FeedItems(follow.term, follow.place, entries)
-    return FeedSnapshot(
-        follow.term, follow.place, follow.snapshot_term, state_machine.snapshot(follow.state)
-    )
+        follow.relayed.pop(sender, None)
+        due = (entry for entry in follow.recent if entry.index > place)
+        entries, _ = entry_batch.up_to_bytes(due, _BYTES_PER_SEND)
+        return [Send(sender, FeedItems(follow.term, entries[-1].index, entries))]
+    _drop_old(follow, now_ms)
+    relayed = follow.relayed.get(sender)
+    if relayed is None or relayed.outgoing.snapshot.id.index <= place:
+        if relayed is None and len(follow.relayed) >= _RELAYS_AT_ONCE:
+            return []
+        relayed = Relayed(snapshot_transfer.Outgoing(_state(follow)))
+        follow.relayed[sender] = relayed
+    relayed.heard_ms = now_ms
+    chunks = snapshot_transfer.chunks_due(relayed.outgoing)
+    chunks = chunks or [snapshot_transfer.probe(relayed.outgoing)]
+    return [Send(sender, FeedChunk(follow.term, chunk)) for chunk in chunks]
+
+
+def _drop_old(follow, now_ms):
+    for sender, relayed in list(follow.relayed.items()):
+        if now_ms - relayed.heard_ms > _RELAY_MS:
+            del follow.relayed[sender]
+
+
+def _state(follow):
+    """Our state as a snapshot; one that is on its way to another fellow, if it is new
+    enough for the entries that we keep to follow on it."""
+    oldest = follow.recent[0].index if follow.recent else follow.place + 1
+    for relayed in follow.relayed.values():
+        if relayed.outgoing.snapshot.id.index >= oldest - 1:
+            return relayed.outgoing.snapshot
+    body = state_machine.snapshot(follow.state)
+    return snapshot_transfer.make_snapshot(follow.place, follow.snapshot_term, body)
+
+
+def on_chunk_reply(follow, now_ms, sender, reply):
+    """A fellow told how much of our state it holds: send what is due now."""
+    relayed = follow.relayed.get(sender)
+    if relayed is None:
+        return []
+    relayed.heard_ms = now_ms
+    if snapshot_transfer.on_ack(relayed.outgoing, reply.ack):
+        del follow.relayed[sender]
+        return []
+    chunks = snapshot_transfer.chunks_due(relayed.outgoing)
+    return [Send(sender, FeedChunk(follow.term, chunk)) for chunk in chunks]
--- a/libs/replication/src/replication/group.py
+++ b/libs/replication/src/replication/group.py
@@ -13,7 +13,7 @@
 from transport.effects import Save
 from transport.messages import Batch, GroupCard, Member
 
-from replication import state_machine
+from replication import snapshot_transfer, state_machine
 from replication.catch_up import CatchUp
 
 __all__ = [
@@ -80,6 +80,10 @@
     sent_ms: float = -1e9
     learner: bool = False
     catch_up: CatchUp | None = None
+    transfer: snapshot_transfer.Outgoing | None = None
+    in_flight: list = field(default_factory=list)
+    rewound_to: int = -1
+    rewound_ms: float = -1e12
 
 
 @dataclass
@@ -106,6 +110,7 @@
     base_term: int = 0
     snapshot_index: int = 0
     bytes_since_snapshot: int = 0
+    snapshot_bytes: int = 0
     synced: int = 0
     verified: int = 0
     commit: int = 0
@@ -119,6 +124,9 @@
     term_index: int = 0
     departures: dict = field(default_factory=dict)
     successor: str = ""
+    pinned_snapshot: snapshot_transfer.Snapshot | None = None
+    feed_retains: int | None = None
+    incoming: snapshot_transfer.Incoming = field(default_factory=snapshot_transfer.Incoming)
 
 
 def last_index(replica):
@@ -211,6 +219,7 @@
         replica.group, replica.term, replica.voted_for = kept.group, kept.term, kept.voted_for
         replica.founders = kept.founders
     if files.get("view"):
+        replica.snapshot_bytes = len(files["view"])
         replica.base_index, replica.base_term, body = read_snapshot_file(files["view"])
         replica.state = state_machine.restore(body)
         replica.commit = replica.snapshot_index = replica.base_index
@@ -220,3 +229,4 @@
         replica.log.append(entry)
         learn_members(replica, entry)
     replica.synced = last_index(replica)
+    replica.bytes_since_snapshot = sum(len(entry.body) for entry in entries)
--- a/libs/replication/src/replication/leases.py
+++ b/libs/replication/src/replication/leases.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, field
 
 from transport.effects import Note, Send
-from transport.messages import RecoverPage
+from transport.messages import ShardChunk
 from transport.rendezvous import weight
 
-from replication import batch_writer, state_machine
+from replication import batch_writer, snapshot_transfer, state_machine
 
 __all__ = ["NodeTable", "Seen", "heard", "lease_tick", "on_release", "on_recover", "excuse_freeze"]
 
@@ -30,11 +30,24 @@
     sent_place: int = 0
     sent_at_ask: int = 0
     sent_ms: float = -1e9
+    transfer: snapshot_transfer.Outgoing | None = None
+    in_flight: list = field(default_factory=list)
+    asked_place: int = 0
+    moved_ms: float = -1e9
+
+
+@dataclass
+class Recovery:
+    """A shard on its way to the holder of a lease."""
+
+    epoch: int
+    outgoing: snapshot_transfer.Outgoing
 
 
 @dataclass
 class NodeTable:
     seen: dict = field(default_factory=dict)
+    pinned_snapshot: snapshot_transfer.Snapshot | None = None
     tick_ms: float = -1.0
 
 
@@ -151,39 +164,32 @@
 
 
 def on_recover(replica, writer, sender, ask):
-    """Ship checkpoint and records in pages; the grant being applied means all
-    the old holder's writes in flight are durable and before it."""
+    """Give a holder its shard; the lease being applied means that all the old holder's
+    writes in flight are durable and before it, so the shard stays as it is until the
+    asker has it, and is the same at whoever leads."""
     part = state_machine.shard_of(replica.state, ask.shard)
     if not writer.serving or part.epoch != ask.epoch or writer.epochs.get(ask.shard) != ask.epoch:
         return []
-    effects, page, size = [], [], 0
-    first = part.checkpoint_at + 1
-    checkpoint = part.checkpoint
-    for record in part.records:
-        if size + len(record) > replica.times.page_bytes and page:
-            effects.append(
-                Send(
-                    sender,
-                    RecoverPage(
-                        ask.shard,
-                        ask.epoch,
-                        part.checkpoint_at,
-                        checkpoint,
-                        first,
-                        tuple(page),
-                        False,
-                    ),
-                )
-            )
-            first, page, size, checkpoint = first + len(page), [], 0, b""
-        page.append(record)
-        size += len(record)
-    effects.append(
-        Send(
-            sender,
-            RecoverPage(
-                ask.shard, ask.epoch, part.checkpoint_at, checkpoint, first, tuple(page), True
-            ),
-        )
-    )
-    return effects
+    recovery = writer.recoveries.get(ask.shard)
+    if recovery is None or recovery.epoch != ask.epoch:
+        body = state_machine.shard_snapshot(part)
+        snapshot = snapshot_transfer.make_snapshot(part.next - 1, ask.epoch, body)
+        recovery = Recovery(ask.epoch, snapshot_transfer.Outgoing(snapshot))
+        writer.recoveries[ask.shard] = recovery
+    chunks = snapshot_transfer.chunks_due(recovery.outgoing)
+    return _shard_chunks(sender, ask, chunks or [snapshot_transfer.probe(recovery.outgoing)])
+
+
+def on_chunk_reply(writer, sender, reply):
+    """A holder told how much of its shard it has: send what is due now."""
+    recovery = writer.recoveries.get(reply.shard)
+    if recovery is None or recovery.epoch != reply.epoch:
+        return []
+    if snapshot_transfer.on_ack(recovery.outgoing, reply.ack):
+        del writer.recoveries[reply.shard]
+        return []
+    return _shard_chunks(sender, reply, snapshot_transfer.chunks_due(recovery.outgoing))
+
+
+def _shard_chunks(to, about, chunks):
+    return [Send(to, ShardChunk(about.shard, about.epoch, chunk)) for chunk in chunks]
--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -7,9 +7,9 @@
 """
 
 from transport.effects import Install, Note, Send, Write
-from transport.messages import AppendEntries, AppendReply, Entry, SnapshotPart
+from transport.messages import AppendEntries, AppendReply, Entry
 
-from replication import catch_up, state_machine
+from replication import catch_up, entry_batch, snapshot_sending, state_machine
 from replication.group import (
     PeerProgress,
     counted_voters,
@@ -25,6 +25,8 @@
 )
 
 __all__ = [
+    "accept_leader",
+    "matched_reply",
     "propose",
     "send_to",
     "new_round",
@@ -41,8 +43,16 @@
 
 # Entries that go as one message.
 _PER_SEND = 64
+# Below what a connection holds, so that nothing is dropped for a peer on a slow link.
+_IN_FLIGHT_BYTES = 4 << 20
 # Entries kept behind a snapshot, for members and followers that are a little behind.
 _KEPT_ENTRIES = 256
+# For a peer that is silent so long no snapshot, and no entries after it, are kept.
+_SILENT_REVOKES = 10
+# While a snapshot is under way; a machine has some 300 MB in all.
+_RETAINED_BYTES = 16 << 20
+# A heartbeat waits behind what is sent before it on the same connection.
+_BYTES_PER_SEND = 1 << 20
 
 
 def propose(replica, now_ms, body, inline=False):
@@ -116,29 +126,21 @@
 def send_to(replica, peer, now_ms):
     peer.sent_ms = now_ms
     to = _identity_of(replica, peer)
-    if peer.next <= replica.base_index:
-        peer.next = last_index(replica) + 1
-        body = snapshot_file(replica)
-        return [
-            Send(
-                peer.address,
-                SnapshotPart(
-                    replica.group,
-                    replica.term,
-                    replica.identity,
-                    replica.address,
-                    to,
-                    replica.commit,
-                    term_at(replica, replica.commit),
-                    body,
-                ),
-            )
-        ]
-    first = peer.next
-    batch = tuple(
-        replica.log[first - replica.base_index - 1 : first - replica.base_index - 1 + _PER_SEND]
-    )
-    peer.next = first + len(batch)
+    lacks_entries = peer.next <= replica.base_index
+    if lacks_entries and now_ms - peer.heard_ms < _SILENT_REVOKES * replica.times.revoke_ms:
+        return snapshot_sending.messages_due(replica, peer, to)
+    if peer.transfer is not None:
+        snapshot_sending.finish(replica, peer)
+    first = max(peer.next, replica.base_index + 1)
+    batch = ()
+    if _window_open(peer) and not lacks_entries:
+        start = first - replica.base_index - 1
+        batch, size = entry_batch.up_to_bytes(
+            replica.log[start : start + _PER_SEND], _BYTES_PER_SEND
+        )
+    if batch:
+        peer.next = first + len(batch)
+        peer.in_flight.append((batch[-1].index, size))
     return [
         Send(
             peer.address,
@@ -158,6 +160,26 @@
     ]
 
 
+def _window_open(peer):
+    """Whether more entries may go to a peer before it answers for those under way."""
+    return sum(size for _, size in peer.in_flight) < _IN_FLIGHT_BYTES
+
+
+def accept_leader(replica, now_ms, sender, message):
+    """(whether `message` is for us and from the leader of its term, effects)."""
+    if message.to != replica.identity or (replica.group and message.group != replica.group):
+        return False, []
+    if message.term < replica.term:
+        return False, [Send(sender, _ack(replica, False, 0, 0))]
+    return True, _follow(replica, now_ms, message)
+
+
+def matched_reply(replica, round_):
+    """Up to where our synced log is known to match the leader's."""
+    matched = min(replica.synced, max(replica.verified, replica.commit))
+    return _ack(replica, True, max(replica.snapshot_index, matched), round_)
+
+
 def _follow(replica, now_ms, message):
     """Accept the sender as leader of its term; saved before we answer."""
     effects = []
@@ -193,11 +215,9 @@
 
 
 def on_entries(replica, now_ms, sender, message):
-    if message.to != replica.identity or (replica.group and message.group != replica.group):
-        return []
-    if message.term < replica.term:
-        return [Send(sender, _ack(replica, False, 0, 0))]
-    effects = _follow(replica, now_ms, message)
+    accepted, effects = accept_leader(replica, now_ms, sender, message)
+    if not accepted:
+        return effects
     if message.prev_index > last_index(replica) or (
         message.prev_index >= replica.commit
         and term_at(replica, message.prev_index) != message.prev_term
@@ -261,10 +281,10 @@
     peer.heard_ms, peer.address = now_ms, ack.address
     peer.round = max(peer.round, ack.round)
     if not ack.agreed:
-        peer.next = min(peer.next, ack.index + 1)
-        return send_to(replica, peer, now_ms)
+        return _on_mismatch(replica, peer, ack.index, now_ms)
     peer.match = max(peer.match, ack.index)
     peer.next = max(peer.next, peer.match + 1)
+    peer.in_flight = [f for f in peer.in_flight if f[0] > peer.match]
     if peer.learner:
         catch_up.on_acknowledged(peer.catch_up, peer.match, last_index(replica), now_ms)
     effects = count(replica)
@@ -273,6 +293,20 @@
     return effects
 
 
+def _on_mismatch(replica, peer, index, now_ms):
+    """The peer's log doesn't have what ours has after `index`: go back to there.
+
+    All that was under way gets the same answer; only the first of them counts, or each
+    would have the same entries sent again."""
+    again = index == peer.rewound_to and now_ms - peer.rewound_ms < replica.times.elect_ms
+    if again and peer.next > index + 1:
+        return []
+    peer.rewound_to, peer.rewound_ms = index, now_ms
+    peer.next = min(peer.next, index + 1)
+    peer.in_flight = [f for f in peer.in_flight if f[0] <= index]
+    return send_to(replica, peer, now_ms)
+
+
 def count(replica):
     """Move the commit to what a majority has synced in our own term."""
     voters = counted_voters(replica)
@@ -333,23 +367,35 @@
     replica.bytes_since_snapshot = sum(
         len(entry.body) for entry in replica.log[index - replica.base_index :]
     )
+    replica.snapshot_bytes = len(snapshot)
     return Install(index, snapshot, restart=not matches)
 
 
 def trim(replica):
-    """Take a view once enough was logged since the last, and drop what it covers."""
-    if (
-        replica.bytes_since_snapshot < replica.times.keep_bytes
-        or replica.commit <= replica.snapshot_index
-    ):
+    """Take a snapshot once enough was logged since the last, and drop what it covers."""
+    least = min(max(replica.times.keep_bytes, replica.snapshot_bytes), _RETAINED_BYTES)
+    if replica.bytes_since_snapshot < least or replica.commit <= replica.snapshot_index:
         return []
-    body, replica.snapshot_index, replica.bytes_since_snapshot = (
-        snapshot_file(replica),
-        replica.commit,
-        0,
-    )
-    keep = max(replica.base_index, replica.commit - _KEPT_ENTRIES)
+    body = snapshot_file(replica)
+    replica.snapshot_index, replica.bytes_since_snapshot = replica.commit, 0
+    replica.snapshot_bytes = len(body)
+    keep = _first_kept(replica)
     term = term_at(replica, keep)
     del replica.log[: keep - replica.base_index]
     replica.base_index, replica.base_term = keep, term
     return [Install(replica.snapshot_index, body)]
+
+
+def _first_kept(replica):
+    """The index after which entries are kept for peers that are a little behind; and
+    for one that takes in a snapshot, those after it."""
+    needed = snapshot_sending.retained_index(replica)
+    size, keep = 0, replica.commit
+    while keep > replica.base_index:
+        size += len(entry_at(replica, keep).body)
+        near = replica.commit - keep < _KEPT_ENTRIES and size <= replica.times.keep_bytes
+        wanted = needed is not None and keep > needed and size <= _RETAINED_BYTES
+        if not near and not wanted:
+            break
+        keep -= 1
+    return keep
--- a/libs/replication/src/replication/shard_log.py
+++ b/libs/replication/src/replication/shard_log.py
@@ -9,14 +9,14 @@
 from dataclasses import dataclass, field
 
 from transport.effects import Send
-from transport.messages import Append, RecoverAsk, Section
+from transport.messages import Append, RecoverAsk, Section, ShardChunkReply
 
-from replication import state_machine
+from replication import snapshot_transfer, state_machine
 
 __all__ = [
     "ShardLog",
     "recover",
-    "on_page",
+    "on_chunk",
     "append",
     "flush",
     "on_durable",
@@ -36,7 +36,8 @@
     asked_ms: float = -1e12
     checkpoint_at: int = 0
     checkpoint: bytes = b""
-    pages: list = field(default_factory=list)
+    records: list = field(default_factory=list)
+    incoming: snapshot_transfer.Incoming = field(default_factory=snapshot_transfer.Incoming)
     next: int = 1
     durable: int = 0
     sent: int = 0
@@ -47,27 +48,28 @@
 
 
 def recover(log, now_ms, card, to):
-    log.asked_ms, log.pages = now_ms, []
+    log.asked_ms = now_ms
     return [Send(to, RecoverAsk(log.shard, log.epoch, card.address, 0))]
 
 
-def on_page(log, page):
-    """Take a page; True once the shard is whole."""
-    if log.ready or page.epoch != log.epoch:
-        return False
-    expected = page.checkpoint_at + 1 + len(log.pages)
-    if page.first != expected and page.first != page.checkpoint_at + 1:
-        return False
-    if page.first == page.checkpoint_at + 1:
-        log.pages, log.checkpoint = [], page.checkpoint
-        log.checkpoint_at = page.checkpoint_at
-    log.pages.extend(page.records)
-    if not page.last:
-        return False
-    log.next = log.checkpoint_at + len(log.pages) + 1
+def on_chunk(log, now_ms, sender, message):
+    """Take a chunk of the shard: (effects, whether it is whole by now)."""
+    if log.ready or message.epoch != log.epoch:
+        return [], False
+    ack, whole = snapshot_transfer.on_chunk(log.incoming, message.chunk, now_ms)
+    effects = [Send(sender, ShardChunkReply(log.shard, log.epoch, ack))] if ack else []
+    if whole is not None:
+        _open(log, state_machine.restore_shard(whole))
+    return effects, log.ready
+
+
+def _open(log, content):
+    log.incoming = snapshot_transfer.Incoming()
+    log.checkpoint_at, log.checkpoint = content.checkpoint_at, content.checkpoint
+    log.records = list(content.records)
+    log.next = log.checkpoint_at + len(log.records) + 1
     log.durable = log.sent = log.next - 1
     log.ready = True
-    return True
 
 
 def append(log, record, then=None):
--- /dev/null
+++ b/libs/replication/src/replication/snapshot_receiving.py
@@ -0,0 +1,45 @@
+"""A replica takes in its leader's snapshot, and installs it once it is whole."""
+
+from transport.effects import Send
+from transport.replication_messages import SnapshotPart
+from transport.transfer_messages import ReplicaChunkReply
+
+from replication import log_replication, snapshot_transfer
+
+__all__ = ["on_chunk"]
+
+
+def on_chunk(replica, now_ms, sender, message):
+    """Take a chunk and tell what we hold by now."""
+    accepted, effects = log_replication.accept_leader(replica, now_ms, sender, message)
+    if not accepted:
+        return effects
+    if message.chunk.snapshot.index <= replica.commit:
+        replica.incoming = snapshot_transfer.Incoming()
+        reply = log_replication.matched_reply(replica, message.round)
+        return effects + [Send(sender, reply)]
+    ack, whole = snapshot_transfer.on_chunk(replica.incoming, message.chunk, now_ms)
+    if whole is not None:
+        replica.incoming = snapshot_transfer.Incoming()
+        return effects + _install(replica, now_ms, sender, message, whole)
+    if ack is not None:
+        reply = ReplicaChunkReply(
+            replica.term, replica.identity, replica.address, message.round, ack
+        )
+        effects.append(Send(sender, reply))
+    return effects
+
+
+def _install(replica, now_ms, sender, message, body):
+    snapshot = message.chunk.snapshot
+    part = SnapshotPart(
+        message.group,
+        message.term,
+        message.identity,
+        message.address,
+        message.to,
+        snapshot.index,
+        snapshot.term,
+        body,
+    )
+    return log_replication.on_view(replica, now_ms, sender, part)
--- a/libs/replication/src/replication/state_machine.py
+++ b/libs/replication/src/replication/state_machine.py
@@ -66,6 +66,15 @@
     records: tuple[bytes, ...]
 
 
+@dataclass(frozen=True)
+class ShardContent:
+    """A shard's newest checkpoint and the records after it."""
+
+    checkpoint_at: int
+    checkpoint: bytes
+    records: tuple[bytes, ...]
+
+
 @dataclass(frozen=True)
 class _StateSnapshot:
     shards: tuple[_ShardSnapshot, ...]
@@ -157,6 +166,15 @@
     )
 
 
+def shard_snapshot(part):
+    """What a shard's next holder needs of it."""
+    return to_bytes(ShardContent(part.checkpoint_at, part.checkpoint, tuple(part.records)))
+
+
+def restore_shard(body):
+    return from_bytes(ShardContent, body)
+
+
 def lease_section(shard, epoch, holder, incarnation):
     told = json.dumps({"holder": holder, "incarnation": incarnation}).encode()
     return Section(shard, epoch, LEASE, 0, (told,))
--- a/libs/simulation/src/simulation/breaking.py
+++ b/libs/simulation/src/simulation/breaking.py
@@ -2,8 +2,11 @@
 
 import sys
 
-from replication import follower
+from replication import snapshot_transfer, state_machine
 from routing import pieces
+from transport.effects import Send
+from transport.messages import FeedChunk
+from transport.transfer_messages import Chunk
 
 __all__ = [
     "eager",
@@ -11,7 +14,7 @@
     "any_run",
     "fearless",
     "lazy",
-    "forgetful",
+    "never_reached",
     "older",
     "no_canvass",
     "own_floor",
@@ -51,22 +54,23 @@
 def lazy(real):
     """A feed that sends only once in a long while."""
 
-    def push_to(g, node, now_ms):
-        return real(g, node, now_ms) if now_ms - node.sent_ms > 6000 else []
+    def push_to(replica, nodes, node, now_ms):
+        return real(replica, nodes, node, now_ms) if now_ms - node.sent_ms > 6000 else []
 
     return push_to
 
 
-def forgetful(real):
-    def on_view(f, message):
-        f.place = 0
-        return real(f, message)
+def never_reached(follow, place):
+    """A follower that takes any state, also one older than its own."""
+    return False
 
-    return on_view
 
-
-def older(f, place):
-    return follower.FeedSnapshot(f.term, f.place - 1, 0, follower.state_machine.snapshot(f.state))
+def older(follow, now_ms, sender, place):
+    """A fellow hands on a state from before its own."""
+    body = state_machine.snapshot(follow.state)
+    snapshot = snapshot_transfer.make_snapshot(follow.place - 1, 0, body)
+    chunk = Chunk(snapshot.id, 1, 0, body)
+    return [Send(sender, FeedChunk(follow.term, chunk))]
 
 
 def no_canvass(real):
--- a/libs/simulation/src/simulation/measure.py
+++ b/libs/simulation/src/simulation/measure.py
@@ -105,12 +105,15 @@
             self._pipes.send(effect.to, effect.message)
 
     def _take(self, message, shards):
+        now_ms = time.monotonic() * 1000
         if isinstance(message, m.FeedItems):
             follower.on_items(self._follow, message)
-        elif isinstance(message, m.FeedSnapshot):
-            follower.on_view(self._follow, message)
-        elif isinstance(message, m.RecoverPage):
-            shard_log.on_page(self._held[message.shard], message)
+        elif isinstance(message, m.FeedChunk):
+            effects, _ = follower.on_chunk(self._follow, now_ms, "driver", self._leader, message)
+            self._out(effects)
+        elif isinstance(message, m.ShardChunk):
+            held = self._held[message.shard]
+            self._out(shard_log.on_chunk(held, now_ms, self._leader, message)[0])
         elif isinstance(message, m.Durable):
             moved = 0
             for place in message.places:
--- a/libs/simulation/src/simulation/mutants.py
+++ b/libs/simulation/src/simulation/mutants.py
@@ -154,7 +154,7 @@
         "never-back",
         lambda d: [_s(2000, "cut-one-way", f"c{i}", 6000) for i in (0, 1)],
         lambda: [
-            (follower, "on_view", breaking.forgetful(follower.on_view)),
+            (follower, "_reached", breaking.never_reached),
             (follower, "_catch_up", breaking.older),
         ],
     ),
--- a/libs/transport/src/transport/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -15,11 +15,18 @@
     LeaveReply,
     LeaveRequest,
     Member,
-    SnapshotPart,
     TransferLeadership,
     VoteReply,
     VoteRequest,
 )
+from transport.transfer_messages import (
+    FeedChunk,
+    FeedChunkReply,
+    ReplicaChunk,
+    ReplicaChunkReply,
+    ShardChunk,
+    ShardChunkReply,
+)
 
 __all__ = ["KIND_OF", "TYPE_OF"]
 
@@ -152,17 +159,6 @@
     after: int
 
 
-@dataclass(frozen=True)
-class RecoverPage:
-    shard: int
-    epoch: int
-    checkpoint_at: int
-    checkpoint: bytes
-    first: int
-    records: tuple[bytes, ...]
-    last: bool
-
-
 @dataclass(frozen=True)
 class Release:
     """An orderly holder gives its grant back and names who should follow."""
@@ -206,22 +202,25 @@
     VoteReply,
     AppendEntries,
     AppendReply,
-    SnapshotPart,
+    ReplicaChunk,
     TransferLeadership,
     Ask,
     Mark,
     FeedItems,
-    FeedSnapshot,
+    FeedChunk,
     Append,
     Durable,
     Refused,
     RecoverAsk,
-    RecoverPage,
+    ShardChunk,
     Release,
     Command,
     CommandAnswer,
     LeaveRequest,
     LeaveReply,
+    ReplicaChunkReply,
+    FeedChunkReply,
+    ShardChunkReply,
 )
 KIND_OF = {kind: number for number, kind in enumerate(_ALL, 1)}
 TYPE_OF = {number: kind for kind, number in KIND_OF.items()}
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -3,12 +3,13 @@
 import heapq
 import random
 
-from replication import batch_writer, leases, log_replication, state_machine
+from replication import batch_writer, leases, log_replication, shard_log, state_machine
 from replication import group as groups
+from replication.snapshot_transfer import CHUNK_BYTES
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 from transport.effects import Send, Write
-from transport.messages import Durable, Member, Refused, Section
+from transport.messages import Durable, Member, RecoverAsk, Refused, Section, ShardChunkReply
 
 TIMES = dict(elect_ms=720.0, heartbeat_ms=180.0, ping_ms=360.0, revoke_ms=3000.0)
 
@@ -88,6 +89,20 @@
     return table
 
 
+def recovered(table, shard, epoch):
+    """A new holder's log after one ask, and the bytes in each message to it."""
+    log, sizes = shard_log.ShardLog(shard, epoch), []
+    queue = leases.on_recover(table.g, table.d, "new", RecoverAsk(shard, epoch, "new", 0))
+    while queue:
+        message = queue.pop(0).message
+        if isinstance(message, ShardChunkReply):
+            queue += leases.on_chunk_reply(table.d, "new", message)
+        else:
+            sizes.append(len(message.chunk.body))
+            queue += shard_log.on_chunk(log, 0.0, "log", message)[0]
+    return log, sizes
+
+
 class Batches(TestCase):
     def test_group_wait_keeps_shards_together(self):
         """On a slow disk eight shards share one write instead of taking turns."""
@@ -123,28 +138,24 @@
         self.assertThat([s.kind for s in table.d.staged], Equals([state_machine.LEASE]))
         late = batch_writer.stage(table.g, table.d, 0.0, "old", staged)[0].message
         self.assertThat(late.cause, Equals("epoch"))
-        ask = leases.RecoverPage(1, 2, 0, b"", 1, (), True)
+        ask = RecoverAsk(1, 2, "new", 0)
         self.assertThat(
             leases.on_recover(table.g, table.d, "new", ask),
             Equals([]),
             "recovery waits for what the old holder has in flight",
         )
         table.run(100)
-        page = leases.on_recover(table.g, table.d, "new", ask)[0].message
-        self.assertThat((page.records, page.last), Equals(((b'{"k":"a"}',), True)))
+        log, _ = recovered(table, 1, 2)
+        self.assertThat((log.records, log.ready), Equals(([b'{"k":"a"}'], True)))
         self.assertThat(table.d.next[1], Equals(2))
 
-    def test_recovery_comes_in_pages(self):
+    def test_recovery_comes_in_chunks(self):
         table = Table(1, 1.0)
         part = table.g.state.shards[0]
-        part.records = [bytes(400_000)] * 7
+        part.records = [bytes([n]) * 400_000 for n in range(7)]
         part.next = 8
-        pages = [
-            e.message
-            for e in leases.on_recover(
-                table.g, table.d, "c", leases.RecoverPage(0, 1, 0, b"", 0, (), True)
-            )
-        ]
-        self.assertThat([len(p.records) for p in pages], Equals([2, 2, 2, 1]))
-        self.assertThat([p.first for p in pages], Equals([1, 3, 5, 7]))
-        self.assertThat([p.last for p in pages], Equals([False, False, False, True]))
+        log, sizes = recovered(table, 0, 1)
+        self.assertThat(log.records, Equals(part.records))
+        self.assertThat((log.next, log.durable, log.ready), Equals((8, 7, True)))
+        self.assertThat(max(sizes) <= CHUNK_BYTES, Equals(True))
+        self.assertThat(sum(sizes) < 2_801_000, Equals(True), "each byte once")
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,6 +9,8 @@
     leaving,
     log_replication,
     reconfiguration,
+    snapshot_receiving,
+    snapshot_sending,
     state_machine,
 )
 from replication import disk as disks
@@ -24,11 +26,13 @@
     LeaveReply,
     LeaveRequest,
     Member,
-    SnapshotPart,
+    ReplicaChunk,
+    ReplicaChunkReply,
     TransferLeadership,
     VoteReply,
     VoteRequest,
 )
+from transport.replication_messages import SnapshotPart
 
 TIMES = groups.Times(elect_ms=480.0, heartbeat_ms=120.0, ping_ms=240.0, revoke_ms=1800.0)
 HANDLERS = {
@@ -37,6 +41,8 @@
     AppendEntries: lambda r, now, sender, m: log_replication.on_entries(r, now, sender, m),
     AppendReply: lambda r, now, sender, m: log_replication.on_ack(r, now, m),
     SnapshotPart: lambda r, now, sender, m: log_replication.on_view(r, now, sender, m),
+    ReplicaChunk: lambda r, now, sender, m: snapshot_receiving.on_chunk(r, now, sender, m),
+    ReplicaChunkReply: lambda r, now, _, m: snapshot_sending.on_chunk_reply(r, now, m),
 }
 
 
