Take checkpoints by bytes and while appends go on; bound what a holder sends at once

Seen red before: a checkpoint was taken only after 2,000 records and at a moment with nothing under way, which a busy shard may never have, and if its message was lost, not offered again; 58 changes of 100 KB each were all replayed at a start. A holder that offered its records again put them all into one section (16 MB of 40 records, past 32 MB the connection breaks for good). Now a checkpoint is due after as many bytes as the last one has, or 256 KB, is prepared at once, offered when all it covers is durable, and again until the feed shows it. Sections end at 1 MB with 4 MB under way, and a batch at 1 MB.

--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -12,7 +12,7 @@
 from placement import placer
 from placement import roster as rosters
 from placement.state import Placer
-from replication import shard_log
+from replication import shard_log, state_machine
 from transport import failures
 from transport.effects import Dump, Note, Reply, Send
 from transport.messages import Release
@@ -103,7 +103,8 @@
             effects += placer.tick(
                 kept, now_ms, floor.registry, ownership.shards, terms, end_ms, lost
             )
-        effects += _checkpoint(kept, card, terms, leader)
+        confirmed_at = state_machine.shard_of(follow.state, kept.shard).checkpoint_at
+        effects += _checkpoint(kept, now_ms, card, terms, leader, confirmed_at, times)
     return effects + flush(ownership, now_ms, card, leader)
 
 
@@ -115,13 +116,13 @@
     return effects
 
 
-def _checkpoint(kept, card, terms, leader):
+def _checkpoint(kept, now_ms, card, terms, leader, confirmed_at, times):
     held = kept.held
-    if not leader or held.unacked or (held.durable - held.checkpoint_at < terms.checkpoint_records):
-        return []
-    held.checkpoint_at = held.durable
-    body = registries.dump(kept.registry) if kept.shard == 0 else ledgers.dump(kept.ledger)
-    return shard_log.offer_checkpoint(held, card, leader, body)
+    if shard_log.checkpoint_due(held, terms.checkpoint_records):
+        body = registries.dump(kept.registry) if kept.shard == 0 else ledgers.dump(kept.ledger)
+        shard_log.prepare_checkpoint(held, body)
+    retry_ms = times.revoke_ms
+    return shard_log.offer_checkpoint(held, now_ms, card, leader, confirmed_at, retry_ms)
 
 
 def on_chunk(ownership, now_ms, sender, message, terms):
--- a/libs/replication/src/replication/batch_writer.py
+++ b/libs/replication/src/replication/batch_writer.py
@@ -27,7 +27,8 @@
     "wake_at",
 ]
 
-_MAX_BATCH_BYTES = 4 << 20
+# An entry goes in one message, and heartbeats wait behind it.
+_MAX_BATCH_BYTES = 1 << 20
 
 
 @dataclass
--- a/libs/replication/src/replication/shard_log.py
+++ b/libs/replication/src/replication/shard_log.py
@@ -22,11 +22,27 @@
     "on_durable",
     "on_refused",
     "resend",
+    "checkpoint_due",
+    "prepare_checkpoint",
     "offer_checkpoint",
     "barrier",
 ]
 
 
+_SECTION_BYTES = 1 << 20
+_IN_FLIGHT_BYTES = 4 << 20
+_CHECKPOINT_BYTES = 256 << 10
+
+
+@dataclass
+class PreparedCheckpoint:
+    """A state after the record at `position`, to be offered until it counts."""
+
+    position: int
+    body: bytes
+    offered_ms: float = -1e12
+
+
 @dataclass
 class ShardLog:
     shard: int
@@ -45,6 +61,9 @@
     term: int = 0
     unacked: list = field(default_factory=list)
     waiting: list = field(default_factory=list)
+    prepared: PreparedCheckpoint | None = None
+    checkpoint_bytes: int = 0
+    bytes_since_checkpoint: int = 0
 
 
 def recover(log, now_ms, card, to):
@@ -67,6 +86,8 @@
     log.incoming = snapshot_transfer.Incoming()
     log.checkpoint_at, log.checkpoint = content.checkpoint_at, content.checkpoint
     log.records = list(content.records)
+    log.checkpoint_bytes = len(content.checkpoint)
+    log.bytes_since_checkpoint = sum(len(record) for record in content.records)
     log.next = log.checkpoint_at + len(log.records) + 1
     log.durable = log.sent = log.next - 1
     log.ready = True
@@ -77,28 +98,38 @@
     position = log.next
     log.next += 1
     log.unacked.append(record)
+    log.bytes_since_checkpoint += len(record)
     if then is not None:
         log.waiting.append((position, then))
     return position
 
 
 def flush(log, now_ms, card, to):
-    """Send what was appended since the last flush as one section."""
-    if not log.ready or log.sent >= log.next - 1 or not to:
+    """Send what was appended since the last flush, in sections of bounded size, and no
+    more of it on its way than a connection holds."""
+    if not log.ready or not to:
         return []
-    first = log.sent + 1
-    records = tuple(log.unacked[first - log.durable - 1 :])
-    log.sent, log.sent_ms = log.next - 1, now_ms
-    return [
-        Send(
-            to,
-            Append(
-                card.name,
-                card.incarnation,
-                Section(log.shard, log.epoch, state_machine.RECORDS, first, records),
-            ),
-        )
-    ]
+    effects = []
+    under_way = sum(len(r) for r in log.unacked[: log.sent - log.durable])
+    while log.sent < log.next - 1 and under_way < _IN_FLIGHT_BYTES:
+        first = log.sent + 1
+        records = _section_records(log.unacked[first - log.durable - 1 :])
+        under_way += sum(len(record) for record in records)
+        log.sent, log.sent_ms = log.sent + len(records), now_ms
+        section = Section(log.shard, log.epoch, state_machine.RECORDS, first, records)
+        effects.append(Send(to, Append(card.name, card.incarnation, section)))
+    return effects
+
+
+def _section_records(records):
+    """The first of `records` that go in one section: one at least."""
+    size, count = 0, 0
+    for record in records:
+        size += len(record)
+        if count and size > _SECTION_BYTES:
+            break
+        count += 1
+    return tuple(records[:count])
 
 
 def on_durable(log, place, now_ms):
@@ -131,8 +162,38 @@
         log.sent = log.durable
 
 
-def offer_checkpoint(log, card, to, body):
-    section = Section(log.shard, log.epoch, state_machine.CHECKPOINT, log.durable, (body,))
+def checkpoint_due(log, most_records):
+    """Whether it is time for a new checkpoint: after some records, or once they have as
+    many bytes as the last checkpoint, so that a restart reads little and what checkpoints
+    cost stays in proportion to what is logged."""
+    if log.prepared is not None:
+        return False
+    records = log.next - 1 - log.checkpoint_at
+    least = max(_CHECKPOINT_BYTES, log.checkpoint_bytes)
+    return records >= most_records or log.bytes_since_checkpoint >= least
+
+
+def prepare_checkpoint(log, body):
+    """`body` is the state after all that was appended so far; it is offered once all of
+    that is durable, however much is appended meanwhile."""
+    log.prepared = PreparedCheckpoint(log.next - 1, body)
+    log.checkpoint_bytes, log.bytes_since_checkpoint = len(body), 0
+
+
+def offer_checkpoint(log, now_ms, card, to, confirmed_at, retry_ms):
+    """Send a prepared checkpoint until the feed shows that it counts."""
+    prepared = log.prepared
+    if prepared is None or log.durable < prepared.position or not to:
+        return []
+    if confirmed_at >= prepared.position:
+        log.checkpoint_at, log.prepared = confirmed_at, None
+        return []
+    if now_ms - prepared.offered_ms < retry_ms:
+        return []
+    prepared.offered_ms = now_ms
+    section = Section(
+        log.shard, log.epoch, state_machine.CHECKPOINT, prepared.position, (prepared.body,)
+    )
     return [Send(to, Append(card.name, card.incarnation, section))]
 
 
--- /dev/null
+++ b/tests/test_restart_cost.py
@@ -0,0 +1,139 @@
+"""A depot started again after hundreds of changes reads and does little."""
+
+import random
+import tempfile
+
+from adapter import configuration
+from configuration import documents
+from replication import shard_log
+from simulation import platform_made as made
+from simulation.restart_cost import SingleDepot
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+from transport import messages as m
+
+READER = configuration.READER
+ROUTES, CHANGES = 300, 500
+
+
+class Restarting(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.read = 0
+
+        def counted(real):
+            def read(item):
+                self.read += 1
+                return real(item)
+
+            return read
+
+        reader = documents.Reader(
+            READER.edition,
+            READER.routes,
+            READER.services,
+            READER.upsert,
+            READER.remove,
+            counted(READER.route),
+            counted(READER.service),
+        )
+        self.depot = SingleDepot(tempfile.mkdtemp(), reader)
+        self.depot.until(self.depot.serving)
+        self.whole = made.configuration(random.Random(1), 1, routes=ROUTES)
+        self.send(0, self.whole, False)
+
+    def send(self, expect, told, partial=True):
+        body = {"expect": expect, "written": told, "partial": partial}
+        answer = self.depot.change({**body, "change": f"c{expect}"})
+        self.assertThat(answer.status, Equals(200))
+
+    def edit(self, edition, routes=1):
+        numbers = random.Random(edition).sample(range(ROUTES), routes)
+        edited = [{**self.whole["routes"][n], "targetMs": edition} for n in numbers]
+        self.send(edition - 1, {"edition": edition, "upsert": {"routes": edited}})
+
+    def test_hundreds_of_changes(self):
+        for edition in range(2, CHANGES + 2):
+            self.edit(edition)
+        self.read = 0
+        before = self.depot.node.floor.registry
+        restart = self.depot.restart()
+        self.assertThat(self.depot.node.floor.registry.sections, Equals(before.sections))
+        self.assertThat(restart.records, LessThan(CHANGES + 3))
+        self.assertThat(self.read, LessThan(4 * (ROUTES + 2 * CHANGES)))
+        self.assertThat(restart.folder_bytes, LessThan(24 << 20))
+
+    def test_large_changes_make_checkpoints(self):
+        """By their bytes, long before there are thousands of records."""
+        for edition in range(2, 60):
+            self.edit(edition, routes=ROUTES)
+        restart = self.depot.restart()
+        self.assertThat(restart.checkpoint_bytes, GreaterThan(50_000))
+        self.assertThat(restart.records, LessThan(20))
+
+    def test_many_restarts_do_not_let_the_log_grow(self):
+        """What was logged before a start counts towards the next snapshot."""
+        edition = 1
+        for _ in range(12):
+            for _ in range(8):
+                edition += 1
+                self.edit(edition, routes=ROUTES)
+            restart = self.depot.restart()
+        self.assertThat(self.depot.node.depot.group.snapshot_index, GreaterThan(0))
+        self.assertThat(restart.folder_bytes, LessThan(24 << 20))
+
+
+class Offered(TestCase):
+    """A holder's checkpoints and sections, whatever goes on meanwhile."""
+
+    def setUp(self):
+        super().setUp()
+        self.card = m.Card("h", "depot", "z", "h", "h", "h.1")
+        self.log = shard_log.ShardLog(1, 1, ready=True)
+
+    def flush(self):
+        effects = shard_log.flush(self.log, 0.0, self.card, "a")
+        return [effect.message.section for effect in effects]
+
+    def test_sections_are_bounded_and_no_more_are_under_way_than_a_connection_holds(self):
+        for _ in range(40):
+            shard_log.append(self.log, bytes(400_000))
+        sections = self.flush()
+        sizes = [sum(len(r) for r in section.records) for section in sections]
+        self.assertThat(max(sizes), LessThan((1 << 20) + 1))
+        self.assertThat(sum(sizes), LessThan(6 << 20))
+        while self.log.durable < 40:
+            last = sections[-1].first + len(sections[-1].records) - 1
+            shard_log.on_durable(self.log, m.ShardPlace(1, 1, last), 0.0)
+            sections += self.flush()
+        self.assertThat([s.first for s in sections][:3], Equals([1, 3, 5]))
+        self.assertThat(sum(len(s.records) for s in sections), Equals(40))
+
+    def test_a_checkpoint_is_made_although_there_is_always_something_under_way(self):
+        shard_log.append(self.log, b"0")
+        for position in range(1, 51):
+            shard_log.append(self.log, b"%d" % position)
+            shard_log.on_durable(self.log, m.ShardPlace(1, 1, position), 0.0)
+            if shard_log.checkpoint_due(self.log, 20):
+                shard_log.prepare_checkpoint(self.log, b"state after %d" % (position + 1))
+            offered = shard_log.offer_checkpoint(self.log, 0.0, self.card, "a", 0, 3000.0)
+            if offered:
+                break
+        section = offered[0].message.section
+        self.assertThat((section.first, section.records), Equals((20, (b"state after 20",))))
+
+    def test_a_checkpoint_is_offered_until_it_counts(self):
+        for _ in range(20):
+            shard_log.append(self.log, b"r")
+        shard_log.on_durable(self.log, m.ShardPlace(1, 1, 20), 0.0)
+        shard_log.prepare_checkpoint(self.log, b"state")
+
+        def offers(now_ms, confirmed_at):
+            return len(
+                shard_log.offer_checkpoint(self.log, now_ms, self.card, "a", confirmed_at, 3000.0)
+            )
+
+        found = [offers(0.0, 0), offers(100.0, 0), offers(3000.0, 0), offers(3100.0, 20)]
+        self.assertThat(found, Equals([1, 0, 1, 0]))
+        self.assertThat((self.log.checkpoint_at, self.log.prepared), Equals((20, None)))
+        self.assertThat(offers(9000.0, 20), Equals(0))
