--- a/libs/simulation/src/simulation/cli.py
+++ b/libs/simulation/src/simulation/cli.py
@@ -194,7 +194,9 @@
     name = "measure"
     description = "Measure one thing: real processes, but for prefixes."
     arguments = [
-        argument("what", "batches, spread, leader-loss, window, comeback, crowd or prefixes")
+        argument(
+            "what", "batches, spread, leader-loss, window, comeback, crowd, prefixes or restart"
+        )
     ]
     options = [
         option("runs", None, "How many", flag=False, default="5"),
@@ -215,6 +217,12 @@
 
             prefixes(self.option("deployment"), runs)
             return 0
+        if self.argument("what") == "restart":
+            from simulation import restart_cost
+
+            shutil.rmtree(self.option("folder"), ignore_errors=True)
+            restart_cost.measure(4000, 100 * runs, self.option("folder"))
+            return 0
         if self.argument("what") == "batches":
             measure.batches(runs, float(self.option("seconds")))
             return 0
--- a/libs/simulation/src/simulation/restart_cost.py
+++ b/libs/simulation/src/simulation/restart_cost.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+from configuration import documents
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
 from replication import disk as disks
@@ -15,8 +16,15 @@
 from transport.effects import Install, Reply, Save, Send, Write
 from transport.messages import Member
 
-__all__ = ["Restart", "SingleDepot"]
+__all__ = ["Restart", "SingleDepot", "measure"]
 
+
+def _facts(item):
+    return {key: value for key, value in item.items() if key != "name"}
+
+
+# A form in which items are written as the facts that they stand for.
+_READER = documents.Reader("edition", "routes", "services", "upsert", "remove", _facts, _facts)
 _SEGMENT_BYTES = 8 << 20
 _TICK_MS = 40.0
 _SETTLE_MS = 20_000.0
@@ -139,3 +147,46 @@
             len(part.checkpoint),
             time.process_time() - began_s,
         )
+
+
+def _route(number, edition):
+    return {
+        "name": f"route-{number}",
+        "host": "www.example",
+        "prefix": f"/{number}/",
+        "kind": "safe",
+        "holdMs": 5000.0,
+        "aimMs": float(edition),
+        "split": [{"service": "service", "weight": 1.0}],
+        "note": "x" * 120,
+    }
+
+
+def measure(routes, changes, folder, say=print):
+    """Change one of so many routes so many times, and start anew; what it took."""
+    depot = SingleDepot(folder, _READER)
+    depot.until(depot.serving)
+    whole = {
+        "edition": 1,
+        "routes": [_route(number, 1) for number in range(routes)],
+        "services": [{"name": "service", "kind": "plain"}],
+    }
+    depot.change({"expect": 0, "written": whole, "partial": False, "change": "c1"})
+    took_ms = []
+    for edition in range(2, changes + 2):
+        told = {"edition": edition, "upsert": {"routes": [_route(edition % routes, edition)]}}
+        body = {"expect": edition - 1, "written": told, "partial": True, "change": f"c{edition}"}
+        began_s = time.process_time()
+        answer = depot.change(body)
+        took_ms.append(1000 * (time.process_time() - began_s))
+        if answer.status != 200:
+            raise AssertionError(f"refused: {answer}")
+    took_ms.sort()
+    restart = depot.restart()
+    say(
+        f"{routes} routes, {changes} changes: {took_ms[len(took_ms) // 2]:.1f} ms of processor "
+        f"time a change (median), {took_ms[-1]:.1f} at worst; a start read "
+        f"{restart.folder_bytes} bytes, {restart.entries} entries, {restart.records} records "
+        f"after a checkpoint of {restart.checkpoint_bytes} bytes, in {restart.seconds:.2f} s"
+    )
+    return restart
