--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -29,10 +29,8 @@
 
 
 class Listening(TestCase):
-    def door(self, begin, threads=16, limit_of=None):
-        door = Door(
-            "127.0.0.1", 0, threads, begin, lambda data: "rank0", WAIT_S, body_limit_of=limit_of
-        )
+    def door(self, begin, threads=16, policy=admission.PRODUCT_POLICY):
+        door = Door("127.0.0.1", 0, threads, begin, lambda data: "rank0", WAIT_S, policy=policy)
         self.address = door._listener.getsockname()
         thread = threading.Thread(target=door.run, daemon=True)
         thread.start()
@@ -122,7 +120,7 @@
 
     def test_the_limit_that_was_passed_is_told(self):
         """The one of this request, not the largest of all."""
-        door = self.door(self.begin, limit_of=admission.product_body_limit)
+        door = self.door(self.begin)
         sock = self.connect()
         sock.sendall(b"POST /v1/task HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n{")
         self.assertThat(
