A depot that thinks it is no member asks before it ends

One that was added a moment ago, and has not got the entry yet, ended at once on SIGTERM and was missed. As with votes, its own idea of the membership may be old: the leader answers one that is no member at once. An empty depot without a group still ends by itself.

Red before: test_a_depot_that_thinks_it_is_no_member_asks_too (the leaver ended without a word).

--- a/libs/replication/src/replication/leaving.py
+++ b/libs/replication/src/replication/leaving.py
@@ -52,7 +52,7 @@
     """The leaver's side.  `Finished` is repeated until the process ends."""
     if leave.done:
         return [Finished()]
-    if not replica.group or replica.identity not in members(replica):
+    if not replica.group:
         return _end(leave, "no member")
     if now_ms >= leave.until_ms:
         return election.hand_over(replica, now_ms) + _end(leave, "time is up")
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -526,3 +526,12 @@
     assert ask_to_leave(leader, "c", 200.0) == []
     acked(leader, "b", 2, 210.0)
     assert ask_to_leave(leader, "c", 220.0) == [LeaveReply("g", "c", False)]
+
+
+def test_a_depot_that_thinks_it_is_no_member_asks_too():
+    """It may have been added just now; the leader knows."""
+    newcomer = replica("d", [members_entry(1, 1, "abc")])
+    newcomer.leader_address = "a"
+    effects = leaving.tick(newcomer, leaving.begin(newcomer, 0.0), 0.0)
+    assert effects == [Send("a", LeaveRequest("g", "d"))]
+    assert ask_to_leave(committed_leader(), "d", 10.0) == [LeaveReply("g", "d", True)]
