Keep orders' connections, apart from those of reports and of callers

Ruled out: more tries; their number was about equal. Change: orders keep connections by engine, which neither reports nor requests use; one on which anything can be read is not used again. What stays open: an answer too many that arrives between that look and the order's answer; the report that follows settles the order.

--- a/libs/routing/src/routing/passing.py
+++ b/libs/routing/src/routing/passing.py
@@ -24,7 +24,8 @@
 # The first status of a final answer; those below are interim.
 _FINAL = 200
 # Connections of our own calls are kept apart from those of callers' requests.
-_OURS = "call "
+# Calls of ours bear no id: reports and orders each keep connections of their own.
+_REPORTS, _ORDERS = "report ", "order "
 _SAFE = ("GET", "HEAD")
 _WITHOUT_BODY = (204, 304)
 
@@ -226,12 +227,12 @@
 def call(pool, ask, timeout_ms, not_after_ms=None):
     """One call of ours, whole answer; refuses by itself when it is too late.  Answers
     to calls bear no id, so a call never uses a connection of callers' requests, where
-    one answer too many may still come, and an order one of its own."""
+    one answer too many may still come, nor an order one of reports."""
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         return Ended(0, b"", False, "late")
-    base = _OURS + _parts(ask.url)[0] if ask.method in _SAFE else None
+    base = (_REPORTS if ask.method in _SAFE else _ORDERS) + _parts(ask.url)[0]
     chunks, ended = [], Ended(0, b"", False, "none")
-    for kind, value in stream(pool, base, ask, timeout_ms, timeout_ms / 2, base is None):
+    for kind, value in stream(pool, base, ask, timeout_ms, timeout_ms / 2, False):
         if kind == "data":
             chunks.append(value)
             if sum(map(len, chunks)) > _LIMIT_BYTES:
