The register's model: a refused change stays refused

That is what the design wants (a refusal can't be taken back), and the model now demands it: once refused, never confirmed either.

--- a/libs/simulation/src/simulation/register/model.py
+++ b/libs/simulation/src/simulation/register/model.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from simulation.platform_made import patched
 
@@ -50,6 +50,7 @@
     body: str = ""
     zones: frozenset = frozenset()
     taken: frozenset = frozenset()
+    refused: frozenset = frozenset()
 
 
 def canonical(told):
@@ -69,21 +70,26 @@
     if outcome not in (None, TAKEN):
         return None
     zones = state.zones | {action.zone} if action.evacuated else state.zones - {action.zone}
-    return State(state.edition, state.body, zones, state.taken)
+    return replace(state, zones=zones)
 
 
 def _change(state, change, outcome):
     if change.order in state.taken:
         return state if outcome in (None, TAKEN) else None
+    if change.order in state.refused:
+        # For good: what was refused must never be in force.
+        return state if outcome in (None, STALE, INVALID) else None
+    refused = replace(state, refused=state.refused | {change.order})
     current = change.expect == state.edition
     valid = change.valid and change.edition > state.edition
     if outcome == STALE:
-        return None if current else state
+        return None if current else refused
     if outcome == INVALID:
-        return None if valid else state
+        return None if valid else refused
     if outcome not in (None, TAKEN) or not (current and valid):
         return None
     body = change.body
     if change.partial:
         body = canonical(patched(json.loads(state.body), json.loads(change.body)))
-    return State(change.edition, body, state.zones, state.taken | {change.order})
+    taken = state.taken | {change.order}
+    return replace(state, edition=change.edition, body=body, taken=taken)
