Model: starts with four and five replicas, and violations told between processes

Cause: the starts that add a machine named it D whatever names were taken, so with four and five replicas it replaced a member; the violation that this broke could not be sent to the parent process, which ended the whole report with "a process was terminated".

Change: the next free name; a violation is pickled by its two parts.

Red before: `model` with 4 replicas from `spare` and `joining`. Now every start is reached with 4 and 5 replicas.

--- a/libs/simulation/src/simulation/model/invariants.py
+++ b/libs/simulation/src/simulation/model/invariants.py
@@ -54,6 +54,9 @@
         super().__init__(f"{invariant}: {detail}")
         self.invariant, self.detail = invariant, detail
 
+    def __reduce__(self):
+        return Violation, (self.invariant, self.detail)
+
 
 # What new worlds judge: all, or a mutant's own invariant alone.
 JUDGED = [frozenset(INVARIANTS)]
--- a/libs/simulation/src/simulation/model/starts.py
+++ b/libs/simulation/src/simulation/model/starts.py
@@ -52,7 +52,7 @@
     """One member lost for good, and an empty machine of another name just started."""
     world = led(settings)
     world.crash("C")
-    world.add("D")
+    world.add(LETTERS[len(world.replicas)])
     return world
 
 
--- a/tests/test_model_search.py
+++ b/tests/test_model_search.py
@@ -1,12 +1,15 @@
 """The model checker in a small fixed share: its searches and its scripts."""
 
+import pickle
+
 import pytest
 from simulation.model import scripts
 from simulation.model.hooks import settled
+from simulation.model.invariants import Violation
 from simulation.model.machine import Settings
 from simulation.model.report import CHECK_PLAN, SEARCHES, run_search
 from simulation.model.search import search
-from simulation.model.starts import led
+from simulation.model.starts import STARTS, led
 from simulation.model.steps import Step, take
 from simulation.model.world import found
 
@@ -24,6 +27,20 @@
     scripts.run(name)
 
 
+@pytest.mark.parametrize("replicas", (4, 5))
+@pytest.mark.parametrize("name", STARTS)
+def test_every_start_is_reached_with_more_replicas(name, replicas):
+    settings, start = STARTS[name]
+    with settled(settings(replicas)):
+        world = start(settings(replicas))
+    assert len(world.replicas) >= replicas
+
+
+def test_a_violation_can_be_told_by_another_process():
+    told = pickle.loads(pickle.dumps(Violation("log-matching", "A0 at 3")))
+    assert (told.invariant, told.detail) == ("log-matching", "A0 at 3")
+
+
 def test_a_search_that_ends_has_seen_every_state():
     """Two searches of the same whole space agree, and one with less trouble is smaller."""
     settings = Settings()
