--- a/libs/membership/src/membership/peer_table.py
+++ b/libs/membership/src/membership/peer_table.py
@@ -1,12 +1,12 @@
-"""The circle: the cards of other nodes, learned from three seeds and spread.
+"""The peer table: the cards of other nodes, learned from three seeds and spread.
 
 Every node greets its seeds until it knows the group, and from then on a small
-rendezvous-chosen set of fellows, which it watches.  Greetings carry the cards
+rendezvous-chosen set of peers, which it watches.  Greetings carry the cards
 one knows and the depots' membership; the membership of the highest term and
 stamp wins and a node never goes back to an older one.  Addresses learned are
 kept, so swapped seeds matter only to those who start.
 
-Fellows that know the same names are told only of cards met lately, and how long
+Peers that know the same names are told only of cards met lately, and how long
 each node has been silent in a byte each; of two cards of one node the later met
 is the present one.
 """
@@ -65,7 +65,7 @@
 
 
 def watched(peers):
-    """The few fellows whose heartbeat this node minds."""
+    """The few peers whose heartbeat this node minds."""
     return list(_summary(peers).watched)
 
 
--- a/libs/membership/src/membership/summaries.py
+++ b/libs/membership/src/membership/summaries.py
@@ -13,13 +13,13 @@
 __all__ = ["Summary", "made", "weight", "WATCHED"]
 
 WATCHED = 4
-"""How many fellows a node watches."""
+"""How many peers a node watches."""
 
 
 @dataclass(frozen=True)
 class Summary:
     """`digest` is of all cards, the node's own included, `names_digest` of their
-    names; `names` are in order; `watched` are the fellows whom the node minds."""
+    names; `names` are in order; `watched` are the peers whom the node minds."""
 
     card: Card
     cards: dict
--- a/libs/pulleyhitch/src/pulleyhitch/introspection.py
+++ b/libs/pulleyhitch/src/pulleyhitch/introspection.py
@@ -119,7 +119,7 @@
         },
     }
     if node.depot is not None:
-        told["depot"] = depots.view_of(node.depot)
+        told["depot"] = depots.described(node.depot)
     return told
 
 
--- a/libs/replication/src/replication/__init__.py
+++ b/libs/replication/src/replication/__init__.py
@@ -1,3 +1,3 @@
-"""The replicated log: shared batches, grants, views, and the feed of it."""
+"""The replicated log: shared batches, leases, snapshots, and the feed of it."""
 
 __all__ = ["depot", "disk", "follower", "group", "shard_log", "state_machine"]
--- a/libs/replication/src/replication/batch_writer.py
+++ b/libs/replication/src/replication/batch_writer.py
@@ -1,4 +1,4 @@
-"""The log node's desk: sections staged, batches cut, positions told.
+"""The log node's batch writer: sections staged, batches cut, positions told.
 
 Sections arrive pipelined; epoch and place are checked before anything is
 staged.  Whoever writes next takes all that is staged as one batch.  Nothing
@@ -44,7 +44,7 @@
     staged: list = field(default_factory=list)
     next: dict = field(default_factory=dict)
     epochs: dict = field(default_factory=dict)
-    pipes: dict = field(default_factory=dict)
+    connections: dict = field(default_factory=dict)
     flights: list = field(default_factory=list)
     last_write_ms: float = 1e9
     flush_ms: float = 1.0
@@ -71,7 +71,7 @@
     epoch = writer.epochs.get(section.shard, 0)
     if section.epoch != epoch:
         return [Send(sender, Refused(section.shard, section.epoch, "epoch", epoch))]
-    writer.pipes[section.shard] = sender
+    writer.connections[section.shard] = sender
     if section.kind == state_machine.CHECKPOINT:
         writer.staged.append(section)
         return []
@@ -100,7 +100,7 @@
 
 
 def stage_own(writer, section):
-    """Stage a record of the log node's own; a grant drops the old holder's."""
+    """Stage a record of the log node's own; a lease drops the old holder's."""
     if section.kind == state_machine.LEASE:
         writer.staged = [s for s in writer.staged if s.shard != section.shard]
         writer.epochs[section.shard] = section.epoch
@@ -148,16 +148,17 @@
 
 
 def settle(replica, writer, now_ms):
-    """Tell each pipe, in one frame, the new durable places of its shards."""
+    """Tell each connection, in one frame, the new durable places of its shards."""
     told = {}
     while writer.flights and writer.flights[0].index <= replica.commit:
         flight = writer.flights.pop(0)
         writer.flush_ms += 0.25 * (now_ms - flight.sent_ms - writer.flush_ms)
         writer.last_done_ms = now_ms
         for place in flight.places:
-            if place.shard in writer.pipes and place.epoch == writer.epochs.get(place.shard):
-                told.setdefault(writer.pipes[place.shard], {})[place.shard] = place
+            if place.shard in writer.connections and place.epoch == writer.epochs.get(place.shard):
+                told.setdefault(writer.connections[place.shard], {})[place.shard] = place
                 writer.told_ms[place.shard] = now_ms
     return [
-        Send(pipe, Durable(replica.term, tuple(places.values()))) for pipe, places in told.items()
+        Send(connection, Durable(replica.term, tuple(places.values())))
+        for connection, places in told.items()
     ]
--- a/libs/replication/src/replication/depot.py
+++ b/libs/replication/src/replication/depot.py
@@ -26,7 +26,7 @@
 )
 from replication.group import Replica, group_card
 
-__all__ = ["Depot", "handle", "view_of"]
+__all__ = ["Depot", "handle", "described"]
 
 
 @dataclass
@@ -42,7 +42,7 @@
 
 
 def handle(depot, now_ms, event, cards, known):
-    """`cards` are the fellows known by name; `known` is the group that any of
+    """`cards` are the peers known by name; `known` is the group that any of
     them ever spoke of, or nothing."""
     replica = depot.group
     if isinstance(event, Tick):
@@ -136,7 +136,7 @@
 
 
 def _after(depot, now_ms):
-    """What follows any event: open or close the desk, write, tell, feed."""
+    """What follows any event: open or close the batch writer, write, tell, feed."""
     replica = depot.group
     effects = []
     if replica.role != "leader":
@@ -161,7 +161,7 @@
     return effects + log_replication.trim(replica)
 
 
-def view_of(depot):
+def described(depot):
     """What an operator may see of this depot."""
     replica, writer = depot.group, depot.writer
     return {
--- a/libs/replication/src/replication/disk.py
+++ b/libs/replication/src/replication/disk.py
@@ -31,7 +31,7 @@
 
 
 class Loaded:
-    """What a folder held when it was opened: files by name, view, entries."""
+    """What a folder held when it was opened: files by name, snapshot, entries."""
 
     def __init__(self, files, entries):
         self.files, self.entries = files, entries
--- a/libs/replication/src/replication/election.py
+++ b/libs/replication/src/replication/election.py
@@ -1,7 +1,7 @@
-"""Who leads the depots: trials, canvasses, ballots, stepping down.
+"""Who leads the depots: pre-votes, vote requests, votes, stepping down.
 
-A depot first asks whether it would win (a trial, which moves no term), so a
-depot that was cut off disturbs nobody when it comes back; whoever refuses a trial
+A depot first asks whether it would win (a pre-vote, which moves no term), so a
+depot that was cut off disturbs nobody when it comes back; whoever refuses a pre-vote
 tells its own term, so that a fresher log behind in terms can catch up.  A vote is saved
 before it is told.  The leader leaves when a majority has not answered its
 rounds, or when its own disk stalls, and names whom it wants to follow it.
@@ -67,7 +67,7 @@
     restart_clock(replica, now_ms)
     replica.role, replica.pre_vote, replica.votes = "candidate", True, {replica.identity}
     replica.leader = replica.leader_address = ""
-    return _canvass(replica, replica.term + 1, False) + _count(replica, now_ms, False)
+    return _request_votes(replica, replica.term + 1, False) + _count(replica, now_ms, False)
 
 
 def _stalled(replica, now_ms):
@@ -113,7 +113,7 @@
     return effects
 
 
-def _canvass(replica, term, named):
+def _request_votes(replica, term, named):
     ask = VoteRequest(
         replica.group,
         term,
@@ -137,7 +137,7 @@
         replica.leader = replica.leader_address = ""
         return (
             [save_promise(replica)]
-            + _canvass(replica, replica.term, named)
+            + _request_votes(replica, replica.term, named)
             + _count(replica, now_ms, named)
         )
     return _lead(replica, now_ms)
@@ -205,18 +205,18 @@
     return effects + [Send(sender, VoteReply(replica.term, replica.identity, granted, False))]
 
 
-def on_vote_reply(replica, now_ms, ballot):
-    if not ballot.granted:
-        return step_back(replica, ballot.term, now_ms) if ballot.term > replica.term else []
+def on_vote_reply(replica, now_ms, reply):
+    if not reply.granted:
+        return step_back(replica, reply.term, now_ms) if reply.term > replica.term else []
     wanted = replica.term + 1 if replica.pre_vote else replica.term
-    if replica.role != "candidate" or ballot.pre_vote != replica.pre_vote or ballot.term != wanted:
+    if replica.role != "candidate" or reply.pre_vote != replica.pre_vote or reply.term != wanted:
         return []
-    replica.votes.add(ballot.identity)
+    replica.votes.add(reply.identity)
     return _count(replica, now_ms, False)
 
 
 def on_transfer_leadership(replica, now_ms, message):
-    """We were named: canvass at once, skipping the trial."""
+    """We were named: ask for votes at once, skipping the pre-vote."""
     if (
         message.term != replica.term
         or replica.role == "leader"
--- a/libs/replication/src/replication/follower.py
+++ b/libs/replication/src/replication/follower.py
@@ -1,9 +1,9 @@
 """Following the feed: how any node comes to the current state, and knows it.
 
-A follower applies numbered entries in order, starting from a view where the
+A follower applies numbered entries in order, starting from a snapshot where the
 log no longer reaches back.  It never goes back to an older place.  Its age is
 measured on its own clock from the moment it *sent* the ask whose mark it has
-caught up with.  Nodes that cannot reach the log node ask fellows, who answer
+caught up with.  Nodes that cannot reach the log node ask peers, who answer
 once their own mark is newer than the question.
 """
 
@@ -30,7 +30,7 @@
     "on_chunk",
     "on_chunk_reply",
     "on_items",
-    "on_view",
+    "on_snapshot",
     "on_mark",
     "age",
     "on_relay_ask",
@@ -48,7 +48,7 @@
 
 @dataclass
 class Relayed:
-    """Our state on its way to a fellow, and when that was last heard of."""
+    """Our state on its way to a peer, and when that was last heard of."""
 
     outgoing: snapshot_transfer.Outgoing
     heard_ms: float = -1e12
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True)
 class News:
-    """Sections that counted, in order; or `rebuilt` when a view replaced all."""
+    """Sections that counted, in order; or `rebuilt` when a snapshot replaced all."""
 
     sections: tuple = ()
     rebuilt: bool = False
@@ -112,7 +112,7 @@
 
 
 def _remember(follow, entry):
-    """Keep the newest entries for fellows who ask, within some bytes."""
+    """Keep the newest entries for peers who ask, within some bytes."""
     follow.recent.append(entry)
     follow.recent_bytes += len(entry.body)
     while len(follow.recent) > _RECENT or follow.recent_bytes > _RECENT_BYTES:
@@ -131,14 +131,14 @@
         return effects, News()
     follow.incoming = snapshot_transfer.Incoming()
     snapshot = FeedSnapshot(message.term, chunk.snapshot.index, chunk.snapshot.term, whole)
-    return effects, on_view(follow, snapshot)
+    return effects, on_snapshot(follow, snapshot)
 
 
 def _reached(follow, place):
     return place <= follow.place
 
 
-def on_view(follow, message):
+def on_snapshot(follow, message):
     if _reached(follow, message.place):
         return News()
     follow.state, follow.place = state_machine.restore(message.body), message.place
@@ -167,14 +167,14 @@
 
 
 def on_relay_ask(follow, now_ms, sender, message):
-    """A fellow without the log node asks us: answer once we know better."""
+    """A peer without the log node asks us: answer once we know better."""
     follow.relays = [r for r in follow.relays if r[0] != sender][-32:]
     follow.relays.append((sender, message, now_ms))
     return []
 
 
 def relay(follow, now_ms):
-    """Answer the fellows whose question is older than our newest mark."""
+    """Answer the peers whose question is older than our newest mark."""
     effects = []
     for sender, asked, at_ms in follow.relays:
         if follow.current_ms < at_ms:
@@ -187,7 +187,7 @@
 
 
 def _catch_up(follow, now_ms, sender, place):
-    """What a fellow at `place` lacks: entries, or the state if we don't have them all."""
+    """What a peer at `place` lacks: entries, or the state if we don't have them all."""
     if follow.recent and follow.recent[0].index <= place + 1:
         follow.relayed.pop(sender, None)
         due = (entry for entry in follow.recent if entry.index > place)
@@ -213,7 +213,7 @@
 
 
 def _state(follow):
-    """Our state as a snapshot; one that is on its way to another fellow, if it is new
+    """Our state as a snapshot; one that is on its way to another peer, if it is new
     enough for the entries that we keep to follow on it."""
     oldest = follow.recent[0].index if follow.recent else follow.place + 1
     for relayed in follow.relayed.values():
@@ -224,7 +224,7 @@
 
 
 def on_chunk_reply(follow, now_ms, sender, reply):
-    """A fellow told how much of our state it holds: send what is due now."""
+    """A peer told how much of our state it holds: send what is due now."""
     relayed = follow.relayed.get(sender)
     if relayed is None:
         return []
--- a/libs/replication/src/replication/group.py
+++ b/libs/replication/src/replication/group.py
@@ -1,7 +1,7 @@
 """The replication group's state, and the small questions asked of it.
 
 The log's entries are the batches of the shared log.  Terms are numbered;
-every promise is saved before it is told.  `election`, `copying` and `desk`
+every promise is saved before it is told.  `election`, `log_replication` and `batch_writer`
 work on this state; they return effects and never touch a clock or a socket.
 """
 
--- a/libs/replication/src/replication/leases.py
+++ b/libs/replication/src/replication/leases.py
@@ -1,6 +1,6 @@
 """Who holds which shard: choosing, revoking, recovering.
 
-Grants are records of the log, so epochs never go back whoever leads.  A
+Leases are records of the log, so epochs never go back whoever leads.  A
 holder that is silent too long, that takes in nothing of what it is sent for as
 long (it may still speak), or that restarted, is followed by the live counter
 that a rendezvous hash names, or by the one the holder named.  Time in which this
@@ -143,7 +143,7 @@
     section = state_machine.lease_section(shard, part.epoch + 1, name, nodes.seen[name].incarnation)
     batch_writer.stage_own(writer, section)
     writer.next[shard] = max(flying + [part.next - 1]) + 1
-    return [Note("grants", {"shard": shard, "epoch": section.epoch, "to": name})]
+    return [Note("leases", {"shard": shard, "epoch": section.epoch, "to": name})]
 
 
 def on_release(replica, writer, nodes, now_ms, message):
--- a/libs/replication/src/replication/log_replication.py
+++ b/libs/replication/src/replication/log_replication.py
@@ -1,4 +1,4 @@
-"""Copying the log between depots: entries, acks, views, commits.
+"""Copying the log between depots: entries, acknowledgements, snapshots, commits.
 
 The leader sends what another depot lacks without waiting for earlier answers;
 an ack names the last entry that is synced there and known to match, so it is
@@ -32,7 +32,7 @@
     "new_round",
     "on_entries",
     "on_ack",
-    "on_view",
+    "on_snapshot",
     "on_written",
     "acknowledged",
     "advance",
@@ -324,7 +324,7 @@
 
 
 def advance(replica, commit):
-    """Apply entries up to `commit` to the book."""
+    """Apply entries up to `commit` to the state machine."""
     while replica.commit < commit:
         entry = entry_at(replica, replica.commit + 1)
         state_machine.apply_body(replica.state, entry.body, entry.index)
@@ -334,7 +334,7 @@
     return []
 
 
-def on_view(replica, now_ms, sender, message):
+def on_snapshot(replica, now_ms, sender, message):
     if (
         message.to != replica.identity
         or message.term < replica.term
--- a/libs/replication/src/replication/shard_log.py
+++ b/libs/replication/src/replication/shard_log.py
@@ -1,6 +1,6 @@
 """A shard as its holder sees it: recover, append, act once durable.
 
-The holder learns of its grant from the feed, recovers the shard in pages, and
+The holder learns of its lease from the feed, recovers the shard in pages, and
 then pipelines records.  What it appended is kept until the log node's
 cumulative position covers it, and is offered again to a new log node, which
 skips what it already has.  Actions wait behind the position they depend on.
--- a/libs/replication/src/replication/snapshot_receiving.py
+++ b/libs/replication/src/replication/snapshot_receiving.py
@@ -42,4 +42,4 @@
         snapshot.term,
         body,
     )
-    return log_replication.on_view(replica, now_ms, sender, part)
+    return log_replication.on_snapshot(replica, now_ms, sender, part)
--- a/libs/replication/src/replication/state_machine.py
+++ b/libs/replication/src/replication/state_machine.py
@@ -1,6 +1,6 @@
 """The replicated state: what every depot, and every follower, makes of the log.
 
-A book holds, for each shard, its epoch, its holder, its newest checkpoint and
+A state machine holds, for each shard, its epoch, its holder, its newest checkpoint and
 the records after it; and the depots' membership.  `apply` is the only way it
 changes and is the same everywhere.  Sections of a stale epoch or a wrong
 place change nothing, so a deposed holder can never add to a shard.
--- a/libs/simulation/src/simulation/breaking.py
+++ b/libs/simulation/src/simulation/breaking.py
@@ -16,7 +16,7 @@
     "lazy",
     "never_reached",
     "older",
-    "no_canvass",
+    "no_election",
     "own_floor",
     "never_lingers",
     "shareless",
@@ -73,7 +73,7 @@
     return [Send(sender, FeedChunk(follow.term, chunk))]
 
 
-def no_canvass(real):
+def no_election(real):
     """Nobody canvasses after the first leader."""
 
     def tick(g, now_ms):
--- a/libs/simulation/src/simulation/model/mutants.py
+++ b/libs/simulation/src/simulation/model/mutants.py
@@ -85,7 +85,7 @@
     Mutant(
         "a snapshot drops what lies past it",
         "acknowledged-kept",
-        [(log_replication, "on_view", variants.drops_suffix)],
+        [(log_replication, "on_snapshot", variants.drops_suffix)],
         script="late_snapshot",
     ),
     Mutant(
@@ -97,7 +97,7 @@
     Mutant(
         "a snapshot keeps what does not follow it",
         "terms-ordered",
-        [(log_replication, "on_view", variants.keeps_all)],
+        [(log_replication, "on_snapshot", variants.keeps_all)],
         script="differing_snapshot",
     ),
     Mutant(
@@ -140,7 +140,7 @@
         [(log_replication, "trim", variants.removes_too_much)],
     ),
     Mutant(
-        "no election after the first", "serves-again", [(election, "tick", variants.no_canvass)]
+        "no election after the first", "serves-again", [(election, "tick", variants.no_election)]
     ),
     Mutant(
         "an acknowledgement of one removed",
--- a/libs/simulation/src/simulation/model/variants.py
+++ b/libs/simulation/src/simulation/model/variants.py
@@ -27,7 +27,7 @@
     "settles_early",
     "drops_last",
     "removes_too_much",
-    "no_canvass",
+    "no_election",
     "strict_others",
 ]
 
@@ -95,20 +95,20 @@
     index = chunk.snapshot.index if chunk else message.index
     if index < replica.commit:
         replica.commit = min(replica.commit, index - 1)
-    return _REAL["on_snapshot"](replica, now_ms, sender, message)
+    return _REAL["snapshot_handler"](replica, now_ms, sender, message)
 
 
 def drops_suffix(replica, now_ms, sender, message):
     """A snapshot drops what was synced past it."""
     if replica.commit < message.index < groups.last_index(replica):
         log_replication._cut(replica, message.index + 1)
-    return _REAL["on_view"](replica, now_ms, sender, message)
+    return _REAL["on_snapshot"](replica, now_ms, sender, message)
 
 
 def keeps_all(replica, now_ms, sender, message):
     """A snapshot keeps what lies past it, though it doesn't follow."""
     past = [e for e in replica.log if e.index > message.index]
-    effects = _REAL["on_view"](replica, now_ms, sender, message)
+    effects = _REAL["on_snapshot"](replica, now_ms, sender, message)
     if groups.last_index(replica) == message.index:
         replica.log = past
     return effects
@@ -165,7 +165,7 @@
     return max(0, index - 4).to_bytes(8, "big") + body[8:]
 
 
-def no_canvass(replica, now_ms):
+def no_election(replica, now_ms):
     return _REAL["tick"](replica, now_ms) if replica.role == "leader" or not replica.term else []
 
 
@@ -180,15 +180,15 @@
 
     SNAPSHOT_HANDLER = (_receiving, "on_chunk")
 except ImportError:  # Snapshots go as one message.
-    SNAPSHOT_HANDLER = (log_replication, "on_view")
+    SNAPSHOT_HANDLER = (log_replication, "on_snapshot")
 
 _REAL = {
-    "on_snapshot": getattr(*SNAPSHOT_HANDLER),
+    "snapshot_handler": getattr(*SNAPSHOT_HANDLER),
     "on_vote_request": election.on_vote_request,
     "open_replica": groups.open_replica,
     "on_entries": log_replication.on_entries,
     "_ack": log_replication._ack,
-    "on_view": log_replication.on_view,
+    "on_snapshot": log_replication.on_snapshot,
     "propose": log_replication.propose,
     "settle": batch_writer.settle,
     "load_entries": disks.load_entries,
--- a/libs/simulation/src/simulation/mutants.py
+++ b/libs/simulation/src/simulation/mutants.py
@@ -259,7 +259,7 @@
         "no election after the first",
         "service-back",
         lambda d: [_s(4000, "kill-leader")],
-        lambda: [(election, "tick", breaking.no_canvass(election.tick))],
+        lambda: [(election, "tick", breaking.no_election(election.tick))],
     ),
     Mutant(
         "nobody gives up",
--- a/libs/transport/src/transport/connections.py
+++ b/libs/transport/src/transport/connections.py
@@ -1,9 +1,9 @@
-"""TCP pipes between our processes.
+"""TCP connections between our processes.
 
-Each node listens on one address and dials whom it talks to; a pipe carries
+Each node listens on one address and dials whom it talks to; a connection carries
 frames one way, and the first of them says who dialled.  One thread watches all
-pipes, so that they cost none however many fellows there are; what fits is written
-at once by whoever sends.  Nothing here resends: a message on a broken pipe is
+connections, so that they cost none however many peers there are; what fits is written
+at once by whoever sends.  Nothing here resends: a message on a broken connection is
 lost, and the state machines above know that.
 """
 
@@ -32,7 +32,7 @@
 
 @dataclass
 class _Line:
-    """A pipe that we dial: what waits to be written, and since when it has."""
+    """A connection that we dial: what waits to be written, and since when it has."""
 
     to: str
     sock: socket.socket = None
@@ -44,7 +44,7 @@
 
 @dataclass
 class _Reader:
-    """A pipe that somebody dialled."""
+    """A connection that somebody dialled."""
 
     sock: socket.socket
     intake: frames.Intake = field(default_factory=frames.Intake)
@@ -68,11 +68,11 @@
         self._selector.register(self._listener, selectors.EVENT_READ, None)
         self._selector.register(self._bell, selectors.EVENT_READ, None)
         self._wanted = []
-        threading.Thread(target=self._run, name="pipes", daemon=True).start()
+        threading.Thread(target=self._run, name="connections", daemon=True).start()
 
     def send(self, to, message):
         if not to.rpartition(":")[2].isdigit():
-            self._on_note("pipe-nowhere", {"to": to, "kind": type(message).__name__})
+            self._on_note("connection-nowhere", {"to": to, "kind": type(message).__name__})
             return
         data = frames.pack(message)
         with self._lock:
@@ -86,7 +86,7 @@
             if line.sock is None:
                 return
             if len(line.out) > _LINE_BYTES:
-                self._on_note("pipe-full", {"to": to})
+                self._on_note("connection-full", {"to": to})
                 return
             if not line.out:
                 line.moved_s = time.monotonic()
@@ -95,7 +95,7 @@
                 self._write(line)
 
     def close(self):
-        """Take no more pipes; those that are open end with their other side."""
+        """Take no more connections; those that are open end with their other side."""
         self._closed = True
         self._wake()
 
@@ -140,7 +140,7 @@
             line.sock.close()
         line.sock, line.opened, line.out = None, False, bytearray()
         line.not_before_s = time.monotonic() + self._stall_s / 10
-        self._on_note("pipe-lost", {"to": line.to, "cause": cause})
+        self._on_note("connection-lost", {"to": line.to, "cause": cause})
 
     def _write(self, line):
         """Write what fits; the rest waits for the watching thread."""
@@ -236,15 +236,15 @@
             reader.sock.close()
 
     def _take(self, reader, data):
-        """Hand on whole messages; False if this pipe is to be closed."""
+        """Hand on whole messages; False if this connection is to be closed."""
         found, broken = frames.feed(reader.intake, data)
         for message in found:
             if not reader.sender:
                 if not isinstance(message, Greet):
-                    self._on_note("pipe-rude", {"kind": type(message).__name__})
+                    self._on_note("connection-rude", {"kind": type(message).__name__})
                     return False
                 reader.sender = message.card.address
             self._on_message(reader.sender, message)
         if broken:
-            self._on_note("pipe-broken", {"from": reader.sender, "cause": broken.cause})
+            self._on_note("connection-broken", {"from": reader.sender, "cause": broken.cause})
         return not broken
--- a/libs/transport/src/transport/effects.py
+++ b/libs/transport/src/transport/effects.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True)
 class Install:
-    """Replace the log: a view at `index`, everything before it dropped."""
+    """Replace the log: a snapshot at `index`, everything before it dropped."""
 
     index: int
     body: bytes
--- a/libs/transport/src/transport/frames.py
+++ b/libs/transport/src/transport/frames.py
@@ -1,8 +1,8 @@
-"""Frames on a pipe.
+"""Frames on a connection.
 
 A frame is a fixed header (magic, form, kind, size, checksum) and a body that
 `codec` understands.  `feed` takes whatever bytes arrived and gives back the
-whole messages among them; a broken frame is a typed failure, and the pipe
+whole messages among them; a broken frame is a typed failure, and the connection
 that carried it is closed by the caller, nothing else.
 """
 
--- a/libs/transport/src/transport/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -161,7 +161,7 @@
 
 @dataclass(frozen=True)
 class Release:
-    """An orderly holder gives its grant back and names who should follow."""
+    """An orderly holder gives its lease back and names who should follow."""
 
     name: str
     shard: int
--- a/libs/transport/src/transport/replication_messages.py
+++ b/libs/transport/src/transport/replication_messages.py
@@ -103,7 +103,7 @@
 
 @dataclass(frozen=True)
 class TransferLeadership:
-    """The leader asks its named successor to canvass at once."""
+    """The leader asks its named successor to ask for votes at once."""
 
     term: int
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -40,7 +40,7 @@
     VoteReply: lambda r, now, sender, m: election.on_vote_reply(r, now, m),
     AppendEntries: lambda r, now, sender, m: log_replication.on_entries(r, now, sender, m),
     AppendReply: lambda r, now, sender, m: log_replication.on_ack(r, now, m),
-    SnapshotPart: lambda r, now, sender, m: log_replication.on_view(r, now, sender, m),
+    SnapshotPart: lambda r, now, sender, m: log_replication.on_snapshot(r, now, sender, m),
     ReplicaChunk: lambda r, now, sender, m: snapshot_receiving.on_chunk(r, now, sender, m),
     ReplicaChunkReply: lambda r, now, _, m: snapshot_sending.on_chunk_reply(r, now, m),
 }
@@ -183,7 +183,7 @@
     follower = replica("b")
     append(follower, "a", LOG, Entry(0, 0, b""))
     assert acknowledged(log_replication.on_written(follower, 0.0, 7, 3)) == [7]
-    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert groups.last_index(follower) == 7
     assert [groups.term_at(follower, i) for i in (5, 6, 7)] == [3, 3, 3]
     assert (follower.commit, follower.synced) == (5, 7)
@@ -196,7 +196,7 @@
     follower = replica("b")
     entries = [*LOG[:5], members_entry(6, 3, "abd"), LOG[6]]
     append(follower, "a", entries, Entry(0, 0, b""))
-    log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert set(groups.members(follower)) == set("abd")
 
 
@@ -205,7 +205,7 @@
     follower = replica("b")
     append(follower, "a", LOG[:4], Entry(0, 0, b""))
     append(follower, "a", LOG[4:], LOG[3])
-    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert acknowledged(effects) == [5]
     assert acknowledged(log_replication.on_written(follower, 0.0, 7, 3)) == [5]
     assert acknowledged(log_replication.on_written(follower, 0.0, 4, 3)) == [7]
@@ -214,7 +214,7 @@
 def test_a_snapshot_that_does_not_fit_the_log_replaces_it():
     stale = [members_entry(1, 1, "abc")] + [plain_entry(i, 2) for i in range(2, 8)]
     follower = replica("b", stale, term=2)
-    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert (groups.last_index(follower), groups.last_term(follower)) == (5, 3)
     assert acknowledged(effects) == [5]
     assert [e.restart for e in effects if isinstance(e, Install)] == [True]
@@ -227,7 +227,7 @@
     follower = replica("b")
     append(follower, "a", LOG, Entry(0, 0, b""), commit=7)
     assert (follower.commit, follower.synced) == (7, 0)
-    effects = log_replication.on_view(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert acknowledged(effects) == [0]
 
 
--- a/tests/test_waybill.py
+++ b/tests/test_waybill.py
@@ -104,7 +104,8 @@
         seen = [got.get(timeout=20) for _ in range(3)]
         self.assertIn((CARD.address, messages.TransferLeadership(9)), seen)
         self.assertThat(
-            {notes.get(timeout=20)[0] for _ in range(2)}, Equals({"pipe-broken", "pipe-rude"})
+            {notes.get(timeout=20)[0] for _ in range(2)},
+            Equals({"connection-broken", "connection-rude"}),
         )
 
 
