Orders name the count of orders that the engine must have taken

Cause of LIMIT: a call whose connection a cut held up ends here without an answer, but its bytes reach the engine when the link heals, seconds later (its socket is closed, not reset). Meanwhile a report had settled the order, the model was unloaded and another was loaded in its room; the late call bore the same fence, so the engine took it. Waiting out every call doesn't help: the bytes may come after its end. Change: reports tell how many orders an engine has taken; each order names the count on which its room was worked out, and the engine refuses it at any other. The count is kept in placement.order_counts: learned from a report of an idle engine, advanced by an order taken, doubted after a refusal, and nothing is ordered while it is unknown. A report that shows fewer orders than are known settles nothing. What engines answer was measured by a stub: an order that holds already is not counted, one under way is answered 202 again, and the count goes before both what holds and the room.

--- a/libs/placement/src/placement/again.py
+++ b/libs/placement/src/placement/again.py
@@ -2,25 +2,33 @@
 
 An order is called once; its answer says whether it was taken.  An order that was
 taken is given again when it should be done: an engine that holds it answers so at
-once, sooner than its reports tell.  Giving it again can do no harm, since it is
-the same order under the same epoch.
+once, sooner than its reports tell.  Either call may reach the engine long after it
+has ended here, so both name the count of orders that the engine is to have taken.
 """
 
 from transport.effects import Call, Wake
 
 from placement import ledger as ledgers
-from placement import line, world
-from placement.state import log
+from placement import line, order_counts, world
+from placement.state import PendingCall, log
 
-__all__ = ["call", "due", "on_answer"]
+__all__ = ["call", "due", "on_answer", "order_body"]
 
 _ADAPTER_MS = 15.0
 _LEAST_PAUSE_MS = 20.0
 
 
+def order_body(p, engine, item, order):
+    """What every call of an order says, the first one and those that give it again."""
+    body = {"epoch": p.epoch, "order": order, "item": item}
+    expected = order_counts.expected(p, engine)
+    return body if expected is None else {**body, "expected": expected}
+
+
 def call(p, now_ms, id_, verb, engine, body, terms, item, order, not_after_ms=float("inf")):
     """A call to an engine, remembered until it ends."""
-    p.calls[id_] = (verb, engine["name"], item, order, now_ms)
+    expected = body.get("expected")
+    p.calls[id_] = PendingCall(verb, engine["name"], item, order, now_ms, expected)
     return Call(
         f"{p.shard}|{p.epoch}|{id_}",
         engine["name"],
@@ -32,13 +40,18 @@
     )
 
 
-def on_answer(p, now_ms, id_, called, verb, engine, item, order, terms):
+def on_answer(p, now_ms, id_, called, pending, terms):
     """Log what an order's answer proves."""
+    engine, item, order = pending.engine, pending.item, pending.order
+    first = id_ == order
+    state = _answered(called, pending.verb)
+    if first and state == "taken":
+        order_counts.taken(p, now_ms, engine, pending.expected)
+    if first and state == "refused" and called.code:
+        order_counts.doubt(p, now_ms, engine)
     entry = p.ledger.engines.get(engine, {}).get(item)
     if entry is None or entry["order"] != order:
         return
-    first = id_ == order
-    state = _answered(called, verb)
     if not first and state in ("refused", "unknown", "taken"):
         return
     if state in ("loaded", "unloaded"):
@@ -80,7 +93,7 @@
         return []
     effects, soon_ms = [], float("inf")
     for engine in world.engines_of(registry, name):
-        if not world.usable(registry, engine):
+        if not world.usable(registry, engine) or not order_counts.known(p, engine["name"]):
             continue
         for item, entry in p.ledger.engines.get(engine["name"], {}).items():
             order, end_ms = entry["order"], p.call_end_ms.get(entry["order"])
@@ -104,7 +117,7 @@
                     f"again:{order}",
                     entry["verb"],
                     engine,
-                    {"epoch": p.epoch, "item": item, "order": order},
+                    order_body(p, engine["name"], item, order),
                     terms,
                     item,
                     order,
--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -14,7 +14,7 @@
 from transport.rendezvous import weight
 
 from placement import ledger as ledgers
-from placement import line, orders, world
+from placement import line, order_counts, orders, world
 from placement.demand import FADE_MS, rate, tell
 
 __all__ = ["plan"]
@@ -112,10 +112,10 @@
 
 def _idle(v, engine):
     """Whether an order may be given to an engine now."""
+    if v.p.demand.pauseMs.get(engine, 0.0) > v.now_ms or not order_counts.known(v.p, engine):
+        return False
     items = v.p.ledger.engines.get(engine, {})
-    return v.p.demand.pauseMs.get(engine, 0.0) <= v.now_ms and not any(
-        e["state"] != "loaded" for e in items.values()
-    )
+    return all(e["state"] == "loaded" for e in items.values())
 
 
 def _bring(v, item, most):
--- a/libs/placement/src/placement/orders.py
+++ b/libs/placement/src/placement/orders.py
@@ -6,8 +6,8 @@
 takeover, so two holders together never spend more than one may.
 """
 
+from placement import again, line, order_counts, placement, world
 from placement import ledger as ledgers
-from placement import line, placement, world
 from placement.state import log
 
 __all__ = ["plan", "give", "store_allows"]
@@ -69,11 +69,9 @@
     number = p.ledger.orderCount + 1
     order = f"{p.shard}.{p.epoch}.{number}"
     body = {
+        **again.order_body(p, engine, item, order),
         "shard": p.shard,
-        "epoch": p.epoch,
-        "order": order,
         "number": number,
-        "item": item,
         "roomMb": mb,
         "places": places,
     }
@@ -84,6 +82,14 @@
     )
 
 
+def _may_order(p, engine):
+    """Whether an engine may be given an order now; one that counts its orders carries
+    out one at a time, so nothing is given beside one that is under way."""
+    if order_counts.expected(p, engine) is None:
+        return order_counts.known(p, engine)
+    return all(e["state"] == "loaded" for e in p.ledger.engines.get(engine, {}).values())
+
+
 def _moving(p, registry, engine, item, made, sizes):
     """Whether a copy's new place comes up, or can, while this one still serves."""
     return any(
@@ -108,6 +114,8 @@
             continue
         if not missing and world.size_of(registry, item) is not None:
             continue
+        if not _may_order(p, engine.name):
+            return
         if (engine.name, item) in p.refused_ms or _moving(
             p, registry, engine.name, item, made, sizes
         ):
@@ -120,6 +128,8 @@
     items = p.ledger.engines.get(engine.name, {})
     if item in items or (engine.name, item) in p.refused_ms:
         return False
+    if not _may_order(p, engine.name):
+        return False
     base = item.partition("/")[0]
     if "/" in item and not ledgers.loaded(p.ledger, engine.name, base):
         return False
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -11,7 +11,7 @@
 from transport import failures
 from transport.effects import Reply, Wake
 
-from placement import again, asked, demand, line, orders, placement, settle, world
+from placement import again, asked, demand, line, order_counts, orders, placement, settle, world
 from placement import ledger as ledgers
 from placement.state import log
 
@@ -81,7 +81,9 @@
 def _pause(p, engine, service, terms):
     """How long to wait between reports; where orders tell their own end, reports are
     only for what was left in doubt."""
-    if not service.get("byDemand") or any(
+    if not service.get("byDemand") or not order_counts.known(p, engine["name"]):
+        return terms.report_ms
+    if any(
         e["state"] == "unknown" or (e["state"] == "intended" and e["order"] not in p.calls)
         for e in p.ledger.engines.get(engine["name"], {}).values()
     ):
@@ -96,6 +98,7 @@
         log(p, ledgers.dropped_record(engine))
         p.reports.pop(engine, None)
         p.polls.pop(engine, None)
+        order_counts.forget(p, engine)
     for order, service in list(p.ledger.lingering.items()):
         last_ms = max(terms.dark_ms, 2 * p.loadMs.get(service, 0.0))
         if now_ms - p.linger_ms.setdefault(order, now_ms) >= last_ms:
@@ -128,17 +131,18 @@
 
 def on_called(p, now_ms, id_, called, registry, shards, terms):
     """A call ended: a report is settled, an order's answer is logged."""
-    known = p.calls.pop(id_, None)
-    if known is None:
+    pending = p.calls.pop(id_, None)
+    if pending is None:
         return []
-    verb, engine, item, order, asked_ms = known
-    if verb == "report":
+    if pending.verb == "report":
+        engine = pending.engine
         if called.code == 200:
-            settle.on_report(p, now_ms, engine, called.body, asked_ms - terms.lagMs, registry)
+            asked_ms = pending.asked_ms - terms.lagMs
+            settle.on_report(p, now_ms, engine, called.body, asked_ms, registry)
         elif engine in p.reports and now_ms - p.reports[engine].asked_ms > terms.dark_ms:
             del p.reports[engine]
         return []
-    again.on_answer(p, now_ms, id_, called, verb, engine, item, order, terms)
+    again.on_answer(p, now_ms, id_, called, pending, terms)
     return [Wake(now_ms)] if terms.turnMs else []
 
 
--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -3,11 +3,12 @@
 A report says what is on an engine now.  It settles an order only if it was
 asked for after the order's call had ended; a changed incarnation means that
 everything ordered of the old one is forgotten.  What no order explains is
-recorded as found, and charged.
+recorded as found, and charged.  A report of an engine that counts its orders says
+nothing if it is older than what is known of that count.
 """
 
 from placement import ledger as ledgers
-from placement import line, world
+from placement import line, order_counts, world
 from placement.state import Report, log
 
 __all__ = ["on_report"]
@@ -18,7 +19,13 @@
     if facts is None or not _sound(body):
         return
     report = Report(
-        body["incarnation"], body["roomMb"], body["adapterPlaces"], dict(body["items"]), asked_ms
+        body["incarnation"],
+        body["roomMb"],
+        body["adapterPlaces"],
+        dict(body["items"]),
+        asked_ms,
+        bool(body.get("busy")),
+        body.get("orders"),
     )
     p.reports[engine] = report
     if p.ledger.incarnations.get(engine) != report.incarnation:
@@ -32,11 +39,15 @@
                 _on_their_way(p, engine, asked_ms),
             ),
         )
+        order_counts.forget(p, engine)
+        order_counts.read(p, now_ms, engine, report)
+        return
+    if order_counts.outdated(p, engine, report):
         return
     items = p.ledger.engines.get(engine, {})
     for item, entry in list(items.items()):
         seen = report.items.get(item)
-        if body.get("busy") and entry["state"] != "loaded" and seen != "loaded":
+        if report.busy and entry["state"] != "loaded" and seen != "loaded":
             continue
         state = _settled(p, now_ms, entry, seen, asked_ms)
         if state == "loaded" and entry["verb"] == "load":
@@ -59,6 +70,7 @@
     }
     if strange:
         log(p, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
+    order_counts.read(p, now_ms, engine, report)
 
 
 def _on_their_way(p, engine, asked_ms):
@@ -93,6 +105,7 @@
         and all(isinstance(s, str) for s in body["items"].values())
         and isinstance(body.get("roomMb"), int)
         and isinstance(body.get("adapterPlaces"), int)
+        and isinstance(body.get("orders"), int | None)
     )
 
 
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -7,7 +7,7 @@
 from placement import demand as demands
 from placement import ledger as ledgers
 
-__all__ = ["Placer", "Terms", "Report", "log"]
+__all__ = ["Placer", "Terms", "Report", "PendingCall", "log"]
 
 
 @dataclass(frozen=True)
@@ -32,6 +32,21 @@
     places: int
     items: dict
     asked_ms: float
+    busy: bool = False
+    orders: int | None = None
+
+
+@dataclass(frozen=True)
+class PendingCall:
+    """A call to an engine that hasn't ended; `item` and `order` are empty for a report.
+    `expected`: the count of orders that the engine is to have taken, None if any."""
+
+    verb: str
+    engine: str
+    item: str
+    order: str
+    asked_ms: float
+    expected: int | None = None
 
 
 @dataclass
@@ -57,6 +72,8 @@
     linger_ms: dict = field(default_factory=dict)
     again_ms: dict = field(default_factory=dict)
     changed_ms: dict = field(default_factory=dict)
+    order_counts: dict = field(default_factory=dict)
+    count_doubt_ms: dict = field(default_factory=dict)
     demand: demands.Demand = field(default_factory=demands.Demand)
 
 
--- a/libs/simulation/src/simulation/placing.py
+++ b/libs/simulation/src/simulation/placing.py
@@ -1,6 +1,8 @@
 """A placer driven without processes, against plain engines that carry out one order
 at a time; time is simulated."""
 
+import heapq
+import itertools
 from dataclasses import dataclass, field
 
 from placement import placer, state, world
@@ -8,7 +10,7 @@
 from transport.effects import Call, Reply
 from transport.events import Called
 
-__all__ = ["TERMS", "PlainEngine", "Scene", "engine_facts"]
+__all__ = ["TERMS", "Late", "PlainEngine", "Scene", "engine_facts"]
 
 TERMS = state.Terms(call_ms=960.0, report_ms=450.0, dark_ms=3000.0, turnMs=0.0, lagMs=300.0)
 SHARDS = 4
@@ -16,9 +18,19 @@
 _REPORT_LAG_MS = TERMS.lagMs - _TICK_MS
 
 
+@dataclass(frozen=True)
+class Late:
+    """An order that a broken link holds up: its call ends without an answer after
+    `ends_ms`, and the engine reads it after `arrives_ms`, though nobody waits any more."""
+
+    ends_ms: float
+    arrives_ms: float
+
+
 @dataclass
 class PlainEngine:
-    """`broken`: what an engine would fall over, or a rule be broken, by."""
+    """`broken`: what an engine would fall over, or a rule be broken, by.  `count`: how
+    many orders it has taken."""
 
     name: str
     sizes: dict
@@ -29,6 +41,7 @@
     known: set = field(default_factory=set)
     order: tuple = ()
     done_ms: float = 0.0
+    count: int = 0
     reports: list = field(default_factory=list)
     store_ms: list = field(default_factory=list)
     orders: list = field(default_factory=list)
@@ -59,34 +72,38 @@
             e.known.add(item)
     kept = [r for r in e.reports if r[0] <= now_ms - _REPORT_LAG_MS]
     e.reports = [r for r in e.reports if r[0] > now_ms - 2000] or kept[-1:]
-    e.reports.append((now_ms, tuple(sorted(e.items)), bool(e.order)))
+    e.reports.append((now_ms, tuple(sorted(e.items)), bool(e.order), e.count))
 
 
 def _told(e, now_ms):
     """A report as things stood some while ago."""
     old = [r for r in e.reports if r[0] <= now_ms - _REPORT_LAG_MS] or e.reports[:1]
-    _, items, busy = old[-1]
+    _, items, busy, count = old[-1]
     return {
         "incarnation": e.name,
         "roomMb": 1 << 40,
         "adapterPlaces": 1 << 20,
         "items": {i: "loaded" for i in items},
         "busy": busy,
+        "orders": count,
     }
 
 
-def _ordered(e, now_ms, verb, item):
+def _ordered(e, now_ms, verb, item, expected=None):
     """An order's answer; what it breaks is kept."""
     e.orders.append((now_ms, verb, item))
-    if (verb == "load") == (item in e.items):
-        return 200
     if e.order:
         return 202 if e.order == (verb, item) else 409
+    if expected is not None and expected != e.count:
+        return 409
+    if (verb == "load") == (item in e.items):
+        return 200
+    if "/" in item and item.partition("/")[0] not in e.items:
+        return 400
+    e.count += 1
     if verb == "unload":
         e.items = {i for i in e.items if i.partition("/")[0] != item and i != item}
         return 202
-    if "/" in item and item.partition("/")[0] not in e.items:
-        return 400
     there = e.items | {item}
     if sum(e.sizes[i][0] for i in there) > e.roomMb or (
         sum(e.sizes[i][1] for i in there) > e.places
@@ -101,7 +118,7 @@
 
 class Scene:
     """`step` lets a tick's time pass.  `answers(call)` may give an order's answer in
-    the engine's place, or say that it is "lost" or that the order is "unsent"."""
+    the engine's place, or say that it is "lost", that the order is "unsent", or `Late`."""
 
     def __init__(self, registry, service, engines, answers=None):
         self.registry, self.service, self.now_ms = registry, service, 10000.0
@@ -110,11 +127,17 @@
         self.p.not_before_ms = 0.0
         self.engines = {e.name: e for e in engines}
         self.calls, self.told, self._answers = [], [], answers or (lambda call: None)
+        self._later, self._numbers = [], itertools.count()
+
+    def _after(self, pause_ms, action):
+        heapq.heappush(self._later, (self.now_ms + pause_ms, next(self._numbers), action))
 
     def step(self):
         self.now_ms += _TICK_MS
         for engine in self.engines.values():
             _advance(engine, self.now_ms)
+        while self._later and self._later[0][0] <= self.now_ms:
+            heapq.heappop(self._later)[2]()
         self._do(
             placer.tick(
                 self.p,
@@ -159,7 +182,18 @@
             told = Called(call.id, 200, _told(engine, self.now_ms))
         elif told == "unsent":
             told = Called(call.id, 0, {}, False)
+        elif isinstance(told, Late):
+            self._after(told.arrives_ms, lambda: self._order(engine, call))
+            self._after(told.ends_ms, lambda: self._called(id_, Called(call.id, 0)))
+            return
         elif told in (None, "lost"):
-            code = _ordered(engine, self.now_ms, call.verb, call.body["item"])
+            code = self._order(engine, call)
             told = Called(call.id, code if told is None else 0)
-        placer.on_called(self.p, self.now_ms, id_, told, self.registry, SHARDS, TERMS)
+        self._called(id_, told)
+
+    def _order(self, engine, call):
+        body = call.body
+        return _ordered(engine, self.now_ms, call.verb, body["item"], body.get("expected"))
+
+    def _called(self, id_, told):
+        self._do(placer.on_called(self.p, self.now_ms, id_, told, self.registry, SHARDS, TERMS))
--- a/libs/simulation/src/simulation/platform_engine.py
+++ b/libs/simulation/src/simulation/platform_engine.py
@@ -220,6 +220,8 @@
     e.fence = told["fenceNumber"]
     if adapter and (model not in e.items or adapter not in e.sizes.models[model][1]):
         return 400
+    if e.order == (verb, model, adapter):
+        return 202
     if e.order or told.get("expectedCount", e.callSeq) != e.callSeq:
         return 409
     if (verb == "load") == _has(e, model, adapter):
--- /dev/null
+++ b/tests/test_order_counts.py
@@ -0,0 +1,161 @@
+"""The count of orders that an engine has taken: learned, advanced, doubted."""
+
+import test_platform_again
+from adapter import engines
+from placement import order_counts
+from placement.state import Placer, Report
+from replication.shard_log import ShardLog
+from simulation.placing import PlainEngine, _ordered
+from testtools import TestCase
+from testtools.matchers import Equals, Not
+
+
+def report(orders, asked_ms, busy=False):
+    return Report("i", 1, 1, {}, asked_ms, busy, orders)
+
+
+class Counts(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.placer = Placer(1, 1, ShardLog(1, 1, ready=True))
+
+    def read(self, told, now_ms=100.0):
+        self.placer.reports["e"] = told
+        order_counts.read(self.placer, now_ms, "e", told)
+
+    def state(self):
+        return order_counts.known(self.placer, "e"), order_counts.expected(self.placer, "e")
+
+    def test_nothing_is_known_before_a_report(self):
+        self.assertThat(self.state(), Equals((False, None)))
+        self.read(report(4, 90.0, busy=True))
+        self.assertThat(self.state(), Equals((False, None)))
+        self.read(report(4, 90.0))
+        self.assertThat(self.state(), Equals((True, 4)))
+
+    def test_an_engine_that_counts_nothing_is_ordered_without_a_count(self):
+        self.read(report(None, 90.0))
+        self.assertThat(self.state(), Equals((True, None)))
+        self.assertFalse(order_counts.outdated(self.placer, "e", report(None, 0.0)))
+
+    def test_taken_orders_advance_it_once_each(self):
+        self.read(report(4, 90.0))
+        order_counts.taken(self.placer, 110.0, "e", 4)
+        self.assertThat(self.state(), Equals((True, 5)))
+        order_counts.taken(self.placer, 120.0, "e", 4)
+        self.assertThat(self.state(), Equals((True, 5)))
+
+    def test_an_earlier_report_is_outdated_and_a_later_one_is_believed(self):
+        self.read(report(4, 90.0))
+        order_counts.taken(self.placer, 110.0, "e", 4)
+        self.assertTrue(order_counts.outdated(self.placer, "e", report(4, 110.0)))
+        self.assertFalse(order_counts.outdated(self.placer, "e", report(5, 105.0)))
+        late = report(4, 111.0)
+        self.assertFalse(order_counts.outdated(self.placer, "e", late))
+        self.read(late)
+        self.assertThat(self.state(), Equals((True, 4)))
+
+    def test_doubt_lasts_until_a_later_report_of_an_idle_engine(self):
+        self.read(report(4, 90.0))
+        order_counts.doubt(self.placer, 120.0, "e")
+        self.assertThat(self.state(), Equals((False, None)))
+        self.assertTrue(order_counts.outdated(self.placer, "e", report(4, 120.0)))
+        self.assertFalse(order_counts.outdated(self.placer, "e", report(5, 121.0)))
+        self.read(report(5, 121.0, busy=True))
+        self.assertThat(self.state(), Equals((False, None)))
+        self.read(report(5, 130.0))
+        self.assertThat(self.state(), Equals((True, 5)))
+
+    def test_a_new_engine_under_the_name_is_unknown(self):
+        self.read(report(4, 90.0))
+        order_counts.doubt(self.placer, 120.0, "e")
+        order_counts.forget(self.placer, "e")
+        self.assertFalse(order_counts.outdated(self.placer, "e", report(0, 95.0)))
+        self.assertThat(self.state()[1], Equals(None))
+
+
+class Given(test_platform_again.Orders):
+    """The counts that orders name, by what their answers and the reports said."""
+
+    def report(self, items, at, busy=False, orders=3):
+        super().report(items, at, busy, orders)
+
+    def named(self):
+        return self.calls[-1].body.get("expected")
+
+    def test_each_call_names_the_count_that_it_must_find(self):
+        order = self.give()
+        self.assertThat(self.named(), Equals(3))
+        self.answer(order, 202)
+        self.now_ms += 1000
+        (call,) = self.due()
+        self.assertThat(call.body["expected"], Equals(4))
+        self.answer(call.id.split("|", 2)[2], 200)
+        self.answer(self.give("unload"), 200)
+        self.assertThat(self.named(), Equals(4))
+        self.answer(self.give(), 202)
+        self.assertThat(self.named(), Equals(4))
+
+    def test_a_call_that_a_cut_held_up_is_refused_when_it_arrives(self):
+        """The report settles the order while its second call is still on its way; the
+        model is unloaded, another one is loaded in its room, and the call arrives."""
+        sizes = {i: (100.0, 0) for i in ("other", self.model, "next")}
+        engine = PlainEngine("e0", sizes, 200.0, 8, 100.0, {"other"}, count=3)
+        self.answer(self.give(), _ordered(engine, 0.0, "load", self.model, self.named()))
+        engine.items, engine.order = {"other", self.model}, ()
+        self.now_ms += 1000
+        (held_up,) = self.due()
+        self.now_ms += 1000
+        self.answer(held_up.id.split("|", 2)[2], 0)
+        self.report(["other", self.model], at=self.now_ms - 10, orders=4)
+        self.assertThat(self.state(), Equals("loaded"))
+        self.answer(self.give("unload"), _ordered(engine, 0.0, "unload", self.model, self.named()))
+        engine.order = ()
+        self.assertThat(_ordered(engine, 0.0, "load", "next", 5), Equals(202))
+        engine.items, engine.order = {"other", "next"}, ()
+        body = held_up.body
+        self.assertThat(
+            _ordered(engine, 0.0, "load", body["item"], body.get("expected")), Equals(409)
+        )
+        self.assertThat(engine.broken, Equals([]))
+
+    def test_a_refusal_ends_orders_until_a_later_report(self):
+        self.answer(self.give(), 409)
+        self.assertFalse(order_counts.known(self.p, "e0"))
+        self.report(["other"], at=self.now_ms - 1, orders=7)
+        self.assertFalse(order_counts.known(self.p, "e0"))
+        self.now_ms += 500
+        self.report(["other"], at=self.now_ms - 10, orders=7)
+        self.give()
+        self.assertThat(self.named(), Equals(7))
+
+    def test_a_report_from_before_an_order_settles_nothing(self):
+        """One that was asked for later, but shows fewer orders than have been taken."""
+        self.answer(self.give(), 202)
+        self.report(["other"], at=self.now_ms, orders=3)
+        self.assertThat(self.state(), Equals("taken"))
+
+    def test_an_unsent_order_leaves_the_count_known(self):
+        self.answer(self.give(), 0, begun=False)
+        self.assertTrue(order_counts.known(self.p, "e0"))
+
+
+class Wire(TestCase):
+    def body(self, **told):
+        ask = engines.call_ask(
+            "http://e", "load", {"engine": "i", "holder": "n", "epoch": 2, "item": "m", **told}
+        )
+        return ask.body.decode()
+
+    def test_an_order_names_its_count_if_it_has_one(self):
+        self.assertThat(self.body(expected=0), Equals(self.body()[:-1] + ', "expectedCount": 0}'))
+        self.assertThat("expectedCount" in self.body(expected=None), Equals(False))
+
+    def test_a_report_tells_the_count_or_none(self):
+        for told, count in (("7", 7), ("true", None), ('"7"', None), ("null", None), ("7.5", None)):
+            found = engines.read_call(
+                "report", {"engine": "i"}, 200, b'{"parcels": [], "callSeq": %s}' % told.encode()
+            )
+            self.assertThat(found["orders"], Equals(count), told)
+        found = engines.read_call("report", {"engine": "i"}, 200, b'{"parcels": []}')
+        self.assertThat((found["orders"], found), Not(Equals((None, {}))))
--- a/tests/test_platform_again.py
+++ b/tests/test_platform_again.py
@@ -30,10 +30,10 @@
         self.registry.engines["e0"] = self.facts = engine_facts("e0", self.service)
         self.model = whole["services"][0]["engine"]["parcels"][0]["name"]
         self.p = state.Placer(1, 1, ShardLog(1, 1, ready=True))
-        self.p.not_before_ms, self.now_ms = 0.0, 1000.0
+        self.p.not_before_ms, self.now_ms, self.calls = 0.0, 1000.0, []
         self.report(["other"], at=900.0)
 
-    def report(self, items, at, busy=False):
+    def report(self, items, at, busy=False, orders=None):
         """A report asked for at a time, its lag taken off, and answered now."""
         settle.on_report(
             self.p,
@@ -45,6 +45,7 @@
                 "adapterPlaces": 1 << 20,
                 "items": {i: "loaded" for i in items},
                 "busy": busy,
+                "orders": orders,
             },
             at,
             self.registry,
@@ -58,6 +59,7 @@
             self.p, self.now_ms, waiting[-1][1], self.registry, TERMS, ENDS_MS
         )
         self.assertThat(call.verb, Equals(verb))
+        self.calls.append(call)
         return call.id.split("|", 2)[2]
 
     def answer(self, id_, code, begun=True):
