Send nothing to an engine for a caller that has left before its request is looked at

Cause: a request that was whole before its caller left was passed on all the same and broken off at the first pause; after a freeze of a node these are all that came meanwhile. Such a caller may have sent its request again under another id, so its engine works for nobody, and an unsafe request runs beside the second one. Ruled out: callers in line, whose leaving is seen by the listener.

--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -11,6 +11,7 @@
 
 from routing.relaying import Relaying
 from transport import failures
+from transport.ends import hung_up
 from werkzeug.serving import WSGIRequestHandler, make_server
 from werkzeug.wrappers import Request, Response
 
@@ -67,9 +68,11 @@
         return self._door.empty()
 
     def _begin(self, caller):
-        """First look at a request: answer it, or find that its task must wait."""
+        """First look at a request: answer it, or find that its task must wait.  Nothing is
+        sent to an engine for a caller that has left by now, as many have when this node
+        wakes from a freeze: it may have sent its request again under another id."""
         handler = Handler(caller, caller.address, self._front)
-        if not handler.whole:
+        if not handler.whole or hung_up(caller.sock):
             return None
         request = Request(handler.told)
         told = self._dialect.read_caller(request, handler.target)
