Charge an item the larger of its size when ordered and its size now

Cause: found while looking for LIMIT elsewhere: an entry kept the size under which it was ordered, so a configuration that tells more left an engine with less room than counted. Change: room is worked out by world.charged, which asks the layout too.

--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -137,7 +137,7 @@
 
     def pushed(name):
         items = v.p.ledger.engines[name]
-        usedMb, places = ledgers.charged(v.p.ledger, name)
+        usedMb, places = world.charged(v.registry, v.p.ledger, name)
         if places + size[1] <= v.engines[name].places and (
             usedMb + size[0] <= v.engines[name].roomMb
         ):
@@ -175,7 +175,7 @@
 def _pushed(v, name, model, size_mb):
     """(cost, models to push out) to make room on an engine, or None."""
     items = v.p.ledger.engines.get(name, {})
-    usedMb, _ = ledgers.charged(v.p.ledger, name)
+    usedMb, _ = world.charged(v.registry, v.p.ledger, name)
     free_mb = v.engines[name].roomMb - usedMb
     if free_mb >= size_mb:
         return 0.0, ()
@@ -186,7 +186,11 @@
         young = v.now_ms - v.p.demand.up_ms.get((name, other), -1e12) < _KEEP_MS
         if (other in v.waited and v.copies.get(other, 1) <= 1) or young:
             continue
-        own_mb = sum(e["mb"] for i, e in items.items() if i.partition("/")[0] == other)
+        own_mb = sum(
+            world.charge_of(v.registry, i, e)[0]
+            for i, e in items.items()
+            if i.partition("/")[0] == other
+        )
         found.append((_worth(v, other), other, own_mb))
     cost, out = 0.0, []
     for worth, other, own_mb in sorted(found):
--- a/libs/placement/src/placement/orders.py
+++ b/libs/placement/src/placement/orders.py
@@ -134,7 +134,7 @@
     if "/" in item and not ledgers.loaded(p.ledger, engine.name, base):
         return False
     size = world.size_of(registry, item)
-    usedMb, used_places = ledgers.charged(p.ledger, engine.name)
+    usedMb, used_places = world.charged(registry, p.ledger, engine.name)
     return (
         size is not None
         and usedMb + size[0] <= engine.roomMb
--- a/libs/placement/src/placement/world.py
+++ b/libs/placement/src/placement/world.py
@@ -18,6 +18,8 @@
     "wishes_of",
     "shares_of",
     "size_of",
+    "charge_of",
+    "charged",
     "engines_of",
     "placement_engines",
     "room_of",
@@ -57,6 +59,20 @@
     return facts.get("roomMb", 0), facts["places"], found["partner"]
 
 
+def charge_of(registry, item, entry):
+    """(room, adapter places) that a ledger's entry may be using: its size when it was
+    ordered or the one told now, whichever is more, since a layout may have changed it."""
+    told = size_of(registry, item) or (0, 0)
+    return max(entry["mb"], told[0]), max(entry["places"], told[1])
+
+
+def charged(registry, ledger, engine):
+    """(room, adapter places) that all entries on this engine may be using."""
+    items = ledger.engines.get(engine, {})
+    charges = [charge_of(registry, item, entry) for item, entry in items.items()]
+    return sum(mb for mb, _ in charges), sum(places for _, places in charges)
+
+
 def shares_of(service):
     return service["shares"] or {service["partner"]: 1.0}
 
--- /dev/null
+++ b/tests/test_room_changes.py
@@ -0,0 +1,44 @@
+"""Room is worked out with the larger size where a configuration has changed one."""
+
+import copy
+
+import test_platform_again
+from configuration import registry as registries
+from placement import orders, world
+from simulation import platform_made
+from testtools.matchers import Equals
+
+
+class Resized(test_platform_again.Orders):
+    def configure(self, weightMb):
+        """The next configuration, in which the model weighs so much."""
+        self.whole = copy.deepcopy(self.whole)
+        self.whole["edition"] += 1
+        self.whole["services"][0]["engine"]["parcels"][0]["weightMb"] = weightMb
+        body = {"expect": self.whole["edition"] - 1, "written": self.whole, "partial": False}
+        record, _, failure = registries.decide(self.registry, "written", body)
+        self.assertThat(failure, Equals(None))
+        registries.apply(self.registry, record)
+
+    def setUp(self):
+        made = []
+        configuration = platform_made.configuration
+        self.patch(
+            platform_made,
+            "configuration",
+            lambda *how: made.append(configuration(*how)) or made[-1],
+        )
+        super().setUp()
+        self.whole = made[0]
+
+    def charge(self):
+        return world.charged(self.registry, self.p.ledger, "e0")[0]
+
+    def test_a_model_that_grows_or_shrinks_while_it_is_up(self):
+        ordered_mb = world.size_of(self.registry, self.model)[0]
+        before_mb = self.charge()
+        orders.give(self.p, "e0", self.model, "load", ordered_mb, 0, self.service)
+        self.assertThat(self.charge(), Equals(before_mb + ordered_mb))
+        for told_mb, charged_mb in ((1000 * ordered_mb, 1000 * ordered_mb), (1.0, ordered_mb)):
+            self.configure(told_mb)
+            self.assertThat(self.charge(), Equals(before_mb + charged_mb))
