Count retries by service, in a module of their own

The bound is one for each service, but a router had one budget for all: what the many streams earned was spent at the service whose engines failed. Ruled out: callers' own tries (they are new requests), attempts that nothing was sent on. Change: routing.retry_budget holds a budget for each service; choice.py loses 44 lines that had to do with retries. A request for a service that no layout knows earns nothing.

--- a/libs/routing/src/routing/choice.py
+++ b/libs/routing/src/routing/choice.py
@@ -16,15 +16,11 @@
 
 __all__ = [
     "Crew",
-    "Budget",
     "choose",
     "limit",
     "notice",
     "broke",
     "ready_in",
-    "asked",
-    "may_retry",
-    "retry_allowed",
 ]
 
 _PARTS = (1.0, 0.85, 0.6)
@@ -42,35 +38,6 @@
     zone: str = ""
 
 
-@dataclass
-class Budget:
-    """Tasks asked and legs tried again, both fading over one window."""
-
-    asked: float = 0.0
-    again: float = 0.0
-    at_ms: float = 0.0
-
-
-def _fade(b, now_ms, window_ms):
-    kept = math.exp(-max(0.0, now_ms - b.at_ms) / window_ms)
-    b.asked, b.again, b.at_ms = b.asked * kept, b.again * kept, now_ms
-
-
-def asked(b, now_ms, window_ms):
-    _fade(b, now_ms, window_ms)
-    b.asked += 1
-
-
-def may_retry(b, now_ms, window_ms, ratio, allowance=1.0, peek=False):
-    """Whether one more leg tried again keeps within its share of the traffic of
-    the last while; the one that does is counted."""
-    _fade(b, now_ms, window_ms)
-    if b.again + 1 > allowance + ratio * b.asked:
-        return False
-    b.again += not peek
-    return True
-
-
 def _part(rank):
     return _PARTS[min(rank, 2)]
 
@@ -176,14 +143,3 @@
         if r.busy.get(engine["name"], 0) < bound:
             return engine
     return min(order, key=lambda e: r.busy.get(e["name"], 0))
-
-
-def _part_of(r, crew):
-    """Our part of the retries that all counters together may make beside the ratio."""
-    return max(1.0, r.terms.retryAllowance / max(1, len(crew.names)))
-
-
-def retry_allowed(r, now_ms, age_ms, crew, peek=False):
-    return age_ms <= r.terms.staleMs and may_retry(
-        r.budget, now_ms, r.terms.retryWindowMs, r.terms.retryRatio, _part_of(r, crew), peek
-    )
--- a/libs/routing/src/routing/resuming.py
+++ b/libs/routing/src/routing/resuming.py
@@ -4,7 +4,7 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice
+from routing import retry_budget
 from routing.tasks import Leg
 
 __all__ = ["resume"]
@@ -20,7 +20,7 @@
         engine is None
         or floors.incarnation(floor, engine) != incarnation
         or (now_ms >= task.end_ms)
-        or not choice.retry_allowed(r, now_ms, 0.0, crew)
+        or not retry_budget.retry_allowed(r, now_ms, task.service, 0.0, crew)
     ):
         return [Reply(token, failures.StreamCut("not-resumed", 0))]
     r.resumed += 1
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -13,7 +13,7 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, engine_lives
+from routing import choice, engine_lives, retry_budget
 from routing.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 
 __all__ = [
@@ -61,12 +61,12 @@
     """A caller's task has come in."""
     r.tasks[task.token] = task
     task.since_ms = now_ms
-    choice.asked(r.budget, now_ms, r.terms.retryWindowMs)
     if age_ms > r.terms.staleMs:
         return _fail(r, task, failures.Stale(int(r.terms.staleMs), int(min(age_ms, 1e9))))
     service = registries.services(floor.registry).get(task.service)
     if service is None:
         return _fail(r, task, failures.UnknownService(task.service))
+    retry_budget.count_request(r, now_ms, task.service)
     if service["kind"] == "models" and not world.size_of(
         floor.registry, item_name(task.model, task.adapter)
     ):
@@ -183,7 +183,7 @@
         or not task.repeatable
         or not task.legs
         or task.sent >= task.tries
-        or (not choice.retry_allowed(r, now_ms, age_ms, crew, True))
+        or not retry_budget.retry_allowed(r, now_ms, task.service, age_ms, crew, True)
     ):
         return [Reply(token, Stay())]
     engine, item = task.legs[-1], item_name(task.model, task.adapter) if task.model else ""
@@ -279,7 +279,7 @@
     if not again:
         r.tasks.pop(token, None)
         return [Reply(token, failures.OutcomeUnknown("leg-broken"))]
-    if not choice.retry_allowed(r, now_ms, age_ms, crew):
+    if not retry_budget.retry_allowed(r, now_ms, task.service, age_ms, crew):
         if task.may_have_run:
             return _fail(r, task, failures.OutcomeUnknown("leg-broken"))
         return _fail(r, task, failures.Overloaded(2000, "no-retry-left"))
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass, field
 
-from routing import choice
-
 __all__ = ["Terms", "Task", "Leg", "Done", "Stay", "Hold", "Router"]
 
 
@@ -86,7 +84,7 @@
     busy: dict = field(default_factory=dict)
     first_ms: dict = field(default_factory=dict)
     broke_ms: dict = field(default_factory=dict)
-    budget: choice.Budget = field(default_factory=choice.Budget)
+    retry_budgets: dict = field(default_factory=dict)
     refused: int = 0
     served: int = 0
     retried: int = 0
--- a/libs/simulation/src/simulation/mutants.py
+++ b/libs/simulation/src/simulation/mutants.py
@@ -12,7 +12,7 @@
 from placement import ledger, line, orders, placement, settle, world
 from pulleyhitch import config, shard_ownership
 from replication import election, feed, follower, log_replication
-from routing import choice, pieces, router
+from routing import choice, pieces, retry_budget, router
 from transport import failures
 
 from simulation import breaking
@@ -254,7 +254,7 @@
         "no retry budget",
         "few-retries",
         lambda d: _down(d) + [_s(2000 + 200 * i, "hot-crowd") for i in range(6)],
-        lambda: [(choice, "may_retry", lambda *a: True)],
+        lambda: [(retry_budget, "may_retry", lambda *a: True)],
     ),
     Mutant(
         "no election after the first",
--- a/tests/test_platform_silent.py
+++ b/tests/test_platform_silent.py
@@ -89,10 +89,11 @@
             self.begin(r, f"t{number}")
             self.assertIsInstance(self.silent(r, f"t{number}"), Leg)
         before = self.begin(r, "t2")
-        again = r.budget.again
+        budget = r.retry_budgets[r.tasks["t2"].service]
+        retries = budget.retries
         self.assertThat(self.silent(r, "t2"), Equals(Stay()))
         self.assertThat(("t2" in r.tasks, r.busy[before.engine] > 0), Equals((True, True)))
-        self.assertTrue(r.budget.again <= again)
+        self.assertTrue(budget.retries <= retries)
 
     def test_nor_does_a_layout_that_is_old(self):
         r = self.router(5.0, stale=500.0)
