--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -16,7 +16,7 @@
 
 
 class Never(TestCase):
-    """One test for each mutant of `rehearsal.mutants`, made below."""
+    """One test for each mutant of `simulation.mutants`, made below."""
 
     def caused(self, mutant):
         deployment = deployments.BY_NAME[mutant.size]
--- a/tests/test_orders_late.py
+++ b/tests/test_orders_late.py
@@ -3,6 +3,7 @@
 
 import random
 
+from placement import order_counts
 from simulation.placing import TERMS, Late
 from test_platform_asked import Floor
 from testtools import TestCase
@@ -43,6 +44,12 @@
         found = [self.broken(self.played(seed, again=False)) for seed in SEEDS]
         self.assertThat([b for b in found if b], Equals([]))
 
+    def test_orders_without_a_count_are_seen(self):
+        """The same runs are red as soon as orders don't name what they expect."""
+        self.patch(order_counts, "expected", lambda placer, engine: None)
+        found = [self.broken(self.played(seed)) for seed in SEEDS]
+        self.assertThat(len([b for b in found if b]), GreaterThan(2))
+
     def test_both_and_models_still_come_up(self):
         for seed in SEEDS:
             floor = self.played(seed)
