One place for polling in the fleets and for the lone process of two tests

fleet.py and platform_fleet.py waited for a condition with the same ten lines, test_process and test_task_ends made the same process; no expectation changed. Measured: test_process, test_task_ends, test_platform_path, test_product, test_names: 25 passed.

--- a/libs/simulation/src/simulation/fleet.py
+++ b/libs/simulation/src/simulation/fleet.py
@@ -11,17 +11,19 @@
 import socket
 import subprocess
 import sys
-import time
 from pathlib import Path
 
 from routing import legs
 from routing.engines import Ask, read_json
 
 from simulation import deployments
+from simulation.polling import poll_until
 from simulation.relay import Relay
 
 __all__ = ["Fleet", "free_ports"]
 
+_POLL_PAUSE_S = 0.02
+
 
 def hold_ports(count):
     """Sockets bound and not listening: a server that reuses addresses can listen
@@ -196,14 +198,7 @@
 
     def until(self, what, limit_s=60.0):
         """Ask again and again until `what()` is true; its value, or a failure."""
-        end_s = time.monotonic() + limit_s
-        while True:
-            found = what()
-            if found:
-                return found
-            if time.monotonic() > end_s:
-                raise TimeoutError(getattr(what, "__name__", "condition"))
-            time.sleep(0.02)
+        return poll_until(what, limit_s, _POLL_PAUSE_S)
 
     def listening(self):
         """Wait until every process of ours that was started answers."""
--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-import time
 from pathlib import Path
 
 from routing import legs
@@ -18,9 +17,12 @@
 from simulation.platform_made import word
 from simulation.platform_serving import now_ms
 from simulation.platform_standin import Platform
+from simulation.polling import poll_until
 
 __all__ = ["PlatformFleet"]
 
+_POLL_PAUSE_S = 0.05
+
 _ROOT = Path(__file__).resolve().parents[4]
 _BOUNDS = {
     "seedLagS": 3,
@@ -217,14 +219,7 @@
 
     def until(self, what, limit_s=60.0):
         """Ask again and again until `what()` is true; its value, or a failure."""
-        end_s = time.monotonic() + limit_s
-        while True:
-            found = what()
-            if found:
-                return found
-            if time.monotonic() > end_s:
-                raise TimeoutError(getattr(what, "__name__", "condition"))
-            time.sleep(0.05)
+        return poll_until(what, limit_s, _POLL_PAUSE_S)
 
 
 def _is_free(host, port):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,9 +4,8 @@
 import queue
 import threading
 
-from pulleyhitch import config, node, process
-from pulleyhitch.process import Process
-from simulation.fleet import free_ports
+from process_harness import lone_counter
+from pulleyhitch import process
 from testtools import TestCase
 from testtools.matchers import Equals
 from transport import events as e
@@ -27,28 +26,11 @@
 
 class Owner(TestCase):
     def process(self, seen):
-        ports = free_ports(2)
-        made = Process(
-            config.check(
-                {
-                    "name": "c0",
-                    "role": "counter",
-                    "zone": "x",
-                    "address": f"127.0.0.1:{ports[0]}",
-                    "http": f"127.0.0.1:{ports[1]}",
-                    "seeds": [f"127.0.0.1:{ports[0]}"],
-                }
-            )
-        )
-        self.addCleanup(made._pipes.close)
-        self.addCleanup(made._stopped.set)
-
-        def handle(_, now_ms, event):
+        def handle(event):
             seen(event)
             return []
 
-        self.patch(node, "handle", handle)
-        return made
+        return lone_counter(self, handle)
 
     def test_ticks_come_under_any_load(self):
         ticked, count = threading.Event(), []
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -12,15 +12,14 @@
 from configuration import passages
 from configuration.registry import Registry
 from placement import floor
-from pulleyhitch import config, node, server
-from pulleyhitch.process import Process
+from process_harness import lone_counter
+from pulleyhitch import config, server
 from routing import choice, passing, router
 from routing.legs import Ended
 from routing.passing import Head
 from routing.relaying import Relaying
 from routing.router import Leg
 from routing.tasks import Done
-from simulation.fleet import free_ports
 from simulation.placing import SHARDS, engine_facts
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -220,23 +219,7 @@
     """Tokens of those who wait for the owner's word."""
 
     def process(self, handle):
-        ports = free_ports(2)
-        made = Process(
-            config.check(
-                {
-                    "name": "c0",
-                    "role": "counter",
-                    "zone": "x",
-                    "address": f"127.0.0.1:{ports[0]}",
-                    "http": f"127.0.0.1:{ports[1]}",
-                    "seeds": [f"127.0.0.1:{ports[0]}"],
-                }
-            )
-        )
-        self.addCleanup(made._pipes.close)
-        self.addCleanup(made._stopped.set)
-        self.patch(node, "handle", lambda _, now_ms, event: handle(event))
-        return made.start()
+        return lone_counter(self, handle).start()
 
     def test_a_word_that_comes_too_late_is_nobodys(self):
         said = threading.Event()
