--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -235,7 +235,7 @@
     on nothing is sent for these shards; the next holder waits out our calls."""
     effects = []
     for shard, kept in sorted(ownership.owners.items()):
-        kept.held.lost = True
+        kept.held.released = True
         successor = successors[shard % len(successors)] if successors else ""
         if leader:
             effects.append(Send(leader, Release(card.name, shard, kept.epoch, successor)))
--- a/libs/replication/src/replication/batch_writer.py
+++ b/libs/replication/src/replication/batch_writer.py
@@ -70,14 +70,14 @@
     """Check a holder's section and stage it, or say why not."""
     epoch = writer.epochs.get(section.shard, 0)
     if section.epoch != epoch:
-        return [Send(sender, Refused(section.shard, section.epoch, "epoch", epoch))]
+        return [Send(sender, _refused(replica, section, "epoch", epoch))]
     writer.connections[section.shard] = sender
     if section.kind == state_machine.CHECKPOINT:
         writer.staged.append(section)
         return []
     expected = writer.next.get(section.shard, 1)
     if section.first > expected:
-        return [Send(sender, Refused(section.shard, section.epoch, "place", expected))]
+        return [Send(sender, _refused(replica, section, "place", expected))]
     if section.first < expected:
         known = expected - section.first
         if known >= len(section.records):
@@ -92,6 +92,10 @@
     return []
 
 
+def _refused(replica, section, cause, expected):
+    return Refused(section.shard, section.epoch, cause, expected, replica.term)
+
+
 def _learn_turn(writer, now_ms, shard):
     told = writer.told_ms.pop(shard, None)
     if told is not None:
--- a/libs/replication/src/replication/leases.py
+++ b/libs/replication/src/replication/leases.py
@@ -2,9 +2,9 @@
 
 Leases are records of the log, so epochs never go back whoever leads.  A
 holder that is silent too long, that takes in nothing of what it is sent for as
-long (it may still speak), or that restarted, is followed by the live counter
-that a rendezvous hash names, or by the one the holder named.  Time in which this
-node itself did not run is nobody's silence.
+long (it may still speak), that restarted, or that says it is stopping, is
+followed by the live counter that a rendezvous hash names, or by the one the
+holder named.  Time in which this node itself did not run is nobody's silence.
 """
 
 from dataclasses import dataclass, field
@@ -97,7 +97,7 @@
     holder = nodes.seen.get(part.holder)
     if holder is None:
         return now_ms - replica.led_from_ms > replica.times.revoke_ms
-    if holder.incarnation != part.incarnation:
+    if holder.incarnation != part.incarnation or holder.role != replica.times.placers:
         return True
     return now_ms - min(holder.heard_ms, holder.took_ms) > replica.times.revoke_ms
 
--- a/libs/replication/src/replication/shard_log.py
+++ b/libs/replication/src/replication/shard_log.py
@@ -45,10 +45,14 @@
 
 @dataclass
 class ShardLog:
+    """`released`: given back, for good.  `refused_term`: the newest term whose leader has
+    called our epoch an old one."""
+
     shard: int
     epoch: int
     ready: bool = False
-    lost: bool = False
+    released: bool = False
+    refused_term: int = -1
     asked_ms: float = -1e12
     checkpoint_at: int = 0
     checkpoint: bytes = b""
@@ -65,6 +69,14 @@
     checkpoint_bytes: int = 0
     bytes_since_checkpoint: int = 0
 
+    @property
+    def lost(self):
+        """Whether nothing may be done for this shard any more, as far as we know.  A
+        leader refuses our epoch as soon as it stages the next lease; if that lease never
+        becomes durable, the next leader still counts on us, so what one leader says binds
+        us only until there is another."""
+        return self.released or (self.refused_term >= 0 and self.refused_term >= self.term)
+
 
 def recover(log, now_ms, card, to):
     log.asked_ms = now_ms
@@ -149,7 +161,7 @@
     if message.epoch != log.epoch:
         return
     if message.cause == "epoch":
-        log.lost = True
+        log.refused_term = max(log.refused_term, message.term)
     else:
         log.sent = max(log.durable, min(log.sent, message.expected - 1))
 
--- a/libs/transport/src/transport/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -145,10 +145,13 @@
 
 @dataclass(frozen=True)
 class Refused:
+    """A leader doesn't take a section; `term` is the leader's."""
+
     shard: int
     epoch: int
     cause: str
     expected: int
+    term: int
 
 
 @dataclass(frozen=True)
