--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -38,6 +38,9 @@
     if node.follow.current_ms <= -1e11 or not registries.services(node.floor.registry):
         return [Reply(token, failures.Stale(int(2 * node.times.elect_ms), 0))]
     found = routes.match(node.floor.registry, told["host"], told["path"])
+    age_ms = follows.age(node.follow, now_ms)
+    if found is None and age_ms > node.router.terms.staleMs:
+        return [Reply(token, failures.Stale(int(node.router.terms.staleMs), int(age_ms)))]
     if found is None:
         return [Reply(token, failures.NotFound("route"))]
     name, route = found
@@ -50,9 +53,7 @@
         rank=task.rank,
         aimMs=task.aimMs,
     )
-    return router.begin(
-        node.router, now_ms, node.floor, follows.age(node.follow, now_ms), crew, task
-    )
+    return router.begin(node.router, now_ms, node.floor, age_ms, crew, task)
 
 
 def _task(token, told, route, now_ms):
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -33,6 +33,8 @@
 ]
 
 
+# When to come back for a model that no configuration known here lists.
+_UNLISTED_RETRY_MS = 1000
 _FOR_A_PLACE = 0.4
 _IN_LINE = 0.45
 _AVOID_MS = {"not-run": 100.0, "no-pipe": 1000.0, "unknown": 1e12}
@@ -67,15 +69,27 @@
     if service is None:
         return _fail(r, task, failures.UnknownService(task.service))
     retry_budget.count_request(r, now_ms, task.service)
-    if service["kind"] == "models" and not world.size_of(
-        floor.registry, item_name(task.model, task.adapter)
-    ):
-        return _fail(
-            r, task, failures.UnknownModel(task.service, item_name(task.model, task.adapter))
-        )
+    if service["kind"] == "models":
+        unlisted = _unlisted(floor, task)
+        if unlisted is not None:
+            return _fail(r, task, unlisted)
     return _go(r, now_ms, floor, crew, task)
 
 
+def _unlisted(floor, task):
+    """What to tell a task whose model the configuration doesn't list, or None if it may go
+    on.  A platform's caller may have it from a newer configuration, so it comes back later;
+    one that names no model is any engine's."""
+    item = item_name(task.model, task.adapter)
+    if task.told and not item:
+        return None
+    if world.size_of(floor.registry, item):
+        return None
+    if task.told:
+        return failures.NoRoom(_UNLISTED_RETRY_MS, item, "unlisted")
+    return failures.UnknownModel(task.service, item)
+
+
 def _go(r, now_ms, floor, crew, task):
     """Give the task a leg, or a place in line, or its final answer."""
     if now_ms >= task.end_ms:
