--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -6,6 +6,9 @@
 are passed on, so that the rest joins where the first broke off.
 """
 
+import time
+from dataclasses import replace
+
 from transport import failures
 from transport.ends import hung_up
 from werkzeug.wrappers import Response
@@ -22,6 +25,13 @@
 _NOT_RUN = ("not-run", "no-pipe")
 
 
+def _in_time(leg):
+    """The attempt with the time that is left of it, or None if there is none: this node
+    may have stood still since it was decided."""
+    left_ms = leg.end_ms - time.monotonic() * 1000
+    return replace(leg, timeout_ms=min(leg.timeout_ms, left_ms)) if left_ms > 0 else None
+
+
 class Relaying:
     """`serve` is the one public method."""
 
@@ -49,7 +59,14 @@
     def _serve(self, token, told, step, gone):
         last, may_have_run = None, False
         while isinstance(step, Leg):
-            source = self._leg(told, step, 0)
+            if gone():
+                self._over(token)
+                break
+            leg = _in_time(step)
+            if leg is None:
+                step = self._ask(token, "ended", {"proof": "not-run"})
+                continue
+            source = self._leg(told, leg, 0)
             head, first, proof = self._begin(token, told, source, gone)
             if isinstance(proof, (Leg, failures.Failure)):
                 source.close()
@@ -190,7 +207,11 @@
         """(source, head) of a leg at another engine that goes on after `last`."""
         step = self._ask(token, "ended", {"proof": "unknown" if whole else "cut"})
         while isinstance(step, Leg):
-            source = self._leg(told, step, last)
+            leg = None if gone() else _in_time(step)
+            if leg is None:
+                self._over(token)
+                break
+            source = self._leg(told, leg, last)
             head, _, proof = self._begin(token, told, source, gone)
             if isinstance(proof, (Leg, failures.Failure)):
                 source.close()
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -105,13 +105,9 @@
         r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
         task.legs.append(best["name"])
         task.sent += 1
-        leg = Leg(
-            best["name"],
-            best["url"],
-            min(r.terms.leg_ms, task.end_ms - now_ms),
-            task.rank,
-            task.sent > 1,
-        )
+        timeout_ms = min(r.terms.leg_ms, task.end_ms - now_ms)
+        again = task.sent > 1
+        leg = Leg(best["name"], best["url"], timeout_ms, task.rank, again, now_ms + timeout_ms)
         if item and not leg.again:
             for wanted in {task.model, item}:
                 key = task.service, wanted
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -51,11 +51,15 @@
 
 @dataclass(frozen=True)
 class Leg:
+    """One attempt at an engine, decided by the node's owner.  `end_ms`, on its steady
+    clock: when the attempt must have ended, however late it begins."""
+
     engine: str
     url: str
     timeout_ms: float
     rank: int = 0
     again: bool = False
+    end_ms: float = float("inf")
 
 
 @dataclass(frozen=True)
--- a/tests/test_platform_relaying.py
+++ b/tests/test_platform_relaying.py
@@ -1,5 +1,7 @@
 """A caller's answer from made-up legs: the engine's own, whole, and joined exactly."""
 
+import time
+
 from adapter.dialect import DIALECT
 from routing import passing
 from routing.legs import Ended
@@ -32,8 +34,11 @@
 class Relayed(TestCase):
     """`legs`: what comes of each leg in turn; `silent`: what is said of a silent one."""
 
-    def relay(self, legs, facts, silent=None, **told):
+    def relay(self, legs, facts, silent=None, environ=None, left_ms=None, **told):
+        """`left_ms`: how much time each attempt that is decided has left, if it is told;
+        there are no more attempts then."""
         sources, self.asked, self.proofs, self.closed = list(legs), [], [], []
+        ends_ms = None if left_ms is None else [time.monotonic() * 1000 + ms for ms in left_ms]
         spent = failures.OutcomeUnknown("leg-broken")
 
         def stream(pool, base, ask, timeout_ms, connect_ms, fresh, silent_ms):
@@ -45,7 +50,10 @@
 
         def next_leg():
             number = len(self.asked)
-            return Leg(f"e{number}", f"http://e{number}", 1000.0) if sources else spent
+            if not sources or ends_ms == []:
+                return spent
+            end_ms = ends_ms.pop(0) if ends_ms else float("inf")
+            return Leg(f"e{number}", f"http://e{number}", 1000.0, end_ms=end_ms)
 
         def ask(token, verb, body):
             if verb == "silent":
@@ -64,7 +72,7 @@
             **facts,
             **told,
         }
-        return Relaying(ask, None, DIALECT, 100).serve("k", self.told, next_leg(), {})
+        return Relaying(ask, None, DIALECT, 100).serve("k", self.told, next_leg(), environ or {})
 
     def body(self, response):
         """(bytes, whether they ended in order)."""
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -117,13 +117,13 @@
 
     def test_a_caller_that_ended_its_side_gets_no_whole_stream(self):
         """It may still listen: what was cut because it seemed gone must look cut."""
-        ours, theirs = socket.socketpair()
-        self.addCleanup(ours.close)
-        self.addCleanup(theirs.close)
-        theirs.shutdown(socket.SHUT_WR)
         events = [("head", Head(200, "", OWN)), ("data", b"id: 1\n\n"), ("idle", None)]
         for resumable in (False, True):
+            ours, theirs = socket.socketpair()
+            self.addCleanup(ours.close)
+            self.addCleanup(theirs.close)
             response = self.relay(events, {"werkzeug.socket": ours}, resumable=resumable)
+            theirs.shutdown(socket.SHUT_WR)
             parts = iter(response.response)
             self.assertThat(next(parts), Equals(b"id: 1\n\n"))
             self.assertRaises(ConnectionError, next, parts)
