--- /dev/null
+++ b/tests/test_named_in_connection.py
@@ -0,0 +1,37 @@
+"""Fields that are for the engine reach it though a caller names them in `Connection`."""
+
+from adapter import callers
+from testtools import TestCase
+from testtools.matchers import Equals
+from werkzeug.test import EnvironBuilder
+
+FOR_ENGINE = {
+    "X-Try-Id": "7",
+    "X-Parcel": "m/a1",
+    "X-Tokens": "10,20",
+    "X-Prompt-Prefix": "a:5,b:5",
+    "Last-Event-Id": "3",
+    "Content-Type": "a/b",
+}
+
+
+def passed_on(connection):
+    builder = EnvironBuilder(
+        method="POST", headers={**FOR_ENGINE, "X-Hop": "1", "Connection": connection}
+    )
+    told = callers.read_caller(builder.get_request(), "/a/b")
+    return {line.partition(":")[0].title(): line.partition(": ")[2] for line in told["headers"]}
+
+
+class NamedInConnection(TestCase):
+    def test_fields_for_the_engine_stay(self):
+        for name in FOR_ENGINE:
+            for connection in (name, f"close, {name.lower()}", f"{name.upper()} ,keep-alive"):
+                found = passed_on(connection)
+                kept = {field: found.get(field) for field in FOR_ENGINE}
+                self.assertThat(kept, Equals(FOR_ENGINE), connection)
+
+    def test_fields_of_the_connection_go(self):
+        self.assertThat(passed_on("close")["X-Hop"], Equals("1"))
+        self.assertThat("X-Hop" in passed_on("close, x-hop"), Equals(False))
+        self.assertThat("Connection" in passed_on("close"), Equals(False))
