Add a judge of real processes: what callers sent against what engines ran

Nothing of ours compared, on real sockets and threads and under real kills and freezes, each try as sent with each run as it came.

Change: `pulleyhitch-simulation judge`. Callers write requests in every allowed way and keep a ledger, engines keep one of each run; differences are named UNASKED, TWICE, MIXED, REFUSED, ROUTE. An operator that goes on to other nodes times each order while the core is settled (ACKS); subjects, items and kinds that are never served are counted with the platform's thresholds (STARVED). Faults: SIGKILL, SIGSTOP and SIGCONT, engines that reset, cut, double, delay and spoil answers, that crash, leave, or hand their address to another service. `--mutants` breaks the nodes in nine ways.

Not built: early answers here (test_unasked has them), a list with lag of its own.

--- a/libs/simulation/src/simulation/cli.py
+++ b/libs/simulation/src/simulation/cli.py
@@ -9,6 +9,7 @@
 
 from simulation import deployments
 from simulation.engine_process import EngineServer
+from simulation.judge_command import JudgeCommand
 
 __all__ = ["main"]
 
@@ -285,6 +286,7 @@
         MutantsCommand,
         ModelCommand,
         TrialCommand,
+        JudgeCommand,
         MeasureCommand,
         HollowCommand,
     ):
--- /dev/null
+++ b/libs/simulation/src/simulation/judge/__init__.py
@@ -0,0 +1,1 @@
+"""A judge of real processes: what callers sent against what engines ran."""
--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -48,9 +48,11 @@
 
 
 class PlatformFleet:
-    """`start`, `kill`, `call` and `until` are what tests use, beside `platform`."""
+    """`start`, `kill`, `call` and `until` are what tests use, beside `platform`.
+    `observe` is told of what engines run; `program` is what a node's process is."""
 
-    def __init__(self, folder, seed):
+    def __init__(self, folder, seed, observe=None, program=("platform/start.py",)):
+        self._program = tuple(program)
         self.folder, self.rng = Path(folder).resolve(), random.Random(seed)
         self.zones = [word(self.rng, 2) for _ in range(3)]
         self.depots = [f"{word(self.rng, 2)}-d{n}" for n in range(3)]
@@ -60,7 +62,7 @@
         self.ip = {name: f"{block}.{n + 1}" for n, name in enumerate(nodes)}
         self._block, self._last = block, len(nodes) + 1
         self.ports = self._free_ports(5)
-        self.platform = Platform(f"{block}.{self._last}:{self.ports[4]}", 600, 30.0)
+        self.platform = Platform(f"{block}.{self._last}:{self.ports[4]}", 600, 30.0, observe)
         self.running, self._first = {}, True
 
     def _free_ports(self, count):
@@ -88,14 +90,17 @@
         number = ["counter", "readiness", "control", "http"].index(what)
         return f"{self.ip[name]}:{self.ports[number] + (what == 'http')}"
 
-    def engine(self, service, sizes, store, plain, zone, disk=(), warmMs=0.0):
-        """An engine on a fresh address; it holds what is on its disk."""
-        self._last += 1
+    def engine(self, service, sizes, store, plain, zone, disk=(), warmMs=0.0, address=None):
+        """An engine on a fresh address, or on one that is free again; it holds what is on
+        its disk."""
+        if address is None:
+            self._last += 1
+            address = f"{self._block}.{self._last}:{self.ports[3]}"
         made = core.Engine(
             f"i-{word(self.rng, 2)}",
             service,
             zone,
-            f"{self._block}.{self._last}:{self.ports[3]}",
+            address,
             sizes,
             store,
             now_ms(),
@@ -154,7 +159,7 @@
         kept = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG", "PYTHONPATH")}
         with open(self.folder / f"{name}.log", "ab") as log:
             self.running[name] = subprocess.Popen(
-                [sys.executable, "platform/start.py", role],
+                [sys.executable, *self._program, role],
                 cwd=_ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
--- a/libs/simulation/src/simulation/platform_serving.py
+++ b/libs/simulation/src/simulation/platform_serving.py
@@ -80,10 +80,11 @@
 
 class EngineDoor:
     """One engine on its address; `close` ends it at once, whatever it runs.  Each
-    request takes the next of `faults`, if there is one."""
+    request takes the next of `faults`, if there is one.  `observe(engine, handler, body)`
+    is told of each request that begins to run."""
 
-    def __init__(self, engine):
-        self.engine = engine
+    def __init__(self, engine, observe=None):
+        self.engine, self._observe = engine, observe
         self._changed = threading.Condition(threading.Lock())
         self.faults, self._previous = deque(), b""
         self._answering = Answering(engine.address, self._app)
@@ -132,6 +133,8 @@
             missing = self._begin(asked)
             if missing is None:
                 return reply(handler, 503, (stamp[0], "X-Not-Run: late"))
+            if self._observe is not None:
+                self._observe(self.engine, handler, body)
             if fault is not None:
                 return self._misbehave(handler, asked, body, stamp, fault)
             return self._run(handler, asked, body, stamp, missing)
--- a/libs/simulation/src/simulation/platform_standin.py
+++ b/libs/simulation/src/simulation/platform_standin.py
@@ -16,15 +16,16 @@
 class Platform:
     """`add`, `leave` and `crash` change which engines there are; `close` ends all."""
 
-    def __init__(self, address, lagMs, per_s):
+    def __init__(self, address, lagMs, per_s, observe=None):
         self.lagMs, self.per_s, self.turned_away = lagMs, per_s, 0
+        self._observe = observe
         self.doors, self.past = {}, []
         self._entries, self._history, self._calls_ms = {}, [], []
         self._lock = threading.Lock()
         self._answering = Answering(address, self._list)
 
     def add(self, engine):
-        self.doors[engine.id] = EngineDoor(engine)
+        self.doors[engine.id] = EngineDoor(engine, self._observe)
         self._entry(engine, "open")
 
     def leave(self, id_):
