--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -25,8 +25,6 @@
 _STEP = "pulleyhitch.step"
 # How long a thread waits for an answer before it lets the caller wait alone.
 _FIRST_LOOK_S = 0.005
-# Nothing but a request ends the status server's sleep.
-_STATUS_POLL_S = 10.0
 
 
 def _split(address):
@@ -179,7 +177,7 @@
 
     def run(self):
         threading.current_thread().name = "status"
-        self._http.serve_forever(poll_interval=_STATUS_POLL_S)
+        self._http.serve_forever(poll_interval=1.0)
 
     def _app(self, environ, start_response):
         found = self._process.ask(secrets.token_hex(8), "ready", {}, 0.5)
--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -23,9 +23,6 @@
 
 _LET_IN = 0.3
 _LAST = 0.85
-# How often a process looks whether it has failed, and of these looks which one asks for news.
-_LOOK_S = 0.5
-_LOOKS_PER_NEWS = 2
 
 
 def say(failure):
@@ -90,11 +87,11 @@
 
 def _wait(process, asked, look, news):
     turn = 0
-    while not asked.wait(0.1 if news is None else _LOOK_S):
+    while not asked.wait(0.1 if news is None else 0.25):
         if process.stopped():
             return 4
         turn += 1
-        if news is not None and (look.is_set() or turn % _LOOKS_PER_NEWS == 0):
+        if news is not None and (look.is_set() or turn % 4 == 0):
             look.clear()
             seeds = news()
             if seeds:
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -25,11 +25,6 @@
 
 _HELD_BYTES = 64 << 20
 _PER_THREAD = 20
-# How long the watching thread sleeps at most: with requests that wait for a thread, with
-# open connections, and with none (whatever comes then wakes it).
-_LOOK_AT_LINE_S = 0.1
-_LOOK_AT_OPEN_S = 0.5
-_LOOK_AT_NONE_S = 5.0
 
 
 class Door:
@@ -78,7 +73,7 @@
         while not (self._stopping and self.empty()):
             if self._stopping and self._listening:
                 self._shut_out()
-            for key, _ in self._selector.select(self._patience_s()):
+            for key, _ in self._selector.select(0.1 if self._line else 0.5):
                 if key.fileobj is self._listener:
                     self._let_in()
                 elif key.fileobj is self._bell:
@@ -89,12 +84,6 @@
                 self._told.get()()
             self._tidy(time.monotonic())
 
-    def _patience_s(self):
-        """How long nothing may happen before the connections are looked through."""
-        if self._line:
-            return _LOOK_AT_LINE_S
-        return _LOOK_AT_OPEN_S if self._open or self._stopping else _LOOK_AT_NONE_S
-
     def empty(self):
         """Whether nobody who was let in still waits for an answer."""
         return (
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -25,10 +25,10 @@
 
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
-from pulleyhitch import ticking
 
 __all__ = ["Process", "CannotStart"]
 
+_TICKS_PER_PING = 6
 _FIRST_ELECT = 0.3
 # What an orderly stop leaves for messages and answers under way.
 _LAST_WORDS_S = 0.15
@@ -149,10 +149,10 @@
     def _own(self):
         """Events as they come, and a tick whenever one is due, however many wait.
         After a time in which we did not run, what came meanwhile goes first."""
-        ticked_ms = _now() - ticking.pause_ms(self._node)
+        tick_ms = configs.times(self.config).ping_ms / _TICKS_PER_PING
+        next_ms = _now()
         while not self._stopped.is_set():
-            now_ms, tick_ms = _now(), ticking.pause_ms(self._node)
-            next_ms = ticked_ms + tick_ms
+            now_ms = _now()
             due_ms = min(next_ms, self._wake_ms)
             if now_ms < due_ms:
                 try:
@@ -164,7 +164,7 @@
                 for _ in range(self._queue.qsize()):
                     self._feed(self._queue.get())
             if now_ms >= next_ms:
-                ticked_ms = _now()
+                next_ms = _now() + tick_ms
             self._wake_ms = float("inf")
             self._feed(e.Tick())
 
--- a/libs/simulation/src/simulation/hollow/world.py
+++ b/libs/simulation/src/simulation/hollow/world.py
@@ -13,7 +13,6 @@
 
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
-from pulleyhitch import ticking
 from replication import group as groups
 from transport import events as e
 from transport import frames
@@ -94,7 +93,7 @@
 
 def _tick(world, host):
     post(world, host, e.Tick(), "Tick")
-    after(world, ticking.pause_ms(host.node), lambda: _tick(world, host))
+    after(world, host.node.times.ping_ms / 6, lambda: _tick(world, host))
 
 
 def post(world, host, event, kind):
--- a/libs/simulation/src/simulation/sim/world.py
+++ b/libs/simulation/src/simulation/sim/world.py
@@ -10,7 +10,6 @@
 
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
-from pulleyhitch import ticking
 from replication import group as groups
 from transport import events as e
 from transport.effects import Call, Finished, Install, Note, Reply, Save, Send, Wake, Write
@@ -134,9 +133,9 @@
 def _ticker(world, host, life):
     if host.life != life or host.node is None:
         return
+    tick_ms = host.node.times.ping_ms / 6
     post(world, host, e.Tick())
-    pause_ms = ticking.pause_ms(host.node) if host.node is not None else 0.0
-    after(world, pause_ms, lambda: _ticker(world, host, life))
+    after(world, tick_ms, lambda: _ticker(world, host, life))
 
 
 def kill(world, host, power=False):
