--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -48,7 +48,11 @@
 
 def plan(p, now_ms, registry, name, service, terms):
     """Give the orders that are due now; at most one an engine."""
-    engines = {e.name: e for e in world.placement_engines(registry, name, p.reports)}
+    engines = {
+        e.name: e
+        for e in world.placement_engines(registry, name, p.reports)
+        if e.name not in p.ledger.suspects
+    }
     if not engines:
         return
     v = _View(
--- a/libs/placement/src/placement/floor.py
+++ b/libs/placement/src/placement/floor.py
@@ -66,13 +66,16 @@
 
 
 def engines_with(floor, service, item):
-    """Engines that may be given new work for an item (any, for a plain service)."""
+    """Engines that may be given new work for an item (any, for a plain service): none that
+    is suspect, unless that leaves a plain service without any."""
     ledger = ledger_of(floor, world.shard_of(service, floor.shards))
-    return [
+    found = [
         e
         for e in world.engines_of(floor.registry, service)
         if world.usable(floor.registry, e) and (not item or ledgers.loaded(ledger, e["name"], item))
     ]
+    sound = [e for e in found if e["name"] not in ledger.suspects]
+    return sound if sound or item else found
 
 
 def servable(floor):
--- a/libs/placement/src/placement/ledger.py
+++ b/libs/placement/src/placement/ledger.py
@@ -25,6 +25,8 @@
     "found_record",
     "dropped_record",
     "lingered_record",
+    "suspect_record",
+    "cleared_record",
 ]
 
 _TOLD = 500
@@ -41,6 +43,7 @@
     unmet: dict = field(default_factory=dict)
     told: dict = field(default_factory=dict)
     lingering: dict = field(default_factory=dict)
+    suspects: dict = field(default_factory=dict)
 
 
 def _pack(told):
@@ -131,6 +134,10 @@
         ledger.incarnations.pop(told["engine"], None)
     elif kind == "lingered":
         ledger.lingering.pop(told["order"], None)
+    elif kind == "suspect":
+        ledger.suspects[told["engine"]] = True
+    elif kind == "cleared":
+        ledger.suspects.pop(told["engine"], None)
 
 
 def _state(ledger, told):
@@ -211,5 +218,15 @@
     return _pack({"k": "dropped", "engine": engine})
 
 
+def suspect_record(engine):
+    """An engine answers callers badly: it gets no work for a while."""
+    return _pack({"k": "suspect", "engine": engine})
+
+
+def cleared_record(engine):
+    """A suspect engine is tried again."""
+    return _pack({"k": "cleared", "engine": engine})
+
+
 def lingered_record(order):
     return _pack({"k": "lingered", "order": order})
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -11,7 +11,18 @@
 from transport import failures
 from transport.effects import Reply, Wake
 
-from placement import again, asked, demand, line, order_counts, orders, placement, settle, world
+from placement import (
+    again,
+    asked,
+    demand,
+    line,
+    order_counts,
+    orders,
+    placement,
+    settle,
+    suspects,
+    world,
+)
 from placement import ledger as ledgers
 from placement.state import log
 
@@ -44,6 +55,7 @@
     _drop_gone(p, now_ms, registry, terms)
     _expire_holds(p, now_ms)
     line.drop_lost(p, lost)
+    suspects.due(p, now_ms, registry, shards, terms)
     if now_ms >= p.not_before_ms:
         for name, service in world.services_of(registry, p.shard, shards).items():
             if service.get("byDemand"):
@@ -151,6 +163,7 @@
     if verb == "wanted":
         for item, count in body["items"].items():
             demand.tell(p.demand, now_ms, item, count)
+        suspects.tell(p.watch, now_ms, body.get("outcomes", {}), terms.dark_ms)
         return []
     if verb == "hold":
         return _hold(p, now_ms, token, body, registry, terms)
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -6,6 +6,7 @@
 
 from placement import demand as demands
 from placement import ledger as ledgers
+from placement import watching
 
 __all__ = ["Placer", "Terms", "Report", "PendingCall", "log"]
 
@@ -75,6 +76,7 @@
     order_counts: dict = field(default_factory=dict)
     count_doubt_ms: dict = field(default_factory=dict)
     demand: demands.Demand = field(default_factory=demands.Demand)
+    watch: watching.Watch = field(default_factory=watching.Watch)
 
 
 def log(p, record, then=None):
--- /dev/null
+++ b/libs/placement/src/placement/suspects.py
@@ -0,0 +1,91 @@
+"""Engines that answer badly though they seem well, found by what callers get from them.
+
+An engine may say that it is well, and hold what is asked for, and still fail, break off or
+never answer what it is sent; what it says of itself settles nothing.  Routers see how their
+attempts end and tell the holder of the engine's shard.  Once enough of them lately ended
+badly, or all of them without an answer, the holder logs the engine as suspect: it gets no
+work, and what it holds counts as missing.  After a while it is tried again; one that is
+found so again soon is left out for twice as long.  No more than a part of a service's
+engines is suspect at a time, so that a trouble that is not the engines' own shuts nobody
+out.
+"""
+
+from placement import ledger as ledgers
+from placement import world
+from placement.state import log
+from placement.watching import Outcomes, Suspicion
+
+__all__ = ["due", "tell"]
+
+# So many bad ends, and at least this share of all ends that were told, make a suspect.
+_LEAST_BAD = 3.0
+_BAD_SHARE = 0.3
+# An engine that has answered fewer than this lately is silent, not merely overloaded.
+_HARDLY_ANY = 0.5
+# Of a service's engines, the share that may be suspect at a time.
+_MOST_SHARE = 1 / 3
+_LONGEST_TIMES = 4
+
+
+def tell(watch, now_ms, told, fade_ms):
+    """A router's word: {engine: (good, bad, late)}, how many attempts ended so."""
+    for engine, (good, bad, late) in told.items():
+        outcomes = watch.outcomes.setdefault(engine, Outcomes(at_ms=now_ms))
+        outcomes.add(now_ms, fade_ms, good, bad, late)
+
+
+def due(placer, now_ms, registry, shards, terms):
+    """Log who is suspect from now on, and who is tried again."""
+    for name in world.services_of(registry, placer.shard, shards):
+        engines = [engine["name"] for engine in world.engines_of(registry, name)]
+        _clear(placer, now_ms, engines, terms)
+        _suspect(placer, now_ms, engines, terms)
+    _forget(placer, registry)
+
+
+def _clear(placer, now_ms, engines, terms):
+    """A holder that has just taken over doesn't know since when: it counts from now."""
+    watch = placer.watch
+    for engine in engines:
+        if engine not in placer.ledger.suspects:
+            continue
+        known = watch.suspicions.setdefault(engine, Suspicion(now_ms + terms.dark_ms, 1))
+        if now_ms >= known.until_ms:
+            watch.outcomes.pop(engine, None)
+            log(placer, ledgers.cleared_record(engine))
+
+
+def _suspect(placer, now_ms, engines, terms):
+    most = int(_MOST_SHARE * len(engines))
+    suspects = sum(engine in placer.ledger.suspects for engine in engines)
+    for engine in engines:
+        if suspects >= most:
+            return
+        if engine in placer.ledger.suspects or not _bad(placer.watch, now_ms, engine, terms):
+            continue
+        before = placer.watch.suspicions.get(engine)
+        again = before is not None and now_ms - before.until_ms < 4 * terms.dark_ms
+        times = min(_LONGEST_TIMES, 2 * before.times) if again else 1
+        placer.watch.suspicions[engine] = Suspicion(now_ms + times * terms.dark_ms, times)
+        log(placer, ledgers.suspect_record(engine))
+        suspects += 1
+
+
+def _bad(watch, now_ms, engine, terms):
+    outcomes = watch.outcomes.get(engine)
+    if outcomes is None:
+        return False
+    outcomes.add(now_ms, terms.dark_ms)
+    bad = outcomes.bad
+    if outcomes.good < _HARDLY_ANY:
+        bad += outcomes.late
+    return bad >= _LEAST_BAD and bad >= _BAD_SHARE * (bad + outcomes.good)
+
+
+def _forget(placer, registry):
+    watch = placer.watch
+    for known in (watch.outcomes, watch.suspicions):
+        for engine in [name for name in known if name not in registry.engines]:
+            del known[engine]
+    for engine in [name for name in placer.ledger.suspects if name not in registry.engines]:
+        log(placer, ledgers.cleared_record(engine))
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -10,7 +10,7 @@
 from configuration import registry as registries
 from placement import world
 from replication import follower as follows
-from routing import router, routes
+from routing import engine_outcomes, router, routes
 from transport import failures
 from transport.effects import Reply, Send
 from transport.messages import Command
@@ -81,16 +81,27 @@
 
 
 def tell_wanted(node, now_ms, holder_address):
-    """Tell the placers, in few bytes, what callers have been asking for."""
-    if not node.router.wanted or now_ms - node.operator.told_ms < 2 * node.times.ping_ms:
+    """Tell the placers, in few bytes, what callers have been asking for, and which engines
+    answered them badly."""
+    untold = node.router.wanted or node.router.untold_ends
+    if not untold or now_ms - node.operator.told_ms < 2 * node.times.ping_ms:
         return []
     node.operator.told_ms = now_ms
     by = {}
     for (service, item), count in node.router.wanted.items():
-        by.setdefault(world.shard_of(service, node.config.shards), {})[item] = count
+        _for_shard(node, by, service)["items"][item] = count
     node.router.wanted = {}
+    engines = node.floor.registry.engines
+    for name, outcome in engine_outcomes.take_untold(node.router, now_ms, engines).items():
+        _for_shard(node, by, engines[name]["service"])["outcomes"][name] = outcome
     return [
-        Send(to, Command("", shard, "", "wanted", json.dumps({"items": items}).encode()))
-        for shard, items in by.items()
+        Send(to, Command("", shard, "", "wanted", json.dumps(told).encode()))
+        for shard, told in by.items()
         if (to := holder_address(node, shard))
     ]
+
+
+def _for_shard(node, by, service):
+    """What is told the holder of a service's shard."""
+    shard = world.shard_of(service, node.config.shards)
+    return by.setdefault(shard, {"items": {}, "outcomes": {}})
--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -9,6 +9,7 @@
 import time
 from dataclasses import replace
 
+import pycurl
 from transport import failures
 from transport.ends import hung_up
 from werkzeug.wrappers import Response
@@ -23,6 +24,12 @@
 _LEAST_SILENT_MS = 250.0
 # How a leg may end that certainly has not run.
 _NOT_RUN = ("not-run", "no-pipe")
+# The least status with which an engine says that it failed.
+_FAILED = 500
+# Engines end by their own clocks, at most so long before an attempt's end here.
+_ENGINE_ENDS_MS = 100.0
+# The HTTP library's name for a transfer whose time was over.
+_TIMED_OUT = str(pycurl.E_OPERATION_TIMEDOUT)
 
 
 def _in_time(leg):
@@ -32,6 +39,22 @@
     return replace(leg, timeout_ms=min(leg.timeout_ms, left_ms)) if left_ms > 0 else None
 
 
+def _proof(ended):
+    """What the end of a leg without a whole answer proves."""
+    if not ended.begun:
+        return "no-pipe"
+    return "timed-out" if ended.cause == _TIMED_OUT else "unknown"
+
+
+def _broken(ended, told, resumable):
+    """How a stream that broke off ends: an engine that had no more time is only late."""
+    in_time = time.monotonic() * 1000 < told["end_ms"] - _ENGINE_ENDS_MS
+    in_time = in_time and (ended is None or ended.cause != _TIMED_OUT)
+    if resumable:
+        return "unknown" if in_time else "timed-out"
+    return "cut" if in_time else "cut-late"
+
+
 class Relaying:
     """`serve` is the one public method."""
 
@@ -93,6 +116,7 @@
         return Response(body, status, headers)
 
     def _leg(self, told, leg, after):
+        told["end_ms"] = leg.end_ms
         ask = Ask(
             told["method"],
             leg.url + told["target"],
@@ -108,6 +132,7 @@
     def _begin(self, token, told, source, gone):
         """(head, first data, proof): a head that is the engine's own answer, or None;
         the proof is the next step itself if silence has led to one already."""
+        begun_s = time.monotonic()
         for kind, value in source:
             if kind == "silent":
                 step = self._ask(token, "silent", {})
@@ -123,11 +148,17 @@
                     return value, b"", "unknown"
                 return self._whole(value, source, gone)
             if kind == "idle" and gone():
-                return None, b"", "gone"
+                return None, b"", self._left(told, begun_s)
             if kind == "end":
-                return None, b"", "unknown" if value.begun else "no-pipe"
+                return None, b"", _proof(value)
         return None, b"", "unknown"
 
+    def _left(self, told, begun_s):
+        """How a leg ends whose caller left before an answer had begun: one that waited
+        past its aim left because of the engine."""
+        waited_ms = 1000 * (time.monotonic() - begun_s)
+        return "unanswered" if waited_ms > told["aimMs"] else "gone"
+
     def _whole(self, head, source, gone):
         """An answer that isn't a stream: passed on only once it is all here."""
         data, size = [], 0
@@ -138,13 +169,16 @@
             elif kind == "idle" and gone():
                 return None, b"", "gone"
             elif kind == "end":
-                return (head, b"".join(data), "unknown") if value.code else (None, b"", "unknown")
+                return (
+                    (head, b"".join(data), "unknown") if value.code else (None, b"", _proof(value))
+                )
         return None, b"", "unknown"
 
     def _answer(self, token, told, head, first, source, gone):
         if not answers.streamed(told, head):
             source.close()
-            self._ask(token, "ended", {"proof": "done"})
+            proof = "failed" if head.code >= _FAILED else "done"
+            self._ask(token, "ended", {"proof": proof})
             return answers.response(told, head, [first])
 
         def unread():
@@ -179,7 +213,7 @@
                     if held:
                         yield bytes(held)
                     return
-                source, head = self._go_on(token, told, whole, last, gone)
+                source, head = self._go_on(token, told, _broken(ended, told, whole), last, gone)
                 if source is None:
                     proof = ""
                     raise answers.CutOff("stream")
@@ -203,9 +237,9 @@
             out += event
         return bytes(out), last
 
-    def _go_on(self, token, told, whole, last, gone):
+    def _go_on(self, token, told, proof, last, gone):
         """(source, head) of a leg at another engine that goes on after `last`."""
-        step = self._ask(token, "ended", {"proof": "unknown" if whole else "cut"})
+        step = self._ask(token, "ended", {"proof": proof})
         while isinstance(step, Leg):
             leg = None if gone() else _in_time(step)
             if leg is None:
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -13,7 +13,7 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, engine_lives, retry_budget
+from routing import choice, engine_lives, engine_outcomes, retry_budget
 from routing.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 
 __all__ = [
@@ -37,6 +37,8 @@
 _UNLISTED_RETRY_MS = 1000
 _FOR_A_PLACE = 0.4
 _IN_LINE = 0.45
+# Ends after which nothing more is done for a task.
+_OVER = ("done", "failed", "gone", "unanswered", "cut", "cut-late")
 _AVOID_MS = {"not-run": 100.0, "no-pipe": 1000.0, "unknown": 1e12}
 
 
@@ -262,20 +264,26 @@
 
 
 def ended(r, now_ms, floor, age_ms, crew, token, proof, slow=False):
-    """A leg ended.  `proof`: "done", "not-run" (the engine's refusal), "no-pipe"
-    (nothing was sent), "unknown", or "gone" (the caller left)."""
+    """A leg ended.  `proof`: "done", "failed" (the engine's own answer says so), "not-run"
+    (the engine's refusal), "no-pipe" (nothing was sent), "unknown", "timed-out" (unknown,
+    since its time was over), "cut" or "cut-late" (a stream broke, in its time or at its
+    end), "unanswered" (the caller left, past its aim, before any answer) or "gone" (the
+    caller left)."""
     task = r.tasks.get(token)
     if task is None:
         return [Reply(token, Done())]
     if task.legs:
         engine = task.legs[-1]
         r.busy[engine] = max(0, r.busy.get(engine, 0) - 1)
+        if not slow:
+            engine_outcomes.note(r, now_ms, engine, proof)
+        proof = "unknown" if proof == "timed-out" else proof
         if proof in ("done", "not-run"):
             r.heard_ms[engine] = now_ms
         lately = slow and now_ms - r.heard_ms.get(engine, -1e12) < 2 * r.terms.pauseMs
         if proof in ("no-pipe", "unknown") and not lately:
             choice.broke(r, now_ms, engine)
-    if proof in ("done", "gone", "cut"):
+    if proof in _OVER:
         r.tasks.pop(token, None)
         r.served += proof == "done"
         return [Reply(token, Done())] + _unhold(r, task, proof)
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -99,3 +99,5 @@
     cold_tokens: dict = field(default_factory=dict)
     heard_ms: dict = field(default_factory=dict)
     noticed_changes: int = -1
+    outcomes: dict = field(default_factory=dict)
+    untold_ends: dict = field(default_factory=dict)
