Leave the line before the caller leaves, and wait for a model that is loading

Callers of rare models, whose loads take about 4 s, were refused after 0.45 of their time while their model was being loaded.

Change: a route tells how long its callers bear silence; the line is left after three quarters of that with the time to come back. A caller whose model an engine is loading waits on for up to 0.8 of its time and 0.9 of that silence.

--- a/libs/configuration/src/configuration/passages.py
+++ b/libs/configuration/src/configuration/passages.py
@@ -6,7 +6,8 @@
 them a section like any partner's, so that placement and routing see no
 difference.  Shapes: a route's facts are `host`, `prefix`, `kind` ("safe",
 "unsafe" or "stream"), `holdMs`, `aimMs`, `rank`, `split` ((service, weight),
-...), `tries`, `resumable`, `pauseMs`; a service's are in `_Service`.
+...), `tries`, `resumable`, `pauseMs`, `patienceMs` (how long its callers bear silence, 0
+if that isn't known); a service's are in `_Service`.
 """
 
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
@@ -57,6 +58,7 @@
     tries = _count(1, 1000)
     resumable = fields.Boolean(load_default=False)
     pauseMs = _number(load_default=0.0)
+    patienceMs = _number(load_default=0.0)
 
 
 class _Model(_Loose):
--- a/libs/placement/src/placement/ledger.py
+++ b/libs/placement/src/placement/ledger.py
@@ -15,6 +15,7 @@
     "load",
     "charged",
     "loads_out",
+    "coming",
     "is_open_load",
     "loaded",
     "order_record",
@@ -193,6 +194,16 @@
     return entry["verb"] == "load" and entry["state"] in _OPEN
 
 
+def coming(ledger, items):
+    """Whether one of `items` is being loaded by an engine that isn't suspect."""
+    return any(
+        entry is not None and is_open_load(entry)
+        for engine, held in ledger.engines.items()
+        if engine not in ledger.suspects
+        for entry in map(held.get, items)
+    )
+
+
 def loaded(ledger, engine, item):
     """Whether an item is up; an adapter is only while its model is, if that is known."""
     items = ledger.engines.get(engine, {})
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -158,7 +158,7 @@
             leader_of(node),
             lambda name, life: peer_table.lost(node.peers, now_ms, name, life),
         )
-    effects += router.tick(node.router, now_ms)
+    effects += router.tick(node.router, now_ms, node.floor)
     effects += _wake(node, now_ms)
     return effects + operator_requests.tick(node, now_ms)
 
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -77,6 +77,7 @@
         tries=route.get("tries", 1),
         tokens=told["tokens"],
         told=True,
+        patience_ms=route.get("patienceMs") or float("inf"),
     )
 
 
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -8,6 +8,7 @@
 
 from configuration import registry as registries
 from placement import floor as floors
+from placement import ledger as ledgers
 from placement import world
 from placement.placement import item_name
 from transport import failures
@@ -37,6 +38,10 @@
 _UNLISTED_RETRY_MS = 1000
 _FOR_A_PLACE = 0.4
 _IN_LINE = 0.45
+_WHILE_COMING = 0.8
+# Parts of the silence that its caller bears, likewise.
+_IN_PATIENCE = 0.75
+_IN_PATIENCE_WHILE_COMING = 0.9
 # Ends after which nothing more is done for a task.
 _OVER = ("done", "failed", "gone", "unanswered", "cut", "cut-late")
 _AVOID_MS = {"not-run": 100.0, "no-pipe": 1000.0, "unknown": 1e12}
@@ -118,7 +123,8 @@
     if found or not item or (task.legs and not task.told):
         if task.waiting:
             if not task.up and not task.short:
-                task.up, task.give_up_ms = True, now_ms + _FOR_A_PLACE * (task.end_ms - now_ms)
+                give_up_ms = now_ms + _FOR_A_PLACE * (task.end_ms - now_ms)
+                task.up, task.give_up_ms = True, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE))
             return []
         ready_ms = choice.ready_in(r, now_ms, found, crew, task.rank, service)
         if 0 < ready_ms < task.end_ms - now_ms and not task.legs and _line_open(r, task):
@@ -145,6 +151,11 @@
     return waiting < r.terms.waiting_max * (1 - 0.25 * min(task.rank, 3))
 
 
+def _leaves_ms(task, part):
+    """When a part of the silence is over after which a task's caller leaves."""
+    return task.since_ms + part * task.patience_ms
+
+
 def _line_up(r, now_ms, floor, task):
     if task.waiting:
         return []
@@ -157,7 +168,8 @@
     task.waiting = True
     task.give_up_ms = task.end_ms
     if task.told:
-        task.give_up_ms = max(now_ms, task.since_ms + _IN_LINE * (task.end_ms - task.since_ms))
+        give_up_ms = task.since_ms + _IN_LINE * (task.end_ms - task.since_ms)
+        task.give_up_ms = max(now_ms, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE)))
     shard = world.shard_of(task.service, floor.shards)
     return [
         Hold(
@@ -247,12 +259,15 @@
     return ledger.told.get(task.id, ("no-room", 5000) if task.lined else None)
 
 
-def tick(r, now_ms):
-    """Those whose time in line is over get their final answer now."""
+def tick(r, now_ms, floor):
+    """Those whose time in line is over get their final answer now, but for a while longer
+    those whose model is on its way."""
     effects = []
     for task in list(r.tasks.values()):
         if task.waiting and now_ms >= task.give_up_ms:
             for_a_place = task.short or task.up
+            if not for_a_place and now_ms < _until_it_comes_ms(floor, task):
+                continue
             effects += _fail(
                 r,
                 task,
@@ -263,6 +278,16 @@
     return effects
 
 
+def _until_it_comes_ms(floor, task):
+    """How long a task may wait for what an engine is loading already."""
+    ledger = floors.ledger_of(floor, world.shard_of(task.service, floor.shards))
+    item = item_name(task.model, task.adapter)
+    if not task.told or not ledgers.coming(ledger, {task.model, item}):
+        return task.give_up_ms
+    coming_ms = task.since_ms + _WHILE_COMING * (task.end_ms - task.since_ms)
+    return min(coming_ms, _leaves_ms(task, _IN_PATIENCE_WHILE_COMING))
+
+
 def ended(r, now_ms, floor, age_ms, crew, token, proof, slow=False):
     """A leg ended.  `proof`: "done", "failed" (the engine's own answer says so), "not-run"
     (the engine's refusal), "no-pipe" (nothing was sent), "unknown", "timed-out" (unknown,
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -47,6 +47,7 @@
     avoid: dict = field(default_factory=dict)
     told: bool = False
     tokens: tuple = ()
+    patience_ms: float = float("inf")
 
 
 @dataclass(frozen=True)
--- a/tests/test_unnamed_model.py
+++ b/tests/test_unnamed_model.py
@@ -45,7 +45,7 @@
             "t", "i", self.service, model, adapter, "rank1", "", False, True, 5000.0, told=told
         )
         effects = router.begin(self.router, 100.0, self.floor, 0.0, CREW, task)
-        (effect,) = effects or router.tick(self.router, task.end_ms)
+        (effect,) = effects or router.tick(self.router, task.end_ms, self.floor)
         return effect.outcome
 
     def status(self, failure):
