News goes to nodes that hold nothing in batches, not with each write of the log

Each batch of the log went at once to every node; at hundreds of records a second each of 67 routers was woken as often.

Change: nodes that may hold a shard get news at once, others at most once in a quarter of a heartbeat.

--- a/libs/replication/src/replication/feed.py
+++ b/libs/replication/src/replication/feed.py
@@ -17,6 +17,8 @@
 __all__ = ["Asks", "on_ask", "answer", "push"]
 
 _PER_SEND = 128
+# Of the time between two heartbeats: how long a node that holds nothing waits for more news.
+_PACE = 0.25
 _BYTES_PER_SEND = 1 << 20
 _WINDOW_BYTES = 2 << 20
 # A link this slow (8 Mbit/s) is not taken for a broken one.
@@ -79,12 +81,19 @@
 
 
 def push(replica, nodes, now_ms):
-    """Send every known node what was committed since it was last sent to."""
-    effects = []
-    for node in nodes.seen.values():
-        if node.sent_place < replica.commit and now_ms - node.heard_ms < 3 * replica.times.ping_ms:
-            effects += push_to(replica, nodes, node, now_ms)
-    return effects
+    """Send every known node what was committed since it was last sent to: at once to those
+    that may hold a shard, to the others no more often than `_PACE` allows, since hundreds
+    of them would each be woken by every batch.  What is held back goes with a later call,
+    at the latest that of the next tick."""
+    times = replica.times
+    return [
+        effect
+        for node in nodes.seen.values()
+        if node.sent_place < replica.commit
+        and now_ms - node.heard_ms < 3 * times.ping_ms
+        and (node.role == times.placers or now_ms - node.sent_ms >= _PACE * times.heartbeat_ms)
+        for effect in push_to(replica, nodes, node, now_ms)
+    ]
 
 
 def push_to(replica, nodes, node, now_ms):
