Adapters come up before models are loaded; models by their callers' claims (STARVED)

Cause: an engine carries out one order at a time, and a model's load takes seconds where an adapter's takes 15 ms. Callers were served by rank with ten seconds between ranks, so an adapter asked for by a lower rank waited until no model was waited for by a higher one.

Ruled out: the store, engines in doubt, places kept for a model that never came.

Change: adapters first, then what is asked for most, then models by claim (how many wait, how long, how urgent). An engine is taken for a load last if it is the only one free that could bring up adapters that are asked for. Rates are worked out once a plan, and answers that come at once bring about one plan.

--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -9,13 +9,13 @@
 """
 
 import math
-from dataclasses import dataclass
 
 from transport.rendezvous import weight
 
+from placement import demand_view, orders, world
 from placement import ledger as ledgers
-from placement import line, order_counts, orders, world
-from placement.demand import FADE_MS, rate, tell
+from placement.demand import FADE_MS, tell
+from placement.demand_view import View, idle
 
 __all__ = ["plan"]
 
@@ -26,26 +26,9 @@
 _LET_GO = 1.5
 _SEED = 16.0
 _HOT = 4.0
-_LEAST = 0.4
-_EACH = 0.4
 _BESIDE = 0.2
 
 
-@dataclass
-class _View:
-    """What one pass looks at."""
-
-    p: object
-    now_ms: float
-    registry: object
-    name: str
-    service: dict
-    terms: object
-    engines: dict
-    copies: dict
-    waited: dict
-
-
 def plan(p, now_ms, registry, name, service, terms):
     """Give the orders that are due now; at most one an engine."""
     engines = {
@@ -55,45 +38,37 @@
     }
     if not engines:
         return
-    v = _View(
-        p,
-        now_ms,
-        registry,
-        name,
-        service,
-        terms,
-        engines,
-        _copies(p, engines),
-        line.waited_for(p, name),
-    )
+    copies = demand_view.copies_of(p, engines)
+    waiting = demand_view.waiting_of(p, now_ms, name)
+    v = View(p, now_ms, registry, name, service, engines, copies, waiting)
     _forget(p, now_ms, engines)
     if not p.demand.seeded:
         _seed(v)
+    v.rates = demand_view.rates_of(p.demand, now_ms)
+    v.adapters = demand_view.adapter_rates(v.rates)
+    _bring_all(v)
+
+
+def _bring_all(v):
+    """Adapters first, which come up in a moment but wait behind any load of a model; then
+    what is asked for most, what is waited for by claim, and more copies."""
+    known = [i for i in v.waiting if world.size_of(v.registry, i) is not None]
+    claims = {item: demand_view.claim(v, item) for item in known}
+    by_claim = sorted(claims, key=lambda i: (-claims[i], i))
+    for adapter in [i for i in by_claim if "/" in i]:
+        _bring(v, adapter, claims[adapter])
     _more_copies(v, _HOT)
-    for item in sorted(v.waited, key=lambda i: (v.waited[i], i)):
-        if world.size_of(registry, item) is not None:
-            _bring(v, item, _patience(v, item))
+    for model in [i for i in by_claim if "/" not in i]:
+        _bring(v, model, claims[model])
     _more_copies(v, 0.0)
 
 
 def _seed(v):
     """Before anybody has told what is asked for, many copies speak of much demand."""
-    v.p.demand.seeded = True
+    v.placer.demand.seeded = True
     for model, copies in v.copies.items():
         if "/" not in model:
-            tell(v.p.demand, v.now_ms, model, _SEED * (0.1 + copies - 1))
-
-
-def _patience(v, item):
-    """How much may be lost, in askings a second, for an item that is waited for: the
-    more so the more wait for it and the longer they have."""
-    since = [
-        v.p.holds_ms.get(id_, v.now_ms)
-        for id_, hold in v.p.ledger.holds.items()
-        if item in (hold["model"], f"{hold['model']}/{hold['adapter']}")
-    ]
-    wait_s = (v.now_ms - min(since, default=v.now_ms)) / 1000
-    return _LEAST + _EACH * len(since) * (1 + wait_s)
+            tell(v.placer.demand, v.now_ms, model, _SEED * (0.1 + copies - 1))
 
 
 def _forget(p, now_ms, engines):
@@ -104,28 +79,10 @@
         p.demand.rates = {i: r for i, r in p.demand.rates.items() if now_ms - r[1] < 8 * FADE_MS}
 
 
-def _copies(p, engines):
-    """item -> how many engines hold it or are loading it."""
-    found = {}
-    for name in engines:
-        for item, entry in p.ledger.engines.get(name, {}).items():
-            if entry["verb"] == "load":
-                found[item] = found.get(item, 0) + 1
-    return found
-
-
-def _idle(v, engine):
-    """Whether an order may be given to an engine now."""
-    if v.p.demand.pauseMs.get(engine, 0.0) > v.now_ms or not order_counts.known(v.p, engine):
-        return False
-    items = v.p.ledger.engines.get(engine, {})
-    return all(e["state"] == "loaded" for e in items.values())
-
-
 def _bring(v, item, most):
     """Have an item come up somewhere, if it isn't up or on its way."""
     if v.copies.get(item):
-        v.p.demand.making.pop(item, None)
+        v.placer.demand.making.pop(item, None)
         return
     model, _, adapter = item.partition("/")
     if adapter:
@@ -136,21 +93,21 @@
 
 
 def _bring_adapter(v, item, model):
-    hosts = [n for n in v.engines if ledgers.loaded(v.p.ledger, n, model) and _idle(v, n)]
+    hosts = [n for n in v.engines if ledgers.loaded(v.placer.ledger, n, model) and idle(v, n)]
     size = world.size_of(v.registry, item)
 
     def pushed(name):
-        items = v.p.ledger.engines[name]
-        usedMb, places = world.charged(v.registry, v.p.ledger, name)
+        items = v.placer.ledger.engines[name]
+        usedMb, places = world.charged(v.registry, v.placer.ledger, name)
         if places + size[1] <= v.engines[name].places and (
             usedMb + size[0] <= v.engines[name].roomMb
         ):
             return ()
-        adapters = [i for i in items if "/" in i and i not in v.waited]
-        return tuple(sorted(adapters, key=lambda i: rate(v.p.demand, v.now_ms, i))[:1]) or None
+        adapters = [i for i in items if "/" in i and i not in v.waiting]
+        return tuple(sorted(adapters, key=lambda i: v.rates.get(i, 0.0))[:1]) or None
 
     found = [
-        (sum(rate(v.p.demand, v.now_ms, i) for i in out), weight(item, n), n, out)
+        (sum(v.rates.get(i, 0.0) for i in out), weight(item, n), n, out)
         for n in hosts
         if (out := pushed(n)) is not None
     ]
@@ -162,7 +119,7 @@
 def _worth(v, model):
     """What would be lost with one copy of a model, in askings a second."""
     copies = v.copies.get(model, 1)
-    asked = rate(v.p.demand, v.now_ms, model) + 0.001
+    asked = v.rates.get(model, 0.0) + 0.001
     if copies <= 1:
         return asked
     return asked / copies * (1.0 if copies <= _wanted(v, model) else 0.05)
@@ -170,7 +127,7 @@
 
 def _wanted(v, model):
     """How many copies a model's demand keeps busy to a part of their slots."""
-    asked = rate(v.p.demand, v.now_ms, model)
+    asked = v.rates.get(model, 0.0)
     slots = max(1, v.service.get("slots") or 16)
     least = 2 if asked > 2.0 else 1
     return max(least, math.ceil(asked * _RUN_S / (_BUSY_PART * slots)))
@@ -178,8 +135,8 @@
 
 def _pushed(v, name, model, size_mb):
     """(cost, models to push out) to make room on an engine, or None."""
-    items = v.p.ledger.engines.get(name, {})
-    usedMb, _ = world.charged(v.registry, v.p.ledger, name)
+    items = v.placer.ledger.engines.get(name, {})
+    usedMb, _ = world.charged(v.registry, v.placer.ledger, name)
     free_mb = v.engines[name].roomMb - usedMb
     if free_mb >= size_mb:
         return 0.0, ()
@@ -187,8 +144,8 @@
     for other, entry in items.items():
         if "/" in other or entry["verb"] != "load" or entry["state"] != "loaded":
             continue
-        young = v.now_ms - v.p.demand.up_ms.get((name, other), -1e12) < _KEEP_MS
-        if (other in v.waited and v.copies.get(other, 1) <= 1) or young:
+        young = v.now_ms - v.placer.demand.up_ms.get((name, other), -1e12) < _KEEP_MS
+        if (other in v.waiting and v.copies.get(other, 1) <= 1) or young:
             continue
         own_mb = sum(
             world.charge_of(v.registry, i, e)[0]
@@ -205,24 +162,38 @@
     return (cost, tuple(out)) if free_mb >= size_mb else None
 
 
+def _held_up(v, name):
+    """Askings a second for adapters that no engine could bring up while this one loads: it
+    carries out one order at a time, and its models' other hosts are busy."""
+    return sum(
+        asked
+        for model, asked in v.adapters.items()
+        if ledgers.loaded(v.placer.ledger, name, model)
+        and not any(
+            other != name and ledgers.loaded(v.placer.ledger, other, model) and idle(v, other)
+            for other in v.engines
+        )
+    )
+
+
 def _bring_model(v, model, beside, most):
     """Choose the engine where a model costs least, and take the next step there."""
     size_mb = world.size_of(v.registry, model)[0]
-    kept = v.p.demand.making.get(model)
+    kept = v.placer.demand.making.get(model)
     names = [kept[0]] if kept else [n for n in v.engines if n not in beside]
-    taken = {m[0] for i, m in v.p.demand.making.items() if i != model}
+    taken = {m[0] for i, m in v.placer.demand.making.items() if i != model}
     found = []
     for name in names:
-        if name in taken or not _idle(v, name) or model in v.p.ledger.engines.get(name, {}):
+        if name in taken or not idle(v, name) or model in v.placer.ledger.engines.get(name, {}):
             continue
         pushed = _pushed(v, name, model, size_mb)
         if pushed is None or pushed[0] > most:
             continue
-        known = model in v.p.demand.before.get(name, ())
+        known = model in v.placer.demand.before.get(name, ())
         zones = sum(1 for n in beside if v.engines[n].zone == v.engines[name].zone)
         found.append(
             (
-                pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones,
+                pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones + _held_up(v, name),
                 not known,
                 weight(model, name),
                 name,
@@ -231,42 +202,42 @@
         )
     if found:
         name, out = min(found)[3:]
-        v.p.demand.making.setdefault(model, (name, v.now_ms))
+        v.placer.demand.making.setdefault(model, (name, v.now_ms))
         _give(v, name, model, out)
 
 
 def _give(v, name, item, out):
     """Push out what is in the way, or load if nothing is and the store bears it."""
-    items = v.p.ledger.engines.get(name, {})
+    items = v.placer.ledger.engines.get(name, {})
     if out:
         entry = items[out[0]]
-        orders.give(v.p, name, out[0], "unload", entry["mb"], entry["places"], v.name)
+        orders.give(v.placer, name, out[0], "unload", entry["mb"], entry["places"], v.name)
         v.copies[out[0]] = v.copies.get(out[0], 1) - 1
         return
-    known = item in v.p.demand.before.get(name, ())
+    known = item in v.placer.demand.before.get(name, ())
     if (
         "/" not in item
         and not known
-        and not orders.store_allows(v.p, v.now_ms, v.name, v.service["loads"])
+        and not orders.store_allows(v.placer, v.now_ms, v.name, v.service["loads"])
     ):
         return
     size = world.size_of(v.registry, item)
-    orders.give(v.p, name, item, "load", size[0], size[1], v.name)
+    orders.give(v.placer, name, item, "load", size[0], size[1], v.name)
     v.copies[item] = v.copies.get(item, 0) + 1
-    v.p.demand.making.pop(item, None)
+    v.placer.demand.making.pop(item, None)
 
 
 def _more_copies(v, least):
     """One more copy of what has fewer than its demand keeps busy, where that costs
     less than it brings; of those asked for at least so often, most asked first."""
     found = [
-        (-rate(v.p.demand, v.now_ms, i), i)
-        for i in v.copies
-        if "/" not in i and 0 < v.copies[i] < _wanted(v, i)
+        (-asked, item)
+        for item, asked in v.rates.items()
+        if "/" not in item and 0 < v.copies.get(item, 0) < _wanted(v, item)
     ]
     for asked, model in sorted(found):
         asked = -asked
         if asked < least:
             continue
-        beside = [n for n in v.engines if model in v.p.ledger.engines.get(n, {})]
+        beside = [n for n in v.engines if model in v.placer.ledger.engines.get(n, {})]
         _bring_model(v, model, beside, most=asked / (1 + v.copies[model]) / _LET_GO)
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -29,6 +29,8 @@
 __all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
 
 _OWN = 0.25
+# Of a call's time: the least time between two plans that answers bring about.
+_BETWEEN_PLANS = 0.01
 
 
 def taken_over(p, now_ms, terms):
@@ -57,6 +59,7 @@
     line.drop_lost(p, lost)
     suspects.due(p, now_ms, registry, shards, terms)
     if now_ms >= p.not_before_ms:
+        p.planned_ms = now_ms
         for name, service in world.services_of(registry, p.shard, shards).items():
             if service.get("byDemand"):
                 asked.plan(p, now_ms, registry, name, service, terms)
@@ -155,7 +158,14 @@
             del p.reports[engine]
         return []
     again.on_answer(p, now_ms, id_, called, pending, terms)
-    return [Wake(now_ms)] if terms.turnMs else []
+    return _soon(p, now_ms, terms)
+
+
+def _soon(p, now_ms, terms):
+    """Plan again now, but not for each of many answers that come at once."""
+    return (
+        [Wake(max(now_ms, p.planned_ms + _BETWEEN_PLANS * terms.call_ms))] if terms.turnMs else []
+    )
 
 
 def command(p, now_ms, token, verb, body, registry, terms):
@@ -210,4 +220,4 @@
         ),
         ("reply", token, {"id": id_, "turn": p.ledger.holdCount + 1}),
     )
-    return [Wake(now_ms)] if terms.turnMs else []
+    return _soon(p, now_ms, terms)
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -71,6 +71,7 @@
     loadMs: dict = field(default_factory=dict)
     refused_ms: dict = field(default_factory=dict)
     linger_ms: dict = field(default_factory=dict)
+    planned_ms: float = float("-inf")
     again_ms: dict = field(default_factory=dict)
     changed_ms: dict = field(default_factory=dict)
     order_counts: dict = field(default_factory=dict)
