Loads that take long at busy engines don't keep others from the store's rate

Cause: where a layout tells only a rate, the loads that may be out at a time were that rate times a load's time at full speed. Engines that are busy or slow take two to four times as long, so a placer used a third of what the store allows.

Ruled out: tokens of the rate (two to four were free), engines in doubt.

Change: as many may be out as the rate makes up in the time that loads have been taking, at most four times as many as before. The rate itself binds as it did.

--- a/libs/placement/src/placement/orders.py
+++ b/libs/placement/src/placement/orders.py
@@ -12,6 +12,9 @@
 
 __all__ = ["plan", "give", "store_allows"]
 
+# How many times the loads that its rate makes up at full speed may be out at the store.
+_MOST_TIMES = 4
+
 
 def plan(p, now_ms, registry, name, service, terms):
     p.refused_ms = {k: ms for k, ms in p.refused_ms.items() if now_ms - ms < 2 * terms.call_ms}
@@ -151,11 +154,23 @@
     return True
 
 
+def _at_once(loads, usual):
+    """How many loads may be out at a time.  Where the layout tells only a rate, that is what
+    the store bears; loads that take longer than theirs, at engines that are busy or slow,
+    don't keep others from it, up to a bound.  `usual`: the rate's loads in the time that
+    they have been taking."""
+    told = loads["atOnce"]
+    if loads.get("adapters", True):
+        return told
+    return max(told, min(_MOST_TIMES * told, usual))
+
+
 def store_allows(p, now_ms, name, loads):
     """Whether one more load keeps within the service's part of the store; takes it."""
-    if ledgers.loads_out(p.ledger, name, loads.get("adapters", True)) >= loads["atOnce"]:
-        return False
     burst, per_ms = line.store_rate(loads)
+    out = ledgers.loads_out(p.ledger, name, loads.get("adapters", True))
+    if out >= _at_once(loads, per_ms * p.loadMs.get(name, 0.0)):
+        return False
     tokens, at_ms = p.tokens.get(name, (burst if p.epoch == 1 else 0.0, now_ms))
     tokens = min(burst, tokens + (now_ms - at_ms) * per_ms)
     allowed = tokens >= 1
--- a/tests/test_platform_asked.py
+++ b/tests/test_platform_asked.py
@@ -207,3 +207,18 @@
                 floor.registry.engines["e0"] = {**floor.registry.engines["e0"], "state": "join"}
             self.assertThat(wrong, Equals([]))
             self.checked(floor)
+
+    def test_loads_that_take_long_do_not_hold_up_others(self):
+        """Engines that are busy or slow load for longer than the store's rate takes: what it
+        bears in a second is used all the same, and no more."""
+        floor = Floor(5, models=40, engines=12, per_s=6.0, loadS=0.6)
+        for engine in floor.scene.engines.values():
+            engine.loadMs = 2400.0
+            engine.items.clear()
+            engine.known.clear()
+        models = [item for item in floor.items if "/" not in item]
+        for model in models[:24]:
+            floor.ask(model)
+        floor.run(9, lambda rng: None)
+        self.checked(floor)
+        self.assertThat(len(floor.came_up & set(models)), GreaterThan(20))
