Split the waiting line off the router, and the ends of attempts off relaying

What waits for a model or a place, and for how long, is in routing.waiting_line; the time that is left of an attempt and what its end proves in routing.attempts.

--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -7,14 +7,12 @@
 """
 
 import time
-from dataclasses import replace
 
-import pycurl
 from transport import failures
 from transport.ends import hung_up
 from werkzeug.wrappers import Response
 
-from routing import answers, passing
+from routing import answers, attempts, passing
 from routing.engines import Ask
 from routing.router import Leg, Stay
 
@@ -26,33 +24,6 @@
 _NOT_RUN = ("not-run", "no-pipe")
 # The least status with which an engine says that it failed.
 _FAILED = 500
-# Engines end by their own clocks, at most so long before an attempt's end here.
-_ENGINE_ENDS_MS = 100.0
-# The HTTP library's name for a transfer whose time was over.
-_TIMED_OUT = str(pycurl.E_OPERATION_TIMEDOUT)
-
-
-def _in_time(leg):
-    """The attempt with the time that is left of it, or None if there is none: this node
-    may have stood still since it was decided."""
-    left_ms = leg.end_ms - time.monotonic() * 1000
-    return replace(leg, timeout_ms=min(leg.timeout_ms, left_ms)) if left_ms > 0 else None
-
-
-def _proof(ended):
-    """What the end of a leg without a whole answer proves."""
-    if not ended.begun:
-        return "no-pipe"
-    return "timed-out" if ended.cause == _TIMED_OUT else "unknown"
-
-
-def _broken(ended, told, resumable):
-    """How a stream that broke off ends: an engine that had no more time is only late."""
-    in_time = time.monotonic() * 1000 < told["end_ms"] - _ENGINE_ENDS_MS
-    in_time = in_time and (ended is None or ended.cause != _TIMED_OUT)
-    if resumable:
-        return "unknown" if in_time else "timed-out"
-    return "cut" if in_time else "cut-late"
 
 
 class Relaying:
@@ -85,7 +56,7 @@
             if gone():
                 self._over(token)
                 break
-            leg = _in_time(step)
+            leg = attempts.in_time(step)
             if leg is None:
                 step = self._ask(token, "ended", {"proof": "not-run"})
                 continue
@@ -148,17 +119,11 @@
                     return value, b"", "unknown"
                 return self._whole(value, source, gone)
             if kind == "idle" and gone():
-                return None, b"", self._left(told, begun_s)
+                return None, b"", attempts.left(told, begun_s)
             if kind == "end":
-                return None, b"", _proof(value)
+                return None, b"", attempts.proof(value)
         return None, b"", "unknown"
 
-    def _left(self, told, begun_s):
-        """How a leg ends whose caller left before an answer had begun: one that waited
-        past its aim left because of the engine."""
-        waited_ms = 1000 * (time.monotonic() - begun_s)
-        return "unanswered" if waited_ms > told["aimMs"] else "gone"
-
     def _whole(self, head, source, gone):
         """An answer that isn't a stream: passed on only once it is all here."""
         data, size = [], 0
@@ -170,7 +135,9 @@
                 return None, b"", "gone"
             elif kind == "end":
                 return (
-                    (head, b"".join(data), "unknown") if value.code else (None, b"", _proof(value))
+                    (head, b"".join(data), "unknown")
+                    if value.code
+                    else (None, b"", attempts.proof(value))
                 )
         return None, b"", "unknown"
 
@@ -213,7 +180,9 @@
                     if held:
                         yield bytes(held)
                     return
-                source, head = self._go_on(token, told, _broken(ended, told, whole), last, gone)
+                source, head = self._go_on(
+                    token, told, attempts.broken(ended, told, whole), last, gone
+                )
                 if source is None:
                     proof = ""
                     raise answers.CutOff("stream")
@@ -241,7 +210,7 @@
         """(source, head) of a leg at another engine that goes on after `last`."""
         step = self._ask(token, "ended", {"proof": proof})
         while isinstance(step, Leg):
-            leg = None if gone() else _in_time(step)
+            leg = None if gone() else attempts.in_time(step)
             if leg is None:
                 self._over(token)
                 break
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -8,13 +8,12 @@
 
 from configuration import registry as registries
 from placement import floor as floors
-from placement import ledger as ledgers
 from placement import world
 from placement.placement import item_name
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, engine_lives, engine_outcomes, retry_budget
+from routing import choice, engine_lives, engine_outcomes, retry_budget, waiting_line
 from routing.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 
 __all__ = [
@@ -27,7 +26,6 @@
     "begin",
     "ended",
     "wake",
-    "line",
     "tick",
     "held",
     "silent",
@@ -36,12 +34,6 @@
 
 # When to come back for a model that no configuration known here lists.
 _UNLISTED_RETRY_MS = 1000
-_FOR_A_PLACE = 0.4
-_IN_LINE = 0.45
-_WHILE_COMING = 0.8
-# Parts of the silence that its caller bears, likewise.
-_IN_PATIENCE = 0.75
-_IN_PATIENCE_WHILE_COMING = 0.9
 # Ends after which nothing more is done for a task.
 _OVER = ("done", "failed", "gone", "unanswered", "cut", "cut-late")
 _AVOID_MS = {"not-run": 100.0, "no-pipe": 1000.0, "unknown": 1e12}
@@ -123,11 +115,10 @@
     if found or not item or (task.legs and not task.told):
         if task.waiting:
             if not task.up and not task.short:
-                give_up_ms = now_ms + _FOR_A_PLACE * (task.end_ms - now_ms)
-                task.up, task.give_up_ms = True, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE))
+                waiting_line.wait_for_place(task, now_ms)
             return []
         ready_ms = choice.ready_in(r, now_ms, found, crew, task.rank, service)
-        if 0 < ready_ms < task.end_ms - now_ms and not task.legs and _line_open(r, task):
+        if 0 < ready_ms < task.end_ms - now_ms and not task.legs and waiting_line.is_open(r, task):
             task.waiting = task.short = True
             task.give_up_ms = min(task.end_ms, now_ms + ready_ms + 2 * r.terms.pauseMs)
             return []
@@ -145,46 +136,16 @@
     )
 
 
-def _line_open(r, task):
-    """Whether one more may wait here; the lowest class is shut out first."""
-    waiting = sum(t.waiting for t in r.tasks.values())
-    return waiting < r.terms.waiting_max * (1 - 0.25 * min(task.rank, 3))
-
-
-def _leaves_ms(task, part):
-    """When a part of the silence is over after which a task's caller leaves."""
-    return task.since_ms + part * task.patience_ms
-
-
 def _line_up(r, now_ms, floor, task):
     if task.waiting:
         return []
-    if not _line_open(r, task):
+    if not waiting_line.is_open(r, task):
         return _fail(r, task, failures.Overloaded(3000 * (1 + task.rank), "line-full"))
     if not any(
         world.usable(floor.registry, e) for e in world.engines_of(floor.registry, task.service)
     ):
         return _fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
-    task.waiting = True
-    task.give_up_ms = task.end_ms
-    if task.told:
-        give_up_ms = task.since_ms + _IN_LINE * (task.end_ms - task.since_ms)
-        task.give_up_ms = max(now_ms, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE)))
-    shard = world.shard_of(task.service, floor.shards)
-    return [
-        Hold(
-            "hold",
-            shard,
-            {
-                "id": task.id,
-                "service": task.service,
-                "model": task.model,
-                "adapter": task.adapter,
-                "class": task.cls,
-                "waitMs": int(task.give_up_ms - now_ms),
-            },
-        )
-    ]
+    return [waiting_line.hold(floor, task, now_ms)]
 
 
 def held(r, now_ms, id_, outcome):
@@ -226,22 +187,14 @@
     return ended(r, now_ms, floor, age_ms, crew, token, "unknown", True)
 
 
-def line(r):
-    """The tasks that wait, in the order in which they try again."""
-    return sorted(
-        (t for t in r.tasks.values() if t.waiting),
-        key=lambda t: (t.rank, t.turn or 1 << 60, t.since_ms),
-    )
-
-
 def wake(r, now_ms, floor, age_ms, crew):
     """The floor changed, or a leg ended: those in line try again, in order."""
     engine_lives.notice(r, now_ms, floor)
     if age_ms > r.terms.staleMs:
         return []
     effects = []
-    for task in line(r):
-        told = _dropped(floor, task)
+    for task in waiting_line.in_order(r):
+        told = waiting_line.dropped(floor, task)
         if told:
             task.waiting = False
             effects += _fail(r, task, failures.NoRoom(told[1], task.model, told[0]))
@@ -250,15 +203,6 @@
     return effects
 
 
-def _dropped(floor, task):
-    """(why, when to come back) if the holder has taken a task out of the line."""
-    ledger = floors.ledger_of(floor, world.shard_of(task.service, floor.shards))
-    if task.id in ledger.holds:
-        task.lined = True
-        return None
-    return ledger.told.get(task.id, ("no-room", 5000) if task.lined else None)
-
-
 def tick(r, now_ms, floor):
     """Those whose time in line is over get their final answer now, but for a while longer
     those whose model is on its way."""
@@ -266,7 +210,7 @@
     for task in list(r.tasks.values()):
         if task.waiting and now_ms >= task.give_up_ms:
             for_a_place = task.short or task.up
-            if not for_a_place and now_ms < _until_it_comes_ms(floor, task):
+            if not for_a_place and now_ms < waiting_line.until_it_comes_ms(floor, task):
                 continue
             effects += _fail(
                 r,
@@ -278,16 +222,6 @@
     return effects
 
 
-def _until_it_comes_ms(floor, task):
-    """How long a task may wait for what an engine is loading already."""
-    ledger = floors.ledger_of(floor, world.shard_of(task.service, floor.shards))
-    item = item_name(task.model, task.adapter)
-    if not task.told or not ledgers.coming(ledger, {task.model, item}):
-        return task.give_up_ms
-    coming_ms = task.since_ms + _WHILE_COMING * (task.end_ms - task.since_ms)
-    return min(coming_ms, _leaves_ms(task, _IN_PATIENCE_WHILE_COMING))
-
-
 def ended(r, now_ms, floor, age_ms, crew, token, proof, slow=False):
     """A leg ended.  `proof`: "done", "failed" (the engine's own answer says so), "not-run"
     (the engine's refusal), "no-pipe" (nothing was sent), "unknown", "timed-out" (unknown,
