Log each order, on what ground it was given and settled, and who waits for what

The incident's record holds one line of ours for each process, so nothing tells the hypotheses apart. A line an order, a line an end, what a report settled (its age, count and the count known), what no order explains, takeovers, and once a second while callers wait how many, for how many models, and what keeps these from coming up.

Seen: an engine that goes dark and comes back under its id tells the count 0 and holds nothing.

--- a/libs/placement/src/placement/again.py
+++ b/libs/placement/src/placement/again.py
@@ -9,7 +9,7 @@
 from transport.effects import Call, Wake
 
 from placement import ledger as ledgers
-from placement import line, order_counts, world
+from placement import line, order_counts, order_notes, world
 from placement.state import PendingCall, log
 
 __all__ = ["call", "due", "on_answer", "order_body"]
@@ -45,6 +45,7 @@
     engine, item, order = pending.engine, pending.item, pending.order
     first = id_ == order
     state = _answered(called, pending.verb)
+    order_notes.answered(p, order, called, state, not first)
     if first and state == "taken":
         order_counts.taken(p, now_ms, engine, pending.expected)
     if first and state == "refused" and called.code:
--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -8,20 +8,16 @@
 until it is up, so that nothing is pushed out twice for the same wish.
 """
 
-import math
-
 from transport.rendezvous import weight
 
-from placement import demand_view, orders, world
+from placement import demand_view, making_room, order_notes, orders, waiting_summary, world
 from placement import ledger as ledgers
 from placement.demand import FADE_MS, tell
 from placement.demand_view import View, idle
 
 __all__ = ["plan"]
 
-_BUSY_PART = 0.3
-_RUN_S = 0.6
-_KEEP_MS = 1200.0
+_MAKING_MS = 9600.0
 _PAUSE_MS = 60.0
 _LET_GO = 1.5
 _SEED = 16.0
@@ -47,6 +43,8 @@
     v.rates = demand_view.rates_of(p.demand, now_ms)
     v.adapters = demand_view.adapter_rates(v.rates)
     _bring_all(v)
+    if waiting:
+        order_notes.summary(p, now_ms, name, lambda: waiting_summary.of(v))
 
 
 def _bring_all(v):
@@ -73,7 +71,7 @@
 
 def _forget(p, now_ms, engines):
     p.demand.making = {
-        i: m for i, m in p.demand.making.items() if m[0] in engines and now_ms - m[1] < 8 * _KEEP_MS
+        i: m for i, m in p.demand.making.items() if m[0] in engines and now_ms - m[1] < _MAKING_MS
     }
     if len(p.demand.rates) > 4096:
         p.demand.rates = {i: r for i, r in p.demand.rates.items() if now_ms - r[1] < 8 * FADE_MS}
@@ -116,52 +114,6 @@
         _give(v, name, item, out)
 
 
-def _worth(v, model):
-    """What would be lost with one copy of a model, in askings a second."""
-    copies = v.copies.get(model, 1)
-    asked = v.rates.get(model, 0.0) + 0.001
-    if copies <= 1:
-        return asked
-    return asked / copies * (1.0 if copies <= _wanted(v, model) else 0.05)
-
-
-def _wanted(v, model):
-    """How many copies a model's demand keeps busy to a part of their slots."""
-    asked = v.rates.get(model, 0.0)
-    slots = max(1, v.service.get("slots") or 16)
-    least = 2 if asked > 2.0 else 1
-    return max(least, math.ceil(asked * _RUN_S / (_BUSY_PART * slots)))
-
-
-def _pushed(v, name, model, size_mb):
-    """(cost, models to push out) to make room on an engine, or None."""
-    items = v.placer.ledger.engines.get(name, {})
-    usedMb, _ = world.charged(v.registry, v.placer.ledger, name)
-    free_mb = v.engines[name].roomMb - usedMb
-    if free_mb >= size_mb:
-        return 0.0, ()
-    found = []
-    for other, entry in items.items():
-        if "/" in other or entry["verb"] != "load" or entry["state"] != "loaded":
-            continue
-        young = v.now_ms - v.placer.demand.up_ms.get((name, other), -1e12) < _KEEP_MS
-        if (other in v.waiting and v.copies.get(other, 1) <= 1) or young:
-            continue
-        own_mb = sum(
-            world.charge_of(v.registry, i, e)[0]
-            for i, e in items.items()
-            if i.partition("/")[0] == other
-        )
-        found.append((_worth(v, other), other, own_mb))
-    cost, out = 0.0, []
-    for worth, other, own_mb in sorted(found):
-        if free_mb >= size_mb:
-            break
-        cost, free_mb = cost + worth, free_mb + own_mb
-        out.append(other)
-    return (cost, tuple(out)) if free_mb >= size_mb else None
-
-
 def _held_up(v, name):
     """Askings a second for adapters that no engine could bring up while this one loads: it
     carries out one order at a time, and its models' other hosts are busy."""
@@ -186,7 +138,7 @@
     for name in names:
         if name in taken or not idle(v, name) or model in v.placer.ledger.engines.get(name, {}):
             continue
-        pushed = _pushed(v, name, model, size_mb)
+        pushed = making_room.pushed_out(v, name, model, size_mb)
         if pushed is None or pushed[0] > most:
             continue
         known = model in v.placer.demand.before.get(name, ())
@@ -233,7 +185,7 @@
     found = [
         (-asked, item)
         for item, asked in v.rates.items()
-        if "/" not in item and 0 < v.copies.get(item, 0) < _wanted(v, item)
+        if "/" not in item and 0 < v.copies.get(item, 0) < making_room.wanted_copies(v, item)
     ]
     for asked, model in sorted(found):
         asked = -asked
--- a/libs/placement/src/placement/orders.py
+++ b/libs/placement/src/placement/orders.py
@@ -6,7 +6,7 @@
 takeover, so two holders together never spend more than one may.
 """
 
-from placement import again, line, order_counts, placement, world
+from placement import again, line, order_counts, order_notes, placement, world
 from placement import ledger as ledgers
 from placement.state import log
 
@@ -71,6 +71,7 @@
     """Log an order; it is sent once the record is durable."""
     number = p.ledger.orderCount + 1
     order = f"{p.shard}.{p.epoch}.{number}"
+    order_notes.ordered(p, engine, item, verb, order)
     body = {
         **again.order_body(p, engine, item, order),
         "shard": p.shard,
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -17,6 +17,7 @@
     demand,
     line,
     order_counts,
+    order_notes,
     orders,
     placement,
     settle,
@@ -66,7 +67,7 @@
                 effects += again.due(p, now_ms, registry, name, terms, lease_end_ms)
             elif service["kind"] == "models":
                 orders.plan(p, now_ms, registry, name, service, terms)
-    return effects
+    return effects + order_notes.drain(p)
 
 
 def _poll(p, now_ms, registry, shards, terms):
@@ -156,9 +157,9 @@
             settle.on_report(p, now_ms, engine, called.body, asked_ms, registry)
         elif engine in p.reports and now_ms - p.reports[engine].asked_ms > terms.dark_ms:
             del p.reports[engine]
-        return []
+        return order_notes.drain(p)
     again.on_answer(p, now_ms, id_, called, pending, terms)
-    return _soon(p, now_ms, terms)
+    return _soon(p, now_ms, terms) + order_notes.drain(p)
 
 
 def _soon(p, now_ms, terms):
--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -8,7 +8,7 @@
 """
 
 from placement import ledger as ledgers
-from placement import line, order_counts, world
+from placement import line, order_counts, order_notes, world
 from placement.state import Report, log
 
 __all__ = ["on_report"]
@@ -29,6 +29,7 @@
     )
     p.reports[engine] = report
     if p.ledger.incarnations.get(engine) != report.incarnation:
+        order_notes.found(p, now_ms, engine, report.items, report)
         log(
             p,
             ledgers.found_record(
@@ -56,6 +57,7 @@
             p.doubt_ms.pop(entry["order"], None)
             p.call_end_ms.pop(entry["order"], None)
             p.changed_ms[engine] = now_ms
+            order_notes.reported(p, now_ms, engine, item, entry, state, report)
             log(p, ledgers.state_record(engine, item, entry["order"], state))
     if asked_ms < p.changed_ms.get(engine, -1e12):
         return
@@ -69,6 +71,7 @@
         or (world.size_of(registry, i) and _resized(held.get(i), told[i]))
     }
     if strange:
+        order_notes.found(p, now_ms, engine, strange, report)
         log(p, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
     order_counts.read(p, now_ms, engine, report)
 
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -78,6 +78,8 @@
     count_doubt_ms: dict = field(default_factory=dict)
     demand: demands.Demand = field(default_factory=demands.Demand)
     watch: watching.Watch = field(default_factory=watching.Watch)
+    notes: list = field(default_factory=list)
+    summary_ms: float = float("-inf")
 
 
 def log(p, record, then=None):
--- /dev/null
+++ b/libs/placement/src/placement/waiting_summary.py
@@ -0,0 +1,47 @@
+"""Who waits for a service's models, and what keeps these from coming up."""
+
+from collections import Counter
+
+from placement import making_room, world
+from placement.demand_view import claim, idle
+
+__all__ = ["of"]
+
+
+def of(view):
+    """Facts for the log: callers and models that are waited for, the longest wait in ms,
+    and for those that are neither up nor on their way what holds them up at most engines."""
+    callers = [since_ms for found in view.waiting.values() for since_ms, _ in found]
+    models = [item for item in view.waiting if "/" not in item]
+    missing = [model for model in models if not view.copies.get(model)]
+    return {
+        "callers": len(callers),
+        "models": len(models),
+        "adapters": len(view.waiting) - len(models),
+        "missing": len(missing),
+        "oldestMs": round(view.now_ms - min(callers)),
+        "engines": len(view.engines),
+        "suspects": len(view.placer.ledger.suspects),
+        "kept": len(view.placer.demand.making),
+        "heldUp": dict(Counter(_held_up_by(view, model) for model in missing)),
+    }
+
+
+def _held_up_by(view, model):
+    size = world.size_of(view.registry, model)
+    if size is None:
+        return "unknown"
+    reasons = Counter(_reason(view, model, size[0], name) for name in view.engines)
+    return reasons.most_common(1)[0][0]
+
+
+def _reason(view, model, size_mb, name):
+    kept = view.placer.demand.making.items()
+    if any(engine == name and other != model for other, (engine, _) in kept):
+        return "engine kept for another"
+    if not idle(view, name):
+        return "engine busy"
+    pushed = making_room.pushed_out(view, name, model, size_mb)
+    if pushed is None:
+        return "nothing may give way"
+    return "worth less" if pushed[0] > claim(view, model) else "store"
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -201,7 +201,7 @@
         elif isinstance(effect, Wake):
             self._wake_ms = min(self._wake_ms, effect.at_ms)
         elif isinstance(effect, Note):
-            self.ring.note(effect.what, effect.facts)
+            self.ring.note(effect.what, effect.facts, urgent=effect.urgent)
         elif isinstance(effect, Finished):
             self._finished.set()
         elif isinstance(effect, Dump):
@@ -232,7 +232,8 @@
             ask = self.dialect.call_ask(effect.url, effect.verb, told)
             ended = passing.call(self.pool, ask, effect.timeout_ms, effect.not_after_ms)
             body = self.dialect.read_call(effect.verb, told, ended.code, ended.data)
-        self._queue.put(e.Called(effect.id, ended.code, body or {}, ended.begun))
+        kept = ended.head is not None and ended.head.kept
+        self._queue.put(e.Called(effect.id, ended.code, body or {}, ended.begun, kept))
 
 
 def _now():
--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -77,10 +77,10 @@
                 if shard == 0
                 else Placer(shard, part.epoch, held, own=part.before == card.name)
             )
-            effects.append(Note("holds", {"shard": shard, "epoch": part.epoch}))
+            effects.append(Note("holds", {"shard": shard, "epoch": part.epoch}, True))
         elif kept and not mine and part.epoch > kept.epoch:
             del ownership.owners[shard]
-            effects.append(Note("held", {"shard": shard, "epoch": kept.epoch}))
+            effects.append(Note("held", {"shard": shard, "epoch": kept.epoch}, True))
     return effects
 
 
@@ -140,7 +140,7 @@
         placer.taken_over(kept, now_ms, terms)
     kept.held.checkpoint, kept.held.records = b"", []
     facts = {"shard": message.shard, "epoch": message.epoch, "next": kept.held.next}
-    return effects + [Note("recovered", facts)]
+    return effects + [Note("recovered", facts, True)]
 
 
 def on_durable(ownership, now_ms, message, follow, floor, times, terms):
--- a/libs/routing/src/routing/legs.py
+++ b/libs/routing/src/routing/legs.py
@@ -14,12 +14,14 @@
 
 @dataclass(frozen=True)
 class Ended:
-    """`code` 0: no whole answer.  `begun`: at least a byte of it was sent."""
+    """`code` 0: no whole answer.  `begun`: at least a byte of it was sent.  `head`: of the
+    answer to a call, None if none came."""
 
     code: int
     data: bytes
     begun: bool
     cause: str = ""
+    head: object = None
 
 
 def _curl(ask, timeout_ms, connect_ms, headers=()):
--- a/libs/routing/src/routing/passing.py
+++ b/libs/routing/src/routing/passing.py
@@ -239,12 +239,14 @@
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         return Ended(0, b"", False, "late")
     base = (_REPORTS if ask.method in _SAFE else _ORDERS) + _parts(ask.url)[0]
-    chunks, ended = [], Ended(0, b"", False, "none")
+    chunks, head, ended = [], None, Ended(0, b"", False, "none")
     for kind, value in stream(pool, base, ask, timeout_ms, timeout_ms / 2, False):
-        if kind == "data":
+        if kind == "head":
+            head = value
+        elif kind == "data":
             chunks.append(value)
             if sum(map(len, chunks)) > _LIMIT_BYTES:
                 return Ended(0, b"", True, "oversized")
         elif kind == "end":
             ended = value
-    return Ended(ended.code, b"".join(chunks), ended.begun, ended.cause)
+    return Ended(ended.code, b"".join(chunks), ended.begun, ended.cause, head)
--- a/libs/transport/src/transport/effects.py
+++ b/libs/transport/src/transport/effects.py
@@ -70,10 +70,11 @@
 
 @dataclass(frozen=True)
 class Note:
-    """A line for the ring."""
+    """A line for the ring; an urgent one is written out at once."""
 
     what: str
     facts: dict = field(default_factory=dict)
+    urgent: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/transport/src/transport/events.py
+++ b/libs/transport/src/transport/events.py
@@ -27,12 +27,14 @@
 
 @dataclass(frozen=True)
 class Called:
-    """An engine call ended: `code` 0 means no answer, `begun` that bytes left."""
+    """An engine call ended: `code` 0 means no answer, `begun` that bytes left, `kept` that
+    the connection had carried other calls before."""
 
     id: str
     code: int
     body: dict = field(default_factory=dict)
     begun: bool = True
+    kept: bool = False
 
 
 @dataclass(frozen=True)
