--- a/libs/simulation/src/simulation/placing.py
+++ b/libs/simulation/src/simulation/placing.py
@@ -10,7 +10,7 @@
 from transport.effects import Call, Reply
 from transport.events import Called
 
-__all__ = ["TERMS", "Late", "PlainEngine", "Scene", "engine_facts"]
+__all__ = ["TERMS", "Late", "PlainEngine", "Scene", "Stale", "engine_facts"]
 
 TERMS = state.Terms(call_ms=960.0, report_ms=450.0, dark_ms=3000.0, turnMs=0.0, lagMs=300.0)
 SHARDS = 4
@@ -27,6 +27,13 @@
     arrives_ms: float
 
 
+@dataclass(frozen=True)
+class Stale:
+    """A report that an engine gives at once and that is read only after `read_ms`."""
+
+    read_ms: float
+
+
 @dataclass
 class PlainEngine:
     """`broken`: what an engine would fall over, or a rule be broken, by.  `count`: how
@@ -180,6 +187,10 @@
         told = self._answers(call)
         if told is None and call.verb == "report":
             told = Called(call.id, 200, _told(engine, self.now_ms))
+        elif isinstance(told, Stale):
+            report = Called(call.id, 200, _told(engine, self.now_ms))
+            self._after(told.read_ms, lambda: self._called(id_, report))
+            return
         elif told == "unsent":
             told = Called(call.id, 0, {}, False)
         elif isinstance(told, Late):
--- /dev/null
+++ b/tests/test_order_proofs.py
@@ -0,0 +1,80 @@
+"""What does not prove that an engine has room, though it looks as if it did.
+
+Orders name the count of orders that an engine must have taken, so one is only beyond the
+room if the ledger lacked something that the engine held at that count.
+"""
+
+import random
+
+import test_platform_again
+from placement import order_counts
+from simulation.placing import TERMS, Stale
+from test_platform_asked import Floor
+from testtools import TestCase
+from testtools.matchers import Equals
+from transport.events import Called
+
+SEEDS = range(8)
+
+
+class Counted(test_platform_again.OrdersHarness):
+    """A model that was loaded by an order, at a known count."""
+
+    def setUp(self):
+        super().setUp()
+        self.report(["other"], at=self.now_ms, orders=3)
+        self.answer(self.give(), 202)
+        self.now_ms += 1000
+        (call,) = self.due()
+        self.answer(call.id.split("|", 2)[2], 200)
+        self.assertThat((self.state(), self.count()), Equals(("loaded", 4)))
+
+    def count(self):
+        return order_counts.expected(self.p, "e0")
+
+    def told(self, items, orders=4, busy=False):
+        """A report asked for just now."""
+        self.now_ms += 1000
+        self.report(items, at=self.now_ms - 10, busy=busy, orders=orders)
+
+
+class Reports(Counted):
+    def test_a_busy_one_takes_nothing_away(self):
+        """The load was under way at this very count: what the engine holds has changed."""
+        for _ in range(3):
+            self.told(["other"], busy=True)
+        self.assertThat(self.state(), Equals("loaded"))
+
+
+class Floors(TestCase):
+    """Whole floors on which such answers come now and then: no load is beyond the room."""
+
+    def broken(self, seed, answers):
+        floor = Floor(seed, models=20, answers=answers)
+        moving = [floor.items[n:] + floor.items[:n] for n in range(0, len(floor.items), 3)]
+        for items in moving[:6]:
+            floor.run(10, lambda rng, items=items: rng.choice(items[:12]))
+        return [b for e in floor.scene.engines.values() for b in e.broken]
+
+    def test_answers_that_belong_to_other_calls(self):
+        def answers_for(rng):
+            def answers(call):
+                if call.verb != "unload" or "|again:" in call.id or rng.random() > 0.1:
+                    return None
+                return Called(call.id, 200)
+
+            return answers
+
+        found = [self.broken(seed, answers_for(random.Random(seed))) for seed in SEEDS]
+        self.assertThat([b for b in found if b], Equals([]))
+
+    def test_reports_that_come_late(self):
+        def answers_for(rng):
+            def answers(call):
+                late = call.verb == "report" and rng.random() < 0.5
+                return Stale(rng.uniform(0, 4 * TERMS.call_ms)) if late else None
+
+            return answers
+
+        found = [self.broken(seed, answers_for(random.Random(seed))) for seed in SEEDS]
+        self.assertThat([b for b in found if b], Equals([]))
--- /dev/null
+++ b/tests/test_rare_models.py
@@ -0,0 +1,108 @@
+"""Rare models beside popular ones that would fill every engine: none is left out for good.
+
+Each rare model has one caller now and then, who waits for a little while and leaves; the
+next one comes some seconds later.
+"""
+
+import random
+
+from placement import ledger
+from test_platform_asked import Floor
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+_POPULAR = 3
+_ROOM_FOR_ONE_MB = 75000.0
+_PATIENCE_MS = 2500.0
+_TICKS_PER_S = 25
+
+
+class Callers:
+    """Callers of rare models: `served` and `asked` count them by model."""
+
+    def __init__(self, floor, rng, models, pause_s):
+        self._floor, self._rng, self._pause_s = floor, rng, pause_s
+        self._next_ms = {m: floor.scene.now_ms + 1000 * rng.uniform(0, pause_s) for m in models}
+        self._waiting, self._count = {}, 0
+        self.asked = dict.fromkeys(models, 0)
+        self.served = dict.fromkeys(models, 0)
+
+    def step(self):
+        now_ms = self._floor.scene.now_ms
+        for model, next_ms in self._next_ms.items():
+            if model in self._waiting:
+                self._wait_on(model, now_ms)
+            elif now_ms >= next_ms:
+                self._come(model, now_ms)
+
+    def _come(self, model, now_ms):
+        self.asked[model] += 1
+        if self._floor.up(model):
+            self._floor.scene.command("wanted", {"items": {model: 1}})
+            return self._leave(model, now_ms, served=True)
+        self._count += 1
+        self._waiting[model] = (f"r{self._count}", now_ms)
+        self._floor.scene.command(
+            "hold",
+            {
+                "id": f"r{self._count}",
+                "service": self._floor.name,
+                "model": model,
+                "adapter": "",
+                "class": "rank1",
+                "waitMs": _PATIENCE_MS,
+                "node": "c0",
+                "life": "l",
+            },
+        )
+
+    def _wait_on(self, model, now_ms):
+        id_, since_ms = self._waiting[model]
+        up = self._floor.up(model)
+        if up or now_ms - since_ms > _PATIENCE_MS:
+            del self._waiting[model]
+            self._floor.scene.command("unhold", {"id": id_, "why": "served" if up else "left"})
+            self._leave(model, now_ms, served=up)
+
+    def _leave(self, model, now_ms, served):
+        self.served[model] += served
+        self._next_ms[model] = now_ms + 1000 * self._rng.uniform(0.5, 1.5) * self._pause_s
+
+
+def play(seed, seconds=40, engines=12, rare=36, pause_s=4.0):
+    """Popular models asked for 25 times a second each, and callers of rare ones."""
+    floor = Floor(
+        seed,
+        models=_POPULAR + rare,
+        engines=engines,
+        per_s=10.0,
+        roomMb=_ROOM_FOR_ONE_MB,
+        slots=12,
+    )
+    models = [item for item in floor.items if "/" not in item]
+    popular, others = models[:_POPULAR], models[_POPULAR:]
+    callers = Callers(floor, random.Random(seed + 100), others, pause_s)
+    for _ in range(seconds * _TICKS_PER_S):
+        floor.scene.command("wanted", {"items": dict.fromkeys(popular, 1)})
+        callers.step()
+        floor.step()
+    return floor, callers, popular
+
+
+class RareModels(TestCase):
+    def test_each_comes_up_though_popular_ones_want_all_places(self):
+        for seed in range(3):
+            floor, callers, popular = play(seed)
+            never = [m for m, served in callers.served.items() if not served]
+            self.assertThat(len(never), LessThan(2), f"seed {seed}: {len(never)} never served")
+            self.assertThat([b for e in floor.scene.engines.values() for b in e.broken], Equals([]))
+
+    def test_popular_ones_stay_up(self):
+        for seed in range(3):
+            floor, _, popular = play(seed)
+            up = [
+                m
+                for m in popular
+                if any(ledger.loaded(floor.scene.p.ledger, e, m) for e in floor.scene.engines)
+            ]
+            self.assertThat(up, Equals(popular))
