Room is given away only on what proves it: orders that were taken, reports of idle engines

Cause (class: an answer believed without what binds it to its question). A load is beyond the room at the right count if the ledger lost what the engine holds at that very count: by any 200 to an unload, also one never taken; by a report of a busy engine, since an order under way changes what it holds but not its count; by a doubt that arose once, was never taken back, and was shared by all items that no order of ours had brought; by an answer to one call for a report that was taken for the next one's.

Change: a 200 to an unload's first call leaves it unknown and the count in doubt until a report; busy reports take nothing away; doubts are by engine and item and end when the item is seen; each call for a report has an id of its own.

--- a/libs/placement/src/placement/again.py
+++ b/libs/placement/src/placement/again.py
@@ -44,11 +44,11 @@
     """Log what an order's answer proves."""
     engine, item, order = pending.engine, pending.item, pending.order
     first = id_ == order
-    state = _answered(called, pending.verb)
+    state = _answered(called, pending.verb, first)
     order_notes.answered(p, order, called, state, not first)
     if first and state == "taken":
         order_counts.taken(p, now_ms, engine, pending.expected)
-    if first and state == "refused" and called.code:
+    if first and called.code and state in ("refused", "unknown"):
         order_counts.doubt(p, now_ms, engine)
     entry = p.ledger.engines.get(engine, {}).get(item)
     if entry is None or entry["order"] != order:
@@ -76,12 +76,16 @@
             line.learn(p, now_ms, entry["service"], entry["order"])
 
 
-def _answered(called, verb):
-    """What an order's answer proves; no answer proves nothing."""
+def _answered(called, verb, first):
+    """What an order's answer proves; no answer proves nothing.  Nor does it prove that there
+    is room if an engine, told for the first time to unload what it holds, says that it is
+    done: the answer may belong to another call, and only a report tells."""
     if called.code == 202:
         return "taken"
+    if called.code == 200 and verb == "load":
+        return "loaded"
     if called.code == 200:
-        return "loaded" if verb == "load" else "unloaded"
+        return "unknown" if first else "unloaded"
     if called.code in (400, 404, 409, 412, 421, 429, 503) or not called.begun:
         return "refused"
     return "unknown"
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -25,7 +25,7 @@
     world,
 )
 from placement import ledger as ledgers
-from placement.state import log
+from placement.state import Poll, log
 
 __all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
 
@@ -76,24 +76,25 @@
         if service.get("byDemand") and service["kind"] == "plain":
             continue
         for engine in world.engines_of(registry, name):
-            busy = p.polls.get(engine["name"])
-            if busy is not None and now_ms - busy < _pause(p, engine, service, terms):
+            if not _poll_due(p, now_ms, engine, service, terms):
                 continue
-            if (
-                busy is not None
-                and f"report:{engine['name']}" in p.calls
-                and (now_ms - busy < 2 * terms.call_ms)
-            ):
-                continue
-            p.polls[engine["name"]] = now_ms
-            effects.append(
-                again.call(
-                    p, now_ms, f"report:{engine['name']}", "report", engine, {}, terms, "", ""
-                )
-            )
+            poll = Poll(f"report:{engine['name']}:{next(p.report_numbers)}", now_ms)
+            p.polls[engine["name"]] = poll
+            effects.append(again.call(p, now_ms, poll.id, "report", engine, {}, terms, "", ""))
     return effects
 
 
+def _poll_due(p, now_ms, engine, service, terms):
+    """Whether a report is to be asked for: not beside one that may still be answered."""
+    last = p.polls.get(engine["name"])
+    if last is None:
+        return True
+    since_ms = now_ms - last.asked_ms
+    if last.id in p.calls and since_ms < 2 * terms.call_ms:
+        return False
+    return since_ms >= _pause(p, engine, service, terms)
+
+
 def _pause(p, engine, service, terms):
     """How long to wait between reports; where orders tell their own end, reports are
     only for what was left in doubt."""
--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -4,7 +4,8 @@
 asked for after the order's call had ended; a changed incarnation means that
 everything ordered of the old one is forgotten.  What no order explains is
 recorded as found, and charged.  A report of an engine that counts its orders says
-nothing if it is older than what is known of that count.
+nothing if it is older than what is known of that count.  One of an engine that is busy
+takes nothing away: an order under way changes what it holds at the very same count.
 """
 
 from placement import ledger as ledgers
@@ -45,21 +46,24 @@
         return
     if order_counts.outdated(p, engine, report):
         return
+    changed_ms = p.changed_ms.get(engine, float("-inf"))
     items = p.ledger.engines.get(engine, {})
     for item, entry in list(items.items()):
         seen = report.items.get(item)
-        if report.busy and entry["state"] != "loaded" and seen != "loaded":
+        if seen == "loaded":
+            p.doubt_ms.pop((engine, item, entry["order"]), None)
+        elif report.busy:
             continue
-        state = _settled(p, now_ms, entry, seen, asked_ms)
+        state = _settled(p, now_ms, (engine, item), entry, seen, asked_ms)
         if state == "loaded" and entry["verb"] == "load":
             line.learn(p, now_ms, entry["service"], entry["order"])
         if state:
-            p.doubt_ms.pop(entry["order"], None)
+            p.doubt_ms.pop((engine, item, entry["order"]), None)
             p.call_end_ms.pop(entry["order"], None)
             p.changed_ms[engine] = now_ms
             order_notes.reported(p, now_ms, engine, item, entry, state, report)
             log(p, ledgers.state_record(engine, item, entry["order"], state))
-    if asked_ms < p.changed_ms.get(engine, -1e12):
+    if asked_ms < changed_ms:
         return
     held = p.ledger.engines.get(engine, {})
     told = _facts(registry, facts, report.items)
@@ -126,15 +130,15 @@
     return found
 
 
-def _again(p, now_ms, entry, asked_ms):
+def _again(p, now_ms, place, entry, asked_ms):
     """An engine that woke may answer a report before an order that came earlier on
-    another pipe; so it takes a second report, asked for after the first."""
-    first_ms = p.doubt_ms.setdefault(entry["order"], now_ms)
+    another pipe; so it takes a second report in a row, asked for after the first."""
+    first_ms = p.doubt_ms.setdefault((*place, entry["order"]), now_ms)
     return asked_ms > first_ms
 
 
-def _settled(p, now_ms, entry, seen, asked_ms):
-    """The new state a report gives an entry, or None."""
+def _settled(p, now_ms, place, entry, seen, asked_ms):
+    """The new state a report gives an entry, or None; `place`: its engine and item."""
     end_ms = p.call_end_ms.get(entry["order"])
     open_ = entry["state"] in ("intended", "taken", "unknown")
     if open_ and entry["order"] and entry["order"] in p.calls:
@@ -153,7 +157,9 @@
     if entry["verb"] == "load":
         if seen == "loaded":
             return "loaded" if entry["state"] != "loaded" else None
-        if seen is None and (entry["state"] == "taken" or _again(p, now_ms, entry, asked_ms)):
+        if seen is None and (
+            entry["state"] == "taken" or _again(p, now_ms, place, entry, asked_ms)
+        ):
             return "forgotten"
         return None
     if seen is None:
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -1,5 +1,6 @@
 """What a placer keeps in memory beside the shard's replicated ledger."""
 
+import itertools
 from dataclasses import dataclass, field
 
 from replication import shard_log
@@ -8,7 +9,7 @@
 from placement import ledger as ledgers
 from placement import watching
 
-__all__ = ["Placer", "Terms", "Report", "PendingCall", "log"]
+__all__ = ["Placer", "Terms", "Report", "PendingCall", "Poll", "log"]
 
 
 @dataclass(frozen=True)
@@ -50,6 +51,15 @@
     expected: int | None = None
 
 
+@dataclass(frozen=True)
+class Poll:
+    """The last call for an engine's report; each has an id of its own, so that an answer
+    that comes after the next was made is judged by the time of its own call."""
+
+    id: str
+    asked_ms: float
+
+
 @dataclass
 class Placer:
     shard: int
@@ -60,6 +70,7 @@
     not_before_ms: float = float("inf")
     reports: dict = field(default_factory=dict)
     polls: dict = field(default_factory=dict)
+    report_numbers: object = field(default_factory=itertools.count)
     calls: dict = field(default_factory=dict)
     call_end_ms: dict = field(default_factory=dict)
     doubt_ms: dict = field(default_factory=dict)
--- a/tests/test_platform_again.py
+++ b/tests/test_platform_again.py
@@ -70,6 +70,13 @@
             self.p, self.now_ms, id_, Called("", code, {}, begun), self.registry, SHARDS, TERMS
         )
 
+    def carried_out(self, verb):
+        """An order that is taken, and done when it is given again."""
+        self.answer(self.give(verb), 202)
+        self.now_ms += 1000
+        (call,) = self.due()
+        self.answer(call.id.split("|", 2)[2], 200)
+
     def state(self):
         entry = self.p.ledger.engines["e0"].get(self.model)
         return entry and entry["state"]
@@ -173,7 +180,7 @@
     def test_an_item_that_came_up_is_not_found_twice_by_an_old_report(self):
         """A report from before an unload was done doesn't bring the item back."""
         self.answer(self.give(), 200)
-        self.answer(self.give("unload"), 200)
+        self.carried_out("unload")
         self.report(["other", self.model], at=self.now_ms - 50)
         self.assertThat(list(self.p.ledger.engines["e0"]), Not(Contains(self.model)))
 
