--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -11,17 +11,17 @@
 from transport.rendezvous import weight
 
 from placement import demand_view, making_room, order_notes, orders, waiting_summary, world
-from placement import ledger as ledgers
-from placement.demand import FADE_MS, tell
-from placement.demand_view import View, idle
+from placement.demand import FADE_MS, learn_run, tell
+from placement.demand_view import View
 
 __all__ = ["plan"]
 
+# The longest that an engine is kept for an item that it makes room for.
 _MAKING_MS = 9600.0
+_MOST_RATES = 4096
 _PAUSE_MS = 60.0
 _LET_GO = 1.5
 _SEED = 16.0
-_HOT = 4.0
 _BESIDE = 0.2
 
 
@@ -34,31 +34,55 @@
     }
     if not engines:
         return
+    idle = {name for name in engines if demand_view.is_idle(p, now_ms, name)}
+    if not idle and not order_notes.summary_due(p, now_ms):
+        return
+    v = _view(p, now_ms, registry, name, service, engines, idle)
+    if idle:
+        _forget(v)
+        _bring_all(v)
+    if v.waiting:
+        order_notes.summary(p, now_ms, name, lambda: waiting_summary.of(v))
+
+
+def _view(p, now_ms, registry, name, service, engines, idle):
     copies = demand_view.copies_of(p, engines)
     waiting = demand_view.waiting_of(p, now_ms, name)
-    v = View(p, now_ms, registry, name, service, engines, copies, waiting)
-    _forget(p, now_ms, engines)
+    v = View(p, now_ms, registry, name, service, engines, copies, waiting, idle=idle)
+    v.wished = demand_view.wished_of(v)
     if not p.demand.seeded:
         _seed(v)
     v.rates = demand_view.rates_of(p.demand, now_ms)
     v.adapters = demand_view.adapter_rates(v.rates)
-    _bring_all(v)
-    if waiting:
-        order_notes.summary(p, now_ms, name, lambda: waiting_summary.of(v))
+    v.hosts = demand_view.hosts_of(p, engines)
+    running = [p.reports[name].running for name in engines]
+    if None not in running:
+        asked = sum(rate for item, rate in v.rates.items() if "/" not in item)
+        learn_run(p.demand, now_ms, sum(running), asked)
+    return v
 
 
 def _bring_all(v):
     """Adapters first, which come up in a moment but wait behind any load of a model; then
     what is asked for most, what is waited for by claim, and more copies."""
-    known = [i for i in v.waiting if world.size_of(v.registry, i) is not None]
-    claims = {item: demand_view.claim(v, item) for item in known}
+    missing = [
+        item
+        for item in v.wished
+        if not v.copies.get(item) and world.size_of(v.registry, item) is not None
+    ]
+    claims = {item: demand_view.claim(v, item) for item in missing}
     by_claim = sorted(claims, key=lambda i: (-claims[i], i))
-    for adapter in [i for i in by_claim if "/" in i]:
-        _bring(v, adapter, claims[adapter])
-    _more_copies(v, _HOT)
-    for model in [i for i in by_claim if "/" not in i]:
-        _bring(v, model, claims[model])
-    _more_copies(v, 0.0)
+    _bring_each(v, [i for i in by_claim if "/" in i], claims)
+    _more_copies(v, making_room.needed_copies, 1.0)
+    _bring_each(v, [i for i in by_claim if "/" not in i], claims)
+    _more_copies(v, making_room.wanted_copies, making_room.SPARE)
+
+
+def _bring_each(v, items, claims):
+    for item in items:
+        if not v.idle:
+            return
+        _bring(v, item, claims[item])
 
 
 def _seed(v):
@@ -69,18 +93,30 @@
             tell(v.placer.demand, v.now_ms, model, _SEED * (0.1 + copies - 1))
 
 
-def _forget(p, now_ms, engines):
-    p.demand.making = {
-        i: m for i, m in p.demand.making.items() if m[0] in engines and now_ms - m[1] < _MAKING_MS
+def _forget(v):
+    """Engines are no longer kept for what nobody waits for any more."""
+    demand = v.placer.demand
+    demand.making = {
+        item: (engine, since_ms)
+        for item, (engine, since_ms) in demand.making.items()
+        if engine in v.engines and v.now_ms - since_ms < _MAKING_MS and _wished(v, item)
     }
-    if len(p.demand.rates) > 4096:
-        p.demand.rates = {i: r for i, r in p.demand.rates.items() if now_ms - r[1] < 8 * FADE_MS}
+    if len(demand.rates) > _MOST_RATES:
+        least_ms = v.now_ms - 8 * FADE_MS
+        demand.rates = {i: r for i, r in demand.rates.items() if r[1] > least_ms}
+
+
+def _wished(v, item):
+    """Whether an item is to come up, or to have one more copy."""
+    copies = v.copies.get(item, 0)
+    if not copies:
+        return item in v.wished
+    return copies < making_room.wanted_copies(v, item)
 
 
 def _bring(v, item, most):
     """Have an item come up somewhere, if it isn't up or on its way."""
     if v.copies.get(item):
-        v.placer.demand.making.pop(item, None)
         return
     model, _, adapter = item.partition("/")
     if adapter:
@@ -91,7 +127,7 @@
 
 
 def _bring_adapter(v, item, model):
-    hosts = [n for n in v.engines if ledgers.loaded(v.placer.ledger, n, model) and idle(v, n)]
+    hosts = [n for n in v.hosts.get(model, ()) if n in v.idle]
     size = world.size_of(v.registry, item)
 
     def pushed(name):
@@ -120,11 +156,8 @@
     return sum(
         asked
         for model, asked in v.adapters.items()
-        if ledgers.loaded(v.placer.ledger, name, model)
-        and not any(
-            other != name and ledgers.loaded(v.placer.ledger, other, model) and idle(v, other)
-            for other in v.engines
-        )
+        if name in (hosts := v.hosts.get(model, ()))
+        and not any(other != name and other in v.idle for other in hosts)
     )
 
 
@@ -132,11 +165,11 @@
     """Choose the engine where a model costs least, and take the next step there."""
     size_mb = world.size_of(v.registry, model)[0]
     kept = v.placer.demand.making.get(model)
-    names = [kept[0]] if kept else [n for n in v.engines if n not in beside]
+    names = [kept[0]] if kept else [n for n in sorted(v.idle) if n not in beside]
     taken = {m[0] for i, m in v.placer.demand.making.items() if i != model}
     found = []
     for name in names:
-        if name in taken or not idle(v, name) or model in v.placer.ledger.engines.get(name, {}):
+        if name in taken or name not in v.idle or model in v.placer.ledger.engines.get(name, {}):
             continue
         pushed = making_room.pushed_out(v, name, model, size_mb)
         if pushed is None or pushed[0] > most:
@@ -162,6 +195,7 @@
     """Push out what is in the way, or load if nothing is and the store bears it."""
     items = v.placer.ledger.engines.get(name, {})
     if out:
+        v.idle.discard(name)
         entry = items[out[0]]
         orders.give(v.placer, name, out[0], "unload", entry["mb"], entry["places"], v.name)
         v.copies[out[0]] = v.copies.get(out[0], 1) - 1
@@ -173,23 +207,26 @@
         and not orders.store_allows(v.placer, v.now_ms, v.name, v.service["loads"])
     ):
         return
+    v.idle.discard(name)
     size = world.size_of(v.registry, item)
     orders.give(v.placer, name, item, "load", size[0], size[1], v.name)
     v.copies[item] = v.copies.get(item, 0) + 1
     v.placer.demand.making.pop(item, None)
 
 
-def _more_copies(v, least):
-    """One more copy of what has fewer than its demand keeps busy, where that costs
-    less than it brings; of those asked for at least so often, most asked first."""
+def _more_copies(v, copies_of, share):
+    """One more copy of each model that has fewer than `copies_of` says, where that costs less
+    than it brings, a `share` of what is asked of it; most asked for first."""
+    if not v.idle:
+        return
     found = [
         (-asked, item)
         for item, asked in v.rates.items()
-        if "/" not in item and 0 < v.copies.get(item, 0) < making_room.wanted_copies(v, item)
+        if "/" not in item and 0 < v.copies.get(item, 0) < copies_of(v, item)
     ]
     for asked, model in sorted(found):
-        asked = -asked
-        if asked < least:
-            continue
+        if not v.idle:
+            return
         beside = [n for n in v.engines if model in v.placer.ledger.engines.get(n, {})]
-        _bring_model(v, model, beside, most=asked / (1 + v.copies[model]) / _LET_GO)
+        most = -asked * share / (1 + v.copies[model]) / _LET_GO
+        _bring_model(v, model, beside, most)
--- a/libs/placement/src/placement/demand.py
+++ b/libs/placement/src/placement/demand.py
@@ -1,33 +1,85 @@
-"""What callers ask for, as counters tell it: rates that fade, kept by a placer."""
+"""What callers ask for, as counters tell it: rates that fade, kept by a placer.
+
+Beside the rates stands what is owed: an item that callers had to wait for is owed to them
+until one of them finds it up, also after they have left.  So many callers of a rare model,
+each of whom leaves before its turn, together bring it up for one who comes later.
+"""
 
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["Demand", "tell", "rate", "FADE_MS"]
+__all__ = ["Demand", "FADE_MS", "learn_run", "owe", "owed", "pay", "rate", "tell"]
 
 FADE_MS = 8000.0
+# What is owed fades so slowly that callers who come every some seconds add up.
+_OWED_FADE_MS = 4 * FADE_MS
+# Over how long the time of a request at its engine is averaged, and its bounds.
+_RUN_FADE_MS = FADE_MS / 2
+_RUN_LEAST_S, _RUN_MOST_S = 0.1, 4.0
+# With fewer askings a second nothing is learned from what runs.
+_FEW_ASKED = 4.0
+
+
+@dataclass(frozen=True)
+class Owed:
+    """How many `callers` of a service had to wait for an item, as it stood at `at_ms`."""
+
+    service: str
+    callers: float
+    at_ms: float
 
 
 @dataclass
 class Demand:
-    """rates: item -> (asked for a second, at); making: item -> (engine, since)."""
+    """rates: item -> (asked for a second, at); owed: item -> Owed to callers who had to wait;
+    making: item -> (engine, since); run_s: how long a request has a slot, as observed."""
 
     rates: dict = field(default_factory=dict)
+    owed: dict = field(default_factory=dict)
     making: dict = field(default_factory=dict)
     up_ms: dict = field(default_factory=dict)
     pauseMs: dict = field(default_factory=dict)
     before: dict = field(default_factory=dict)
     seeded: bool = False
+    run_s: float = 0.6
+    run_at_ms: float | None = None
 
 
 def tell(d, now_ms, item, count):
     """An item was asked for `count` times since it was last told of."""
-    old, at_ms = d.rates.get(item, (0.0, now_ms))
-    faded = old * math.exp(-max(0.0, now_ms - at_ms) / FADE_MS)
-    d.rates[item] = (faded + count * 1000 / FADE_MS, now_ms)
+    d.rates[item] = (rate(d, now_ms, item) + count * 1000 / FADE_MS, now_ms)
 
 
 def rate(d, now_ms, item):
     """How often a second an item has been asked for lately."""
     old, at_ms = d.rates.get(item, (0.0, now_ms))
     return old * math.exp(-max(0.0, now_ms - at_ms) / FADE_MS)
+
+
+def learn_run(d, now_ms, running, asked):
+    """`running` requests are at the engines while `asked` come a second: by Little's law each
+    is there for their ratio.  Single values are chance, so they are averaged over a while."""
+    if asked < _FEW_ASKED:
+        return
+    since_ms = 0.0 if d.run_at_ms is None else now_ms - d.run_at_ms
+    share = 1 - math.exp(-since_ms / _RUN_FADE_MS)
+    seen_s = min(_RUN_MOST_S, max(_RUN_LEAST_S, running / asked))
+    d.run_s, d.run_at_ms = d.run_s + share * (seen_s - d.run_s), now_ms
+
+
+def owe(d, now_ms, service, item):
+    """One more caller has to wait for an item, or is sent away."""
+    d.owed[item] = Owed(service, owed(d, now_ms, item) + 1, now_ms)
+
+
+def owed(d, now_ms, item):
+    """How many callers have had to wait for an item since it last served one."""
+    known = d.owed.get(item)
+    if known is None:
+        return 0.0
+    return known.callers * math.exp(-max(0.0, now_ms - known.at_ms) / _OWED_FADE_MS)
+
+
+def pay(d, item):
+    """A caller found the item up."""
+    d.owed.pop(item, None)
--- a/libs/placement/src/placement/demand_view.py
+++ b/libs/placement/src/placement/demand_view.py
@@ -4,15 +4,29 @@
 
 from configuration.schema import rank_of
 
+from placement import ledger as ledgers
 from placement import order_counts
-from placement.demand import rate
+from placement.demand import owed, rate
 from placement.placement import item_name
 
-__all__ = ["View", "adapter_rates", "claim", "copies_of", "idle", "rates_of", "waiting_of"]
+__all__ = [
+    "View",
+    "adapter_rates",
+    "claim",
+    "copies_of",
+    "hosts_of",
+    "is_idle",
+    "rates_of",
+    "waiting_of",
+]
 
 # A claim's least, and what each caller adds for a second that it has waited.
 _LEAST = 0.4
 _EACH = 0.4
+# What one who has waited in vain counts beside one who waits.
+_IN_VAIN = 1.0
+# Callers who left unserved: with fewer nothing is brought up for those to come.
+_STILL_OWED = 0.5
 # How much less a caller counts for each class that is more urgent than its own.
 _LESS_URGENT = 0.2
 # Askings a second that make no difference any more.
@@ -22,8 +36,10 @@
 @dataclass
 class View:
     """`engines`: name -> Engine; `copies`: item -> how many hold or load it; `waiting`: item
-    -> (since when, weight) of each caller in line; `rates`: item -> askings a second;
-    `adapters`: model -> askings a second for its adapters."""
+    -> (since when, weight) of each caller in line; `wished`: items that are waited for, or
+    owed to callers who have left; `rates`: item -> askings a second;
+    `adapters`: model -> askings a second for its adapters; `idle`: names of the engines that
+    may be given an order now; `hosts`: model -> names of the engines where it is up."""
 
     placer: object
     now_ms: float
@@ -33,8 +49,11 @@
     engines: dict
     copies: dict
     waiting: dict
+    wished: set = field(default_factory=set)
     rates: dict = field(default_factory=dict)
     adapters: dict = field(default_factory=dict)
+    idle: set = field(default_factory=set)
+    hosts: dict = field(default_factory=dict)
 
 
 def rates_of(demand, now_ms):
@@ -65,6 +84,18 @@
     return found
 
 
+def wished_of(view):
+    """Items that somebody waits for, or did not long ago without being served: whoever asks
+    next finds them up, also if a load takes longer than anybody waits."""
+    demand = view.placer.demand
+    owing = {
+        item
+        for item, known in demand.owed.items()
+        if known.service == view.name and owed(demand, view.now_ms, item) > _STILL_OWED
+    }
+    return owing | view.waiting.keys()
+
+
 def copies_of(placer, engines):
     """item -> how many engines hold it or are loading it."""
     found = {}
@@ -77,17 +108,32 @@
 
 def claim(view, item):
     """How much may be lost, in askings a second, for an item that is waited for: the
-    more so the more wait for it, the longer they have and the more urgent they are."""
+    more so the more wait for it, the longer they have, the more urgent they are and the
+    more have waited in vain before them.  While nobody waits, only what is asked for less
+    often gives way for those to come."""
     callers = view.waiting.get(item, ())
-    oldest_ms = min((since_ms for since_ms, _ in callers), default=view.now_ms)
+    if not callers:
+        return view.rates.get(item, 0.0)
+    oldest_ms = min(since_ms for since_ms, _ in callers)
     waited_s = (view.now_ms - oldest_ms) / 1000
-    return _LEAST + _EACH * sum(weight for _, weight in callers) * (1 + waited_s)
+    waiting = sum(weight for _, weight in callers) * (1 + waited_s)
+    in_vain = _IN_VAIN * owed(view.placer.demand, view.now_ms, item)
+    return _LEAST + _EACH * (waiting + in_vain)
+
+
+def hosts_of(placer, engines):
+    """model -> names of the engines where it is up."""
+    found = {}
+    for name in engines:
+        for item in placer.ledger.engines.get(name, {}):
+            if "/" not in item and ledgers.loaded(placer.ledger, name, item):
+                found.setdefault(item, []).append(name)
+    return found
 
 
-def idle(view, engine):
+def is_idle(placer, now_ms, engine):
     """Whether an order may be given to an engine now."""
-    placer = view.placer
-    if placer.demand.pauseMs.get(engine, 0.0) > view.now_ms:
+    if placer.demand.pauseMs.get(engine, 0.0) > now_ms:
         return False
     if not order_counts.known(placer, engine):
         return False
--- a/libs/placement/src/placement/making_room.py
+++ b/libs/placement/src/placement/making_room.py
@@ -3,14 +3,23 @@
 import math
 
 from placement import world
+from placement.demand_view import claim
 
-__all__ = ["pushed_out", "wanted_copies", "worth"]
+__all__ = ["SPARE", "needed_copies", "pushed_out", "wanted_copies", "worth"]
 
-# Demand keeps this part of a model's slots busy, each for so long, before it gets a copy more.
+# Parts of their slots that a model's copies may be busy at: with fewer copies callers are
+# turned away, and with more than these nothing is gained.
+_FULL_PART = 0.5
 _BUSY_PART = 0.3
-_RUN_S = 0.6
-# A model that has just come up isn't pushed out before it has served anybody.
-_KEEP_MS = 1200.0
+_SLOTS = 16
+# Askings a second from which on a model isn't left to a single engine.
+_OFTEN = 2.0
+# What a copy counts that is only there for bursts, and one that nobody needs.
+SPARE = 0.5
+_IDLE = 0.05
+# A model that has just come up isn't pushed out before those who waited for it can have
+# come; what they have begun is finished before it goes.
+_KEEP_MS = 500.0
 
 
 def worth(v, model):
@@ -18,16 +27,29 @@
     copies = v.copies.get(model, 1)
     asked = v.rates.get(model, 0.0) + 0.001
     if copies <= 1:
-        return asked
-    return asked / copies * (1.0 if copies <= wanted_copies(v, model) else 0.05)
+        return asked + (claim(v, model) if model in v.waiting else 0.0)
+    if copies <= needed_copies(v, model):
+        return asked / copies
+    if copies <= wanted_copies(v, model):
+        return SPARE * asked / copies
+    return _IDLE * asked / copies
+
+
+def needed_copies(v, model):
+    """How many copies a model's demand fills: with fewer, callers are turned away."""
+    return _copies(v, model, _FULL_PART)
 
 
 def wanted_copies(v, model):
+    """How many copies leave a model's callers room for bursts and the loss of an engine."""
+    least = 2 if v.rates.get(model, 0.0) > _OFTEN else 1
+    return max(least, _copies(v, model, _BUSY_PART))
+
+
+def _copies(v, model, part):
     """How many copies a model's demand keeps busy to a part of their slots."""
-    asked = v.rates.get(model, 0.0)
-    slots = max(1, v.service.get("slots") or 16)
-    least = 2 if asked > 2.0 else 1
-    return max(least, math.ceil(asked * _RUN_S / (_BUSY_PART * slots)))
+    slots = max(1, v.service.get("slots") or _SLOTS)
+    return max(1, math.ceil(v.rates.get(model, 0.0) * v.placer.demand.run_s / (part * slots)))
 
 
 def pushed_out(v, name, model, size_mb):
@@ -41,8 +63,7 @@
     for other, entry in items.items():
         if "/" in other or entry["verb"] != "load" or entry["state"] != "loaded":
             continue
-        young = v.now_ms - v.placer.demand.up_ms.get((name, other), -1e12) < _KEEP_MS
-        if (other in v.waiting and v.copies.get(other, 1) <= 1) or young:
+        if v.now_ms - v.placer.demand.up_ms.get((name, other), -1e12) < _KEEP_MS:
             continue
         own_mb = sum(
             world.charge_of(v.registry, i, e)[0]
--- a/libs/placement/src/placement/order_notes.py
+++ b/libs/placement/src/placement/order_notes.py
@@ -10,7 +10,7 @@
 from placement import ledger as ledgers
 from placement import order_counts
 
-__all__ = ["drain", "ordered", "answered", "reported", "found", "summary"]
+__all__ = ["drain", "ordered", "answered", "reported", "found", "summary", "summary_due"]
 
 _SUMMARY_PAUSE_MS = 1000.0
 
@@ -93,9 +93,14 @@
     )
 
 
+def summary_due(placer, now_ms):
+    """Whether it is time for the next summary."""
+    return now_ms - placer.summary_ms >= _SUMMARY_PAUSE_MS
+
+
 def summary(placer, now_ms, service, facts_of):
     """Once a second while callers wait: how many, for what, and what holds it up;
     `facts_of()` tells it."""
-    if now_ms - placer.summary_ms >= _SUMMARY_PAUSE_MS:
+    if summary_due(placer, now_ms):
         placer.summary_ms = now_ms
         _add(placer, "waiting", {"service": service, **facts_of()})
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -175,6 +175,7 @@
     if verb == "wanted":
         for item, count in body["items"].items():
             demand.tell(p.demand, now_ms, item, count)
+            _pay(p, item)
         suspects.tell(p.watch, now_ms, body.get("outcomes", {}), terms.dark_ms)
         return []
     if verb == "hold":
@@ -182,6 +183,9 @@
     id_ = str(body.get("id"))
     if id_ not in p.ledger.holds:
         return [Reply(token, {"id": id_, "gone": True})]
+    hold = p.ledger.holds[id_]
+    for item in {hold["model"], placement.item_name(hold["model"], hold["adapter"])}:
+        _pay(p, item)
     p.holds_ms.pop(id_, None)
     log(
         p,
@@ -191,6 +195,14 @@
     return []
 
 
+def _pay(p, item):
+    """Whoever asks for an item, or leaves the line, while it is up has been served by it."""
+    if item in p.demand.owed and any(
+        ledgers.loaded(p.ledger, engine, item) for engine in p.ledger.engines
+    ):
+        demand.pay(p.demand, item)
+
+
 def _hold(p, now_ms, token, body, registry, terms):
     id_ = body["id"]
     if id_ in p.ledger.holds:
@@ -199,15 +211,16 @@
         return [Reply(token, answer)] if known else []
     if body["model"] not in registries.models(registry):
         return [Reply(token, failures.UnknownModel(body["service"], body["model"]))]
+    item = placement.item_name(body["model"], body["adapter"])
+    for asked_for in {body["model"], item}:
+        demand.tell(p.demand, now_ms, asked_for, 1)
+        demand.owe(p.demand, now_ms, body["service"], asked_for)
     same = sum(1 for h in p.ledger.holds.values() if h["model"] == body["model"])
     if len(p.ledger.holds) >= terms.holds_max or same >= terms.holds_per_model:
         return [Reply(token, failures.Overloaded(int(10 * terms.call_ms), "waitlist"))]
     loads = registries.services(registry)[body["service"]]["loads"]
     if not loads["atOnce"] or not loads["perMinute"]:
         return [Reply(token, failures.NoRoom(int(30 * terms.call_ms), body["model"], "no-loads"))]
-    item = placement.item_name(body["model"], body["adapter"])
-    for asked_for in {body["model"], item}:
-        demand.tell(p.demand, now_ms, asked_for, 1)
     wait_ms = line.estimate(p, now_ms, body["service"], loads, item, terms)
     if wait_ms is not None and wait_ms > body["waitMs"]:
         return [Reply(token, failures.NoRoom(int(wait_ms), body["model"], "loads-queue"))]
--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -27,6 +27,7 @@
         asked_ms,
         bool(body.get("busy")),
         body.get("orders"),
+        body.get("running"),
     )
     p.reports[engine] = report
     if p.ledger.incarnations.get(engine) != report.incarnation:
@@ -113,6 +114,7 @@
         and isinstance(body.get("roomMb"), int)
         and isinstance(body.get("adapterPlaces"), int)
         and isinstance(body.get("orders"), int | None)
+        and isinstance(body.get("running"), int | None)
     )
 
 
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -29,6 +29,9 @@
 
 @dataclass(frozen=True)
 class Report:
+    """What an engine told of itself.  `orders`: how many it has taken, None if it doesn't
+    count them; `running`: requests that it runs or that wait at it, None if it doesn't tell."""
+
     incarnation: str
     roomMb: int
     places: int
@@ -36,6 +39,7 @@
     asked_ms: float
     busy: bool = False
     orders: int | None = None
+    running: int | None = None
 
 
 @dataclass(frozen=True)
--- a/libs/placement/src/placement/waiting_summary.py
+++ b/libs/placement/src/placement/waiting_summary.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from placement import making_room, world
-from placement.demand_view import claim, idle
+from placement.demand_view import claim
 
 __all__ = ["of"]
 
@@ -22,6 +22,7 @@
         "oldestMs": round(view.now_ms - min(callers)),
         "engines": len(view.engines),
         "suspects": len(view.placer.ledger.suspects),
+        "runMs": round(1000 * view.placer.demand.run_s),
         "kept": len(view.placer.demand.making),
         "heldUp": dict(Counter(_held_up_by(view, model) for model in missing)),
     }
@@ -39,7 +40,7 @@
     kept = view.placer.demand.making.items()
     if any(engine == name and other != model for other, (engine, _) in kept):
         return "engine kept for another"
-    if not idle(view, name):
+    if name not in view.idle:
         return "engine busy"
     pushed = making_room.pushed_out(view, name, model, size_mb)
     if pushed is None:
--- a/tests/test_rare_models.py
+++ b/tests/test_rare_models.py
@@ -69,13 +69,14 @@
         self._next_ms[model] = now_ms + 1000 * self._rng.uniform(0.5, 1.5) * self._pause_s
 
 
-def play(seed, seconds=40, engines=12, rare=36, pause_s=4.0):
+def play(seed, seconds=40, engines=12, rare=36, pause_s=4.0, loadS=0.6):
     """Popular models asked for 25 times a second each, and callers of rare ones."""
     floor = Floor(
         seed,
         models=_POPULAR + rare,
         engines=engines,
         per_s=10.0,
+        loadS=loadS,
         roomMb=_ROOM_FOR_ONE_MB,
         slots=12,
     )
@@ -106,3 +107,16 @@
                 if any(ledger.loaded(floor.scene.p.ledger, e, m) for e in floor.scene.engines)
             ]
             self.assertThat(up, Equals(popular))
+
+    def test_a_third_or_more_of_all_callers_is_served(self):
+        for seed in range(3):
+            _, callers, _ = play(seed)
+            asked, served = sum(callers.asked.values()), sum(callers.served.values())
+            self.assertThat(asked / 3, LessThan(served), f"seed {seed}: {served} of {asked}")
+
+    def test_loads_that_take_longer_than_anybody_waits(self):
+        """No load comes in time for the caller who brings it about, so it is for the next."""
+        for seed in range(2):
+            _, callers, _ = play(seed, seconds=60, engines=12, rare=9, loadS=4.0)
+            never = [m for m, served in callers.served.items() if not served]
+            self.assertThat(len(never), LessThan(2), f"seed {seed}")
