--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -33,6 +33,8 @@
 # What an orderly stop leaves for messages and answers under way.
 _LAST_WORDS_S = 0.15
 _COUNTER_STOPS_S = 1.0
+# How often connections that are past their time are looked for.
+_SWEEP_MS = 5000.0
 
 
 class CannotStart(Exception):
@@ -53,6 +55,7 @@
         self._waiting = {}
         self._lock = threading.Lock()
         self._wake_ms = float("inf")
+        self._sweep_ms = 0.0
         self._stopped = threading.Event()
         self._finished = threading.Event()
         self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
@@ -165,9 +168,16 @@
                     self._feed(self._queue.get())
             if now_ms >= next_ms:
                 next_ms = _now() + tick_ms
+                self._sweep(now_ms)
             self._wake_ms = float("inf")
             self._feed(e.Tick())
 
+    def _sweep(self, now_ms):
+        """Connections to engines that nobody uses any more are closed also at rest."""
+        if now_ms >= self._sweep_ms:
+            self._sweep_ms = now_ms + _SWEEP_MS
+            self._calls.submit(self.pool.sweep)
+
     def _feed(self, event):
         try:
             for effect in nodes.handle(self._node, _now(), event):
--- a/libs/routing/src/routing/pool.py
+++ b/libs/routing/src/routing/pool.py
@@ -36,7 +36,7 @@
 
 
 class Pool:
-    """`take` and `give` are the public methods."""
+    """`take` and `give` are what legs use; `sweep` closes what nobody took in its time."""
 
     def __init__(self):
         self._idle = {}
@@ -69,6 +69,13 @@
         for pipe in old:
             pipe.close()
 
+    def sweep(self):
+        """Close what is past its time; now and then, also while no leg gives one back."""
+        with self._lock:
+            old = self._expired(time.monotonic())
+        for pipe in old:
+            pipe.close()
+
     def _expired(self, now_s):
         """Take out what is past its time, of engines that have gone as well."""
         if now_s - self._swept_s < _SWEEP_S:
--- a/libs/simulation/src/simulation/cli.py
+++ b/libs/simulation/src/simulation/cli.py
@@ -10,6 +10,7 @@
 from simulation import deployments
 from simulation.engine_process import EngineServer
 from simulation.judge_command import JudgeCommand
+from simulation.soak_command import SoakCommand
 
 __all__ = ["main"]
 
@@ -287,6 +288,7 @@
         ModelCommand,
         TrialCommand,
         JudgeCommand,
+        SoakCommand,
         MeasureCommand,
         HollowCommand,
     ):
--- a/libs/simulation/src/simulation/judge/trial.py
+++ b/libs/simulation/src/simulation/judge/trial.py
@@ -18,7 +18,7 @@
 from simulation.platform_fleet import PlatformFleet
 from simulation.platform_serving import now_ms
 
-__all__ = ["Plan", "Report", "judge"]
+__all__ = ["ACKNOWLEDGE_MS", "CONTACT_MS", "Plan", "Report", "Trial", "judge"]
 
 ACKNOWLEDGE_MS = 4000.0
 CONTACT_MS = 3000.0
@@ -40,6 +40,8 @@
     on_core: bool = True
     mutant: str = ""
     models: int = 9
+    counters: int = 3
+    engines_by_zone: int = 2
 
 
 @dataclass
@@ -56,12 +58,16 @@
     broken: list = field(default_factory=list)
 
 
-class _Trial:
+class Trial:
+    """A fleet of real processes with its engines, configuration and operator."""
+
     def __init__(self, plan):
         self.plan, self.rng = plan, random.Random(plan.seed)
         self.ledger = Ledger()
         program = (*_BROKEN_NODE, plan.mutant) if plan.mutant else ("platform/start.py",)
-        self.fleet = PlatformFleet(tempfile.mkdtemp(), plan.seed, self._observe, program)
+        self.fleet = PlatformFleet(
+            tempfile.mkdtemp(), plan.seed, self._observe, program, plan.counters
+        )
         self._ready, self._ready_ms = [], -1e12
         self._configure()
         self.operator = TimedOperator(self._depots, random.Random(plan.seed + 1))
@@ -115,8 +121,9 @@
         self.sizes = Sizes(8, 20000, 150000.0, 8, 300.0, 1.0, 80.0, 4, 1000.0, 60.0, sizes, 12.0)
         self.store = Store(8.0, 3)
         for number, zone in enumerate(self.fleet.zones):
-            for extra in range(2):
-                held = [self.parcels[2 * number + extra]["name"]]
+            for extra in range(self.plan.engines_by_zone):
+                place = self.plan.engines_by_zone * number + extra
+                held = [self.parcels[place % len(self.parcels)]["name"]]
                 self.fleet.engine(models, self.sizes, self.store, False, zone, held)
             self.fleet.engine(one, self.sizes, self.store, True, zone)
             self.fleet.engine(other, self.sizes, self.store, True, zone)
@@ -161,7 +168,7 @@
 
 def judge(plan):
     """Run a Plan and return its Report."""
-    trial = _Trial(plan)
+    trial = Trial(plan)
     try:
         return _judged(trial)
     finally:
--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -22,6 +22,9 @@
 __all__ = ["PlatformFleet"]
 
 _POLL_PAUSE_S = 0.05
+# How many addresses of a loopback net are used, and how many nets a fleet may begin in.
+_NET_SIZE = 250
+_NETS = 240
 
 _ROOT = Path(__file__).resolve().parents[4]
 _BOUNDS = {
@@ -51,20 +54,26 @@
     """`start`, `kill`, `call` and `until` are what tests use, beside `platform`.
     `observe` is told of what engines run; `program` is what a node's process is."""
 
-    def __init__(self, folder, seed, observe=None, program=("platform/start.py",)):
+    def __init__(self, folder, seed, observe=None, program=("platform/start.py",), counters=3):
         self._program = tuple(program)
         self.folder, self.rng = Path(folder).resolve(), random.Random(seed)
         self.zones = [word(self.rng, 2) for _ in range(3)]
         self.depots = [f"{word(self.rng, 2)}-d{n}" for n in range(3)]
-        self.counters = [f"{word(self.rng, 2)}-c{n}" for n in range(3)]
+        self.counters = [f"{word(self.rng, 2)}-c{n}" for n in range(counters)]
         nodes = self.depots + self.counters
-        block = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 250 + 1}"
-        self.ip = {name: f"{block}.{n + 1}" for n, name in enumerate(nodes)}
-        self._block, self._last = block, len(nodes) + 1
+        self._net = (64 + os.getpid() % 128, os.getpid() // 128 % _NETS + 1)
+        self.ip = {name: self._address(n + 1) for n, name in enumerate(nodes)}
+        self._last = len(nodes) + 1
         self.ports = self._free_ports(5)
-        self.platform = Platform(f"{block}.{self._last}:{self.ports[4]}", 600, 30.0, observe)
+        platform = f"{self._address(self._last)}:{self.ports[4]}"
+        self.platform = Platform(platform, 600, 30.0, observe)
         self.running, self._first = {}, True
 
+    def _address(self, number):
+        """The loopback address of this number, over several nets if there are many."""
+        first, second = self._net
+        return f"127.{first}.{second + number // _NET_SIZE}.{number % _NET_SIZE + 1}"
+
     def _free_ports(self, count):
         """Ports that are free on all addresses, in no order."""
         found = []
@@ -74,8 +83,8 @@
                 port not in found
                 and port + 1 not in found
                 and all(
-                    _is_free(f"{self._block}.{n}", p)
-                    for n in range(1, 30)
+                    _is_free(self._address(n), p)
+                    for n in range(1, len(self.ip) + 24)
                     for p in (port, port + 1)
                 )
             ):
@@ -95,7 +104,7 @@
         its disk."""
         if address is None:
             self._last += 1
-            address = f"{self._block}.{self._last}:{self.ports[3]}"
+            address = f"{self._address(self._last)}:{self.ports[3]}"
         made = core.Engine(
             f"i-{word(self.rng, 2)}",
             service,
@@ -149,7 +158,7 @@
         return path
 
     def ip_of_platform(self):
-        return f"{self._block}.{len(self.ip) + 1}:{self.ports[4]}"
+        return f"{self._address(len(self.ip) + 1)}:{self.ports[4]}"
 
     def start(self, name):
         """As the platform does: at the root, with little more than the settings file."""
--- /dev/null
+++ b/libs/simulation/src/simulation/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Long runs of real processes under troubles that overlap."""
--- /dev/null
+++ b/libs/simulation/src/simulation/soak/plan.py
@@ -0,0 +1,94 @@
+"""What a soak does: one seed gives every trouble, its time and whom it strikes."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ["SIZES", "Size", "SoakPlan", "Trouble", "TroubleKind", "troubles"]
+
+
+class TroubleKind(Enum):
+    """What is done to a process of ours or to an engine."""
+
+    STOP = "SIGTERM, and a start once it has ended"
+    STOP_TWICE = "a second SIGTERM while it stops"
+    STOP_AND_RELOAD = "SIGHUP beside SIGTERM"
+    STOP_AND_KILL = "SIGKILL in its grace"
+    STOP_AT_START = "SIGTERM as soon as it has been started"
+    RELOAD = "SIGHUP"
+    KILL = "SIGKILL, and a start"
+    FREEZE = "SIGSTOP for a while"
+    ENGINE_CRASH = "an engine is gone, another one comes"
+    ENGINE_LEAVES = "an engine says that it leaves, another one comes"
+    ENGINE_MOVES_IN = "an engine of another service at the address of one that is gone"
+    ENGINE_ANSWERS = "an engine breaks, doubles or delays its next answers"
+
+
+_ENGINE_KINDS = tuple(kind for kind in TroubleKind if kind.name.startswith("ENGINE"))
+_NODE_KINDS = tuple(kind for kind in TroubleKind if kind not in _ENGINE_KINDS)
+# Of all troubles, the share that strikes a depot; the others strike counters and engines.
+_DEPOT_SHARE = 0.25
+_ENGINE_SHARE = 0.4
+_SERIES = (1, 4)
+_PAUSE_S = (0.05, 0.8)
+
+
+@dataclass(frozen=True)
+class Size:
+    """`counters` and engines by zone, callers at once, models, and series of troubles a
+    minute; depots are always three."""
+
+    counters: int
+    engines: int
+    callers: int
+    models: int
+    series_per_minute: float
+
+
+SIZES = {
+    "small": Size(3, 2, 10, 12, 20),
+    "usual": Size(4, 3, 16, 24, 30),
+    "biggest": Size(60, 16, 64, 150, 60),
+}
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """`seconds`: how long callers send; `size`: a name in SIZES."""
+
+    seed: int
+    seconds: float
+    size: str = "usual"
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """One blow at `at_s`; `target` picks one of the processes or engines there are then, and
+    `for_s` is how long a process stands still or is let stop."""
+
+    at_s: float
+    kind: TroubleKind
+    on_depot: bool
+    target: float
+    for_s: float
+
+
+def troubles(plan):
+    """All Troubles of a plan by time.  They come in series whose blows overlap: one begins
+    before the one before it is over."""
+    rng = random.Random(f"troubles {plan.seed}")
+    count = max(1, round(SIZES[plan.size].series_per_minute * plan.seconds / 60))
+    found = []
+    for _ in range(count):
+        at_s = rng.uniform(0.5, max(1.0, plan.seconds - 2.0))
+        for _ in range(rng.randint(*_SERIES)):
+            found.append(_trouble(rng, at_s))
+            at_s += rng.uniform(*_PAUSE_S)
+    return sorted((t for t in found if t.at_s < plan.seconds), key=lambda t: t.at_s)
+
+
+def _trouble(rng, at_s):
+    engine = rng.random() < _ENGINE_SHARE
+    kind = rng.choice(_ENGINE_KINDS if engine else _NODE_KINDS)
+    on_depot = not engine and rng.random() < _DEPOT_SHARE
+    return Trouble(at_s, kind, on_depot, rng.random(), rng.uniform(0.2, 2.0))
