An engine that answers 421 is not counted on for a while: another one has its address

Cause: reports are answered by whatever engine has the address, orders by the engine they name.

Measured: AnotherEngine of test_order_proofs, red before.

--- a/libs/placement/src/placement/again.py
+++ b/libs/placement/src/placement/again.py
@@ -15,6 +15,8 @@
 __all__ = ["call", "due", "on_answer", "order_body"]
 
 _ADAPTER_MS = 15.0
+# The status of an engine that isn't the one that an order was meant for.
+_ANOTHER_ENGINE = 421
 _LEAST_PAUSE_MS = 20.0
 
 
@@ -48,6 +50,8 @@
     order_notes.answered(p, order, called, state, not first)
     if first and state == "taken":
         order_counts.taken(p, now_ms, engine, pending.expected)
+    if called.code == _ANOTHER_ENGINE:
+        _replaced(p, now_ms, engine, terms)
     if first and called.code and state in ("refused", "unknown"):
         order_counts.doubt(p, now_ms, engine)
     entry = p.ledger.engines.get(engine, {}).get(item)
@@ -65,6 +69,13 @@
     log(p, ledgers.state_record(engine, item, order, state))
 
 
+def _replaced(p, now_ms, engine, terms):
+    """Another engine has this one's address.  It answers reports as its own, so for a while
+    none is believed and nothing is ordered; by then the platform's list has told."""
+    p.reports.pop(engine, None)
+    p.replaced_until_ms[engine] = now_ms + terms.dark_ms
+
+
 def _done(p, now_ms, engine, item, entry, state):
     """An order was carried out, by the engine's own word."""
     p.changed_ms[engine] = now_ms
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -115,6 +115,7 @@
         log(p, ledgers.dropped_record(engine))
         p.reports.pop(engine, None)
         p.polls.pop(engine, None)
+        p.replaced_until_ms.pop(engine, None)
         order_counts.forget(p, engine)
     for order, service in list(p.ledger.lingering.items()):
         last_ms = max(terms.dark_ms, 2 * p.loadMs.get(service, 0.0))
--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -19,6 +19,8 @@
     facts = registry.engines.get(engine)
     if facts is None or not _sound(body):
         return
+    if now_ms < p.replaced_until_ms.get(engine, float("-inf")):
+        return
     report = Report(
         body["incarnation"],
         body["roomMb"],
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -91,6 +91,7 @@
     changed_ms: dict = field(default_factory=dict)
     order_counts: dict = field(default_factory=dict)
     count_doubt_ms: dict = field(default_factory=dict)
+    replaced_until_ms: dict = field(default_factory=dict)
     demand: demands.Demand = field(default_factory=demands.Demand)
     watch: watching.Watch = field(default_factory=watching.Watch)
     notes: list = field(default_factory=list)
--- a/tests/test_order_proofs.py
+++ b/tests/test_order_proofs.py
@@ -7,7 +7,7 @@
 import random
 
 import test_platform_again
-from placement import order_counts
+from placement import order_counts, world
 from simulation.placing import TERMS, Stale
 from test_platform_asked import Floor
 from testtools import TestCase
@@ -123,3 +123,25 @@
 
         found = [self.broken(seed, answers_for(random.Random(seed))) for seed in SEEDS]
         self.assertThat([b for b in found if b], Equals([]))
+
+
+class AnotherEngine(Counted):
+    """Whatever has an engine's address now answers its report, but not its orders."""
+
+    def usable(self):
+        return [
+            e.name for e in world.placement_engines(self.registry, self.service, self.p.reports)
+        ]
+
+    def test_an_engine_that_is_no_longer_there_is_not_counted_on(self):
+        self.assertThat(self.usable(), Equals(["e0"]))
+        self.answer(self.give("unload"), 421)
+        self.assertThat(self.usable(), Equals([]))
+        self.told([], orders=0)
+        self.assertThat(self.usable(), Equals([]))
+
+    def test_it_is_looked_at_again_after_a_while(self):
+        self.answer(self.give("unload"), 421)
+        self.now_ms += TERMS.dark_ms
+        self.told(["other", self.model])
+        self.assertThat((self.usable(), self.state()), Equals((["e0"], "loaded")))
