Red test: an order that was never sent takes away what a report had shown in its place

Its orders' lines: a load is taken (count 2); a report from before it forgets it; two more orders for the model are logged and never sent; the report that shows the model meanwhile is read as the second one's, and its count is learned; the unsent order's end takes the entry away; the next load names count 2.

--- a/tests/test_order_proofs.py
+++ b/tests/test_order_proofs.py
@@ -8,7 +8,7 @@
 
 import test_platform_again
 from placement import order_counts, world
-from simulation.placing import TERMS, Stale
+from simulation.placing import TERMS, Late, Stale
 from test_platform_asked import Floor
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
@@ -145,3 +145,53 @@
         self.now_ms += TERMS.dark_ms
         self.told(["other", self.model])
         self.assertThat((self.usable(), self.state()), Equals((["e0"], "loaded")))
+
+
+class Hidden(test_platform_again.OrdersHarness):
+    """An earlier order for a model is taken late, while a later one for it is on its way: the
+    report's model is charged as the later order's, which then turns out never to have come."""
+
+    def setUp(self):
+        super().setUp()
+        self.report(["other"], at=self.now_ms, orders=3)
+
+    def refused(self, **answer):
+        order = self.give()
+        self.now_ms += 1000
+        self.report(["other", self.model], at=self.now_ms - 10, orders=4)
+        self.answer(order, 0, **answer)
+
+    def test_the_count_is_not_learned_beside_it(self):
+        self.refused(begun=False)
+        self.assertThat((self.state(), order_counts.expected(self.p, "e0")), Equals((None, 3)))
+
+    def test_the_next_report_finds_it(self):
+        self.refused(begun=False)
+        self.now_ms += 1000
+        self.report(["other", self.model], at=self.now_ms - 10, orders=4)
+        found = self.state(), order_counts.expected(self.p, "e0")
+        self.assertThat(found, Equals(("loaded", 4)))
+
+
+class HiddenFloors(TestCase):
+    """Links that hold some orders up while others can't be sent at all."""
+
+    def broken(self, seed):
+        rng = random.Random(seed)
+
+        def answers(call):
+            if call.verb == "report":
+                return None
+            if rng.random() < 0.15:
+                return Late(TERMS.call_ms, rng.uniform(0.0, 5000.0))
+            return "unsent" if rng.random() < 0.2 else None
+
+        floor = Floor(seed, models=20, answers=answers)
+        moving = [floor.items[n:] + floor.items[:n] for n in range(0, len(floor.items), 3)]
+        for items in moving[:6]:
+            floor.run(10, lambda rng, items=items: rng.choice(items[:12]))
+        return [b for e in floor.scene.engines.values() for b in e.broken]
+
+    def test_no_load_is_beyond_the_room(self):
+        found = [self.broken(seed) for seed in SEEDS]
+        self.assertThat([b for b in found if b], Equals([]))
