--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -21,16 +21,7 @@
         return
     if now_ms < p.replaced_until_ms.get(engine, float("-inf")):
         return
-    report = Report(
-        body["incarnation"],
-        body["roomMb"],
-        body["adapterPlaces"],
-        dict(body["items"]),
-        asked_ms,
-        bool(body.get("busy")),
-        body.get("orders"),
-        body.get("running"),
-    )
+    report = _read(body, asked_ms)
     p.reports[engine] = report
     if p.ledger.incarnations.get(engine) != report.incarnation:
         order_notes.found(p, now_ms, engine, report.items, report)
@@ -50,6 +41,41 @@
     if order_counts.outdated(p, engine, report):
         return
     changed_ms = p.changed_ms.get(engine, float("-inf"))
+    _settle_entries(p, now_ms, engine, report)
+    if asked_ms < changed_ms:
+        return
+    held = p.ledger.engines.get(engine, {})
+    told = _facts(registry, facts, report.items)
+    strange = {
+        i: told[i]
+        for i, seen in report.items.items()
+        if i not in held
+        and seen != "unloading"
+        or (world.size_of(registry, i) and _resized(held.get(i), told[i]))
+    }
+    if strange:
+        order_notes.found(p, now_ms, engine, strange, report)
+        log(p, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
+    if not _hidden(p, engine, report):
+        order_counts.read(p, now_ms, engine, report)
+
+
+def _read(body, asked_ms):
+    """A Report of a sound body."""
+    return Report(
+        body["incarnation"],
+        body["roomMb"],
+        body["adapterPlaces"],
+        dict(body["items"]),
+        asked_ms,
+        bool(body.get("busy")),
+        body.get("orders"),
+        body.get("running"),
+    )
+
+
+def _settle_entries(p, now_ms, engine, report):
+    """Log what a report proves of the orders and items that the ledger knows."""
     items = p.ledger.engines.get(engine, {})
     for item, entry in list(items.items()):
         seen = report.items.get(item)
@@ -57,7 +83,7 @@
             p.doubt_ms.pop((engine, item, entry["order"]), None)
         elif report.busy:
             continue
-        state = _settled(p, now_ms, (engine, item), entry, seen, asked_ms)
+        state = _settled(p, now_ms, (engine, item), entry, seen, report.asked_ms)
         if state == "loaded" and entry["verb"] == "load":
             line.learn(p, now_ms, entry["service"], entry["order"])
         if state:
@@ -66,21 +92,18 @@
             p.changed_ms[engine] = now_ms
             order_notes.reported(p, now_ms, engine, item, entry, state, report)
             log(p, ledgers.state_record(engine, item, entry["order"], state))
-    if asked_ms < changed_ms:
-        return
-    held = p.ledger.engines.get(engine, {})
-    told = _facts(registry, facts, report.items)
-    strange = {
-        i: told[i]
-        for i, seen in report.items.items()
-        if i not in held
-        and seen != "unloading"
-        or (world.size_of(registry, i) and _resized(held.get(i), told[i]))
-    }
-    if strange:
-        order_notes.found(p, now_ms, engine, strange, report)
-        log(p, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
-    order_counts.read(p, now_ms, engine, report)
+
+
+def _hidden(p, engine, report):
+    """Whether the report shows an item whose entry is an order that may never arrive.  What
+    is there came by something else, and is charged only as long as that order's entry is:
+    the count says what the engine holds only once the item's own entry stands."""
+    items = p.ledger.engines.get(engine, {})
+    return any(
+        items[item]["verb"] == "load" and items[item]["state"] in ("intended", "unknown")
+        for item in report.items
+        if item in items
+    )
 
 
 def _on_their_way(p, engine, asked_ms):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,8 @@
 """The soak: its plan, each of its checks shown to fail, and a short seeded run."""
 
 import os
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -120,3 +122,17 @@
         self.assertThat(report.served, GreaterThan(200))
         self.assertThat(report.stops, GreaterThan(0))
         self.assertThat(report.longest_stop_s, LessThan(9.0))
+
+
+class EarlyReload(TestCase):
+    def test_a_reload_while_modules_load_does_not_end_a_node(self):
+        """Whatever comes of the start, the signal is ignored from its first step on."""
+        script = (
+            "import sys, signal; sys.path.insert(0, 'platform'); sys.argv = ['s', 'counter'];"
+            "import start; start.main(); print(signal.getsignal(signal.SIGHUP).name)"
+        )
+        root = Path(__file__).resolve().parents[1]
+        done = subprocess.run(
+            [sys.executable, "-c", script], cwd=root, capture_output=True, text=True, timeout=60
+        )
+        self.assertThat(done.stdout.split()[-1:], Equals(["SIG_IGN"]), done.stderr)
