--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -37,148 +37,152 @@
     idle = {name for name in engines if demand_view.is_idle(p, now_ms, name)}
     if not idle and not order_notes.summary_due(p, now_ms):
         return
-    v = _view(p, now_ms, registry, name, service, engines, idle)
+    view = _view(p, now_ms, registry, name, service, engines, idle)
     if idle:
-        _forget(v)
-        _bring_all(v)
-    if v.waiting:
-        order_notes.summary(p, now_ms, name, lambda: waiting_summary.of(v))
+        _forget(view)
+        _bring_all(view)
+    if view.waiting:
+        order_notes.summary(p, now_ms, name, lambda: waiting_summary.of(view))
 
 
 def _view(p, now_ms, registry, name, service, engines, idle):
     copies = demand_view.copies_of(p, engines)
     waiting = demand_view.waiting_of(p, now_ms, name)
-    v = View(p, now_ms, registry, name, service, engines, copies, waiting, idle=idle)
-    v.wished = demand_view.wished_of(v)
+    view = View(p, now_ms, registry, name, service, engines, copies, waiting, idle=idle)
+    view.wished = demand_view.wished_of(view)
     if not p.demand.seeded:
-        _seed(v)
-    v.rates = demand_view.rates_of(p.demand, now_ms)
-    v.adapters = demand_view.adapter_rates(v.rates)
-    v.hosts = demand_view.hosts_of(p, engines)
+        _seed(view)
+    view.rates = demand_view.rates_of(p.demand, now_ms)
+    view.adapters = demand_view.adapter_rates(view.rates)
+    view.hosts = demand_view.hosts_of(p, engines)
     running = [p.reports[name].running for name in engines]
     if None not in running:
-        asked = sum(rate for item, rate in v.rates.items() if "/" not in item)
+        asked = sum(rate for item, rate in view.rates.items() if "/" not in item)
         learn_run(p.demand, now_ms, sum(running), asked)
-    return v
+    return view
 
 
-def _bring_all(v):
+def _bring_all(view):
     """Adapters first, which come up in a moment but wait behind any load of a model; then
     what is asked for most, what is waited for by claim, and more copies."""
     missing = [
         item
-        for item in v.wished
-        if not v.copies.get(item) and world.size_of(v.registry, item) is not None
+        for item in view.wished
+        if not view.copies.get(item) and world.size_of(view.registry, item) is not None
     ]
-    claims = {item: demand_view.claim(v, item) for item in missing}
+    claims = {item: demand_view.claim(view, item) for item in missing}
     by_claim = sorted(claims, key=lambda i: (-claims[i], i))
-    _bring_each(v, [i for i in by_claim if "/" in i], claims)
-    _more_copies(v, making_room.needed_copies, 1.0)
-    _bring_each(v, [i for i in by_claim if "/" not in i], claims)
-    _more_copies(v, making_room.wanted_copies, making_room.SPARE)
+    _bring_each(view, [i for i in by_claim if "/" in i], claims)
+    _more_copies(view, making_room.needed_copies, 1.0)
+    _bring_each(view, [i for i in by_claim if "/" not in i], claims)
+    _more_copies(view, making_room.wanted_copies, making_room.SPARE)
 
 
-def _bring_each(v, items, claims):
+def _bring_each(view, items, claims):
     for item in items:
-        if not v.idle:
+        if not view.idle:
             return
-        _bring(v, item, claims[item])
+        _bring(view, item, claims[item])
 
 
-def _seed(v):
+def _seed(view):
     """Before anybody has told what is asked for, many copies speak of much demand."""
-    v.placer.demand.seeded = True
-    for model, copies in v.copies.items():
+    view.placer.demand.seeded = True
+    for model, copies in view.copies.items():
         if "/" not in model:
-            tell(v.placer.demand, v.now_ms, model, _SEED * (0.1 + copies - 1))
+            tell(view.placer.demand, view.now_ms, model, _SEED * (0.1 + copies - 1))
 
 
-def _forget(v):
+def _forget(view):
     """Engines are no longer kept for what nobody waits for any more."""
-    demand = v.placer.demand
+    demand = view.placer.demand
     demand.making = {
         item: (engine, since_ms)
         for item, (engine, since_ms) in demand.making.items()
-        if engine in v.engines and v.now_ms - since_ms < _MAKING_MS and _wished(v, item)
+        if engine in view.engines and view.now_ms - since_ms < _MAKING_MS and _wished(view, item)
     }
     if len(demand.rates) > _MOST_RATES:
-        least_ms = v.now_ms - 8 * FADE_MS
+        least_ms = view.now_ms - 8 * FADE_MS
         demand.rates = {i: r for i, r in demand.rates.items() if r[1] > least_ms}
 
 
-def _wished(v, item):
+def _wished(view, item):
     """Whether an item is to come up, or to have one more copy."""
-    copies = v.copies.get(item, 0)
+    copies = view.copies.get(item, 0)
     if not copies:
-        return item in v.wished
-    return copies < making_room.wanted_copies(v, item)
+        return item in view.wished
+    return copies < making_room.wanted_copies(view, item)
 
 
-def _bring(v, item, most):
+def _bring(view, item, most):
     """Have an item come up somewhere, if it isn't up or on its way."""
-    if v.copies.get(item):
+    if view.copies.get(item):
         return
     model, _, adapter = item.partition("/")
     if adapter:
-        if v.copies.get(model):
-            _bring_adapter(v, item, model)
+        if view.copies.get(model):
+            _bring_adapter(view, item, model)
         return
-    _bring_model(v, item, (), most)
+    _bring_model(view, item, (), most)
 
 
-def _bring_adapter(v, item, model):
-    hosts = [n for n in v.hosts.get(model, ()) if n in v.idle]
-    size = world.size_of(v.registry, item)
+def _bring_adapter(view, item, model):
+    hosts = [n for n in view.hosts.get(model, ()) if n in view.idle]
+    size = world.size_of(view.registry, item)
 
     def pushed(name):
-        items = v.placer.ledger.engines[name]
-        usedMb, places = world.charged(v.registry, v.placer.ledger, name)
-        if places + size[1] <= v.engines[name].places and (
-            usedMb + size[0] <= v.engines[name].roomMb
+        items = view.placer.ledger.engines[name]
+        usedMb, places = world.charged(view.registry, view.placer.ledger, name)
+        if places + size[1] <= view.engines[name].places and (
+            usedMb + size[0] <= view.engines[name].roomMb
         ):
             return ()
-        adapters = [i for i in items if "/" in i and i not in v.waiting]
-        return tuple(sorted(adapters, key=lambda i: v.rates.get(i, 0.0))[:1]) or None
+        adapters = [i for i in items if "/" in i and i not in view.waiting]
+        return tuple(sorted(adapters, key=lambda i: view.rates.get(i, 0.0))[:1]) or None
 
     found = [
-        (sum(v.rates.get(i, 0.0) for i in out), weight(item, n), n, out)
+        (sum(view.rates.get(i, 0.0) for i in out), weight(item, n), n, out)
         for n in hosts
         if (out := pushed(n)) is not None
     ]
     if found:
         _, _, name, out = min(found)
-        _give(v, name, item, out)
+        _give(view, name, item, out)
 
 
-def _held_up(v, name):
+def _held_up(view, name):
     """Askings a second for adapters that no engine could bring up while this one loads: it
     carries out one order at a time, and its models' other hosts are busy."""
     return sum(
         asked
-        for model, asked in v.adapters.items()
-        if name in (hosts := v.hosts.get(model, ()))
-        and not any(other != name and other in v.idle for other in hosts)
+        for model, asked in view.adapters.items()
+        if name in (hosts := view.hosts.get(model, ()))
+        and not any(other != name and other in view.idle for other in hosts)
     )
 
 
-def _bring_model(v, model, beside, most):
+def _bring_model(view, model, beside, most):
     """Choose the engine where a model costs least, and take the next step there."""
-    size_mb = world.size_of(v.registry, model)[0]
-    kept = v.placer.demand.making.get(model)
-    names = [kept[0]] if kept else [n for n in sorted(v.idle) if n not in beside]
-    taken = {m[0] for i, m in v.placer.demand.making.items() if i != model}
+    size_mb = world.size_of(view.registry, model)[0]
+    kept = view.placer.demand.making.get(model)
+    names = [kept[0]] if kept else [n for n in sorted(view.idle) if n not in beside]
+    taken = {m[0] for i, m in view.placer.demand.making.items() if i != model}
     found = []
     for name in names:
-        if name in taken or name not in v.idle or model in v.placer.ledger.engines.get(name, {}):
+        if (
+            name in taken
+            or name not in view.idle
+            or model in view.placer.ledger.engines.get(name, {})
+        ):
             continue
-        pushed = making_room.pushed_out(v, name, model, size_mb)
+        pushed = making_room.pushed_out(view, name, model, size_mb)
         if pushed is None or pushed[0] > most:
             continue
-        known = model in v.placer.demand.before.get(name, ())
-        zones = sum(1 for n in beside if v.engines[n].zone == v.engines[name].zone)
+        known = model in view.placer.demand.before.get(name, ())
+        zones = sum(1 for n in beside if view.engines[n].zone == view.engines[name].zone)
         found.append(
             (
-                pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones + _held_up(v, name),
+                pushed[0] * (0.6 if known else 1.0) + _BESIDE * zones + _held_up(view, name),
                 not known,
                 weight(model, name),
                 name,
@@ -187,46 +191,46 @@
         )
     if found:
         name, out = min(found)[3:]
-        v.placer.demand.making.setdefault(model, (name, v.now_ms))
-        _give(v, name, model, out)
+        view.placer.demand.making.setdefault(model, (name, view.now_ms))
+        _give(view, name, model, out)
 
 
-def _give(v, name, item, out):
+def _give(view, name, item, out):
     """Push out what is in the way, or load if nothing is and the store bears it."""
-    items = v.placer.ledger.engines.get(name, {})
+    items = view.placer.ledger.engines.get(name, {})
     if out:
-        v.idle.discard(name)
+        view.idle.discard(name)
         entry = items[out[0]]
-        orders.give(v.placer, name, out[0], "unload", entry["mb"], entry["places"], v.name)
-        v.copies[out[0]] = v.copies.get(out[0], 1) - 1
+        orders.give(view.placer, name, out[0], "unload", entry["mb"], entry["places"], view.name)
+        view.copies[out[0]] = view.copies.get(out[0], 1) - 1
         return
-    known = item in v.placer.demand.before.get(name, ())
+    known = item in view.placer.demand.before.get(name, ())
     if (
         "/" not in item
         and not known
-        and not orders.store_allows(v.placer, v.now_ms, v.name, v.service["loads"])
+        and not orders.store_allows(view.placer, view.now_ms, view.name, view.service["loads"])
     ):
         return
-    v.idle.discard(name)
-    size = world.size_of(v.registry, item)
-    orders.give(v.placer, name, item, "load", size[0], size[1], v.name)
-    v.copies[item] = v.copies.get(item, 0) + 1
-    v.placer.demand.making.pop(item, None)
+    view.idle.discard(name)
+    size = world.size_of(view.registry, item)
+    orders.give(view.placer, name, item, "load", size[0], size[1], view.name)
+    view.copies[item] = view.copies.get(item, 0) + 1
+    view.placer.demand.making.pop(item, None)
 
 
-def _more_copies(v, copies_of, share):
+def _more_copies(view, copies_of, share):
     """One more copy of each model that has fewer than `copies_of` says, where that costs less
     than it brings, a `share` of what is asked of it; most asked for first."""
-    if not v.idle:
+    if not view.idle:
         return
     found = [
         (-asked, item)
-        for item, asked in v.rates.items()
-        if "/" not in item and 0 < v.copies.get(item, 0) < copies_of(v, item)
+        for item, asked in view.rates.items()
+        if "/" not in item and 0 < view.copies.get(item, 0) < copies_of(view, item)
     ]
     for asked, model in sorted(found):
-        if not v.idle:
+        if not view.idle:
             return
-        beside = [n for n in v.engines if model in v.placer.ledger.engines.get(n, {})]
-        most = -asked * share / (1 + v.copies[model]) / _LET_GO
-        _bring_model(v, model, beside, most)
+        beside = [n for n in view.engines if model in view.placer.ledger.engines.get(n, {})]
+        most = -asked * share / (1 + view.copies[model]) / _LET_GO
+        _bring_model(view, model, beside, most)
--- a/libs/placement/src/placement/making_room.py
+++ b/libs/placement/src/placement/making_room.py
@@ -22,55 +22,55 @@
 _KEEP_MS = 500.0
 
 
-def worth(v, model):
+def worth(view, model):
     """What would be lost with one copy of a model, in askings a second."""
-    copies = v.copies.get(model, 1)
-    asked = v.rates.get(model, 0.0) + 0.001
+    copies = view.copies.get(model, 1)
+    asked = view.rates.get(model, 0.0) + 0.001
     if copies <= 1:
-        return asked + (claim(v, model) if model in v.waiting else 0.0)
-    if copies <= needed_copies(v, model):
+        return asked + (claim(view, model) if model in view.waiting else 0.0)
+    if copies <= needed_copies(view, model):
         return asked / copies
-    if copies <= wanted_copies(v, model):
+    if copies <= wanted_copies(view, model):
         return SPARE * asked / copies
     return _IDLE * asked / copies
 
 
-def needed_copies(v, model):
+def needed_copies(view, model):
     """How many copies a model's demand fills: with fewer, callers are turned away."""
-    return _copies(v, model, _FULL_PART)
+    return _copies(view, model, _FULL_PART)
 
 
-def wanted_copies(v, model):
+def wanted_copies(view, model):
     """How many copies leave a model's callers room for bursts and the loss of an engine."""
-    least = 2 if v.rates.get(model, 0.0) > _OFTEN else 1
-    return max(least, _copies(v, model, _BUSY_PART))
+    least = 2 if view.rates.get(model, 0.0) > _OFTEN else 1
+    return max(least, _copies(view, model, _BUSY_PART))
 
 
-def _copies(v, model, part):
+def _copies(view, model, part):
     """How many copies a model's demand keeps busy to a part of their slots."""
-    slots = max(1, v.service.get("slots") or _SLOTS)
-    return max(1, math.ceil(v.rates.get(model, 0.0) * v.placer.demand.run_s / (part * slots)))
+    slots = max(1, view.service.get("slots") or _SLOTS)
+    return max(1, math.ceil(view.rates.get(model, 0.0) * view.placer.demand.run_s / (part * slots)))
 
 
-def pushed_out(v, name, model, size_mb):
+def pushed_out(view, name, model, size_mb):
     """(cost, models to push out) to make room for a model on an engine, or None."""
-    items = v.placer.ledger.engines.get(name, {})
-    usedMb, _ = world.charged(v.registry, v.placer.ledger, name)
-    free_mb = v.engines[name].roomMb - usedMb
+    items = view.placer.ledger.engines.get(name, {})
+    usedMb, _ = world.charged(view.registry, view.placer.ledger, name)
+    free_mb = view.engines[name].roomMb - usedMb
     if free_mb >= size_mb:
         return 0.0, ()
     found = []
     for other, entry in items.items():
         if "/" in other or entry["verb"] != "load" or entry["state"] != "loaded":
             continue
-        if v.now_ms - v.placer.demand.up_ms.get((name, other), -1e12) < _KEEP_MS:
+        if view.now_ms - view.placer.demand.up_ms.get((name, other), -1e12) < _KEEP_MS:
             continue
         own_mb = sum(
-            world.charge_of(v.registry, i, e)[0]
+            world.charge_of(view.registry, i, e)[0]
             for i, e in items.items()
             if i.partition("/")[0] == other
         )
-        found.append((worth(v, other), other, own_mb))
+        found.append((worth(view, other), other, own_mb))
     cost, out = 0.0, []
     for its_worth, other, own_mb in sorted(found):
         if free_mb >= size_mb:
--- a/libs/placement/src/placement/settle.py
+++ b/libs/placement/src/placement/settle.py
@@ -15,36 +15,36 @@
 __all__ = ["on_report"]
 
 
-def on_report(p, now_ms, engine, body, asked_ms, registry):
+def on_report(placer, now_ms, engine, body, asked_ms, registry):
     facts = registry.engines.get(engine)
     if facts is None or not _sound(body):
         return
-    if now_ms < p.replaced_until_ms.get(engine, float("-inf")):
+    if now_ms < placer.replaced_until_ms.get(engine, float("-inf")):
         return
     report = _read(body, asked_ms)
-    p.reports[engine] = report
-    if p.ledger.incarnations.get(engine) != report.incarnation:
-        order_notes.found(p, now_ms, engine, report.items, report)
+    placer.reports[engine] = report
+    if placer.ledger.incarnations.get(engine) != report.incarnation:
+        order_notes.found(placer, now_ms, engine, report.items, report)
         log(
-            p,
+            placer,
             ledgers.found_record(
                 engine,
                 report.incarnation,
                 _facts(registry, facts, report.items),
                 facts["service"],
-                _on_their_way(p, engine, asked_ms),
+                _on_their_way(placer, engine, asked_ms),
             ),
         )
-        order_counts.forget(p, engine)
-        order_counts.read(p, now_ms, engine, report)
+        order_counts.forget(placer, engine)
+        order_counts.read(placer, now_ms, engine, report)
         return
-    if order_counts.outdated(p, engine, report):
+    if order_counts.outdated(placer, engine, report):
         return
-    changed_ms = p.changed_ms.get(engine, float("-inf"))
-    _settle_entries(p, now_ms, engine, report)
+    changed_ms = placer.changed_ms.get(engine, float("-inf"))
+    _settle_entries(placer, now_ms, engine, report)
     if asked_ms < changed_ms:
         return
-    held = p.ledger.engines.get(engine, {})
+    held = placer.ledger.engines.get(engine, {})
     told = _facts(registry, facts, report.items)
     strange = {
         i: told[i]
@@ -54,10 +54,10 @@
         or (world.size_of(registry, i) and _resized(held.get(i), told[i]))
     }
     if strange:
-        order_notes.found(p, now_ms, engine, strange, report)
-        log(p, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
-    if not _hidden(p, engine, report):
-        order_counts.read(p, now_ms, engine, report)
+        order_notes.found(placer, now_ms, engine, strange, report)
+        log(placer, ledgers.found_record(engine, report.incarnation, strange, facts["service"]))
+    if not _hidden(placer, engine, report):
+        order_counts.read(placer, now_ms, engine, report)
 
 
 def _read(body, asked_ms):
@@ -74,31 +74,31 @@
     )
 
 
-def _settle_entries(p, now_ms, engine, report):
+def _settle_entries(placer, now_ms, engine, report):
     """Log what a report proves of the orders and items that the ledger knows."""
-    items = p.ledger.engines.get(engine, {})
+    items = placer.ledger.engines.get(engine, {})
     for item, entry in list(items.items()):
         seen = report.items.get(item)
         if seen == "loaded":
-            p.doubt_ms.pop((engine, item, entry["order"]), None)
+            placer.doubt_ms.pop((engine, item, entry["order"]), None)
         elif report.busy:
             continue
-        state = _settled(p, now_ms, (engine, item), entry, seen, report.asked_ms)
+        state = _settled(placer, now_ms, (engine, item), entry, seen, report.asked_ms)
         if state == "loaded" and entry["verb"] == "load":
-            line.learn(p, now_ms, entry["service"], entry["order"])
+            line.learn(placer, now_ms, entry["service"], entry["order"])
         if state:
-            p.doubt_ms.pop((engine, item, entry["order"]), None)
-            p.call_end_ms.pop(entry["order"], None)
-            p.changed_ms[engine] = now_ms
-            order_notes.reported(p, now_ms, engine, item, entry, state, report)
-            log(p, ledgers.state_record(engine, item, entry["order"], state))
+            placer.doubt_ms.pop((engine, item, entry["order"]), None)
+            placer.call_end_ms.pop(entry["order"], None)
+            placer.changed_ms[engine] = now_ms
+            order_notes.reported(placer, now_ms, engine, item, entry, state, report)
+            log(placer, ledgers.state_record(engine, item, entry["order"], state))
 
 
-def _hidden(p, engine, report):
+def _hidden(placer, engine, report):
     """Whether the report shows an item whose entry is an order that may never arrive.  What
     is there came by something else, and is charged only as long as that order's entry is:
     the count says what the engine holds only once the item's own entry stands."""
-    items = p.ledger.engines.get(engine, {})
+    items = placer.ledger.engines.get(engine, {})
     return any(
         items[item]["verb"] == "load" and items[item]["state"] in ("intended", "unknown")
         for item in report.items
@@ -106,13 +106,13 @@
     )
 
 
-def _on_their_way(p, engine, asked_ms):
+def _on_their_way(placer, engine, asked_ms):
     """Orders that may reach the new incarnation after it answered this report:
     their calls had not ended when it was asked for, or got no answer."""
     found = set()
-    for item, entry in p.ledger.engines.get(engine, {}).items():
-        end_ms = p.call_end_ms.get(entry["order"])
-        flying = entry["order"] in p.calls or end_ms is None or end_ms >= asked_ms
+    for item, entry in placer.ledger.engines.get(engine, {}).items():
+        end_ms = placer.call_end_ms.get(entry["order"])
+        flying = entry["order"] in placer.calls or end_ms is None or end_ms >= asked_ms
         if entry["order"] and (
             entry["state"] == "unknown" or (entry["state"] == "intended" and flying)
         ):
@@ -157,35 +157,35 @@
     return found
 
 
-def _again(p, now_ms, place, entry, asked_ms):
+def _again(placer, now_ms, place, entry, asked_ms):
     """An engine that woke may answer a report before an order that came earlier on
     another pipe; so it takes a second report in a row, asked for after the first."""
-    first_ms = p.doubt_ms.setdefault((*place, entry["order"]), now_ms)
+    first_ms = placer.doubt_ms.setdefault((*place, entry["order"]), now_ms)
     return asked_ms > first_ms
 
 
-def _settled(p, now_ms, place, entry, seen, asked_ms):
+def _settled(placer, now_ms, place, entry, seen, asked_ms):
     """The new state a report gives an entry, or None; `place`: its engine and item."""
-    end_ms = p.call_end_ms.get(entry["order"])
+    end_ms = placer.call_end_ms.get(entry["order"])
     open_ = entry["state"] in ("intended", "taken", "unknown")
-    if open_ and entry["order"] and entry["order"] in p.calls:
+    if open_ and entry["order"] and entry["order"] in placer.calls:
         return None
     if (
         open_
         and entry["order"]
         and end_ms is None
-        and (entry["state"] == "intended" and _ours(p, entry))
+        and (entry["state"] == "intended" and _ours(placer, entry))
     ):
         return None
     if open_ and end_ms is not None and asked_ms <= end_ms:
         return None
-    if asked_ms < p.not_before_ms and open_ and not _ours(p, entry):
+    if asked_ms < placer.not_before_ms and open_ and not _ours(placer, entry):
         return None
     if entry["verb"] == "load":
         if seen == "loaded":
             return "loaded" if entry["state"] != "loaded" else None
         if seen is None and (
-            entry["state"] == "taken" or _again(p, now_ms, place, entry, asked_ms)
+            entry["state"] == "taken" or _again(placer, now_ms, place, entry, asked_ms)
         ):
             return "forgotten"
         return None
@@ -196,7 +196,7 @@
     return None
 
 
-def _ours(p, entry):
+def _ours(placer, entry):
     """Whether this epoch gave the order; an older epoch's intent may have been
     sent, and is settled by a report after the old holder's time."""
-    return entry["order"].startswith(f"{p.shard}.{p.epoch}.")
+    return entry["order"].startswith(f"{placer.shard}.{placer.epoch}.")
