Calls for reports are numbered by a plain count: an endless iterator can't be measured

Cause: the hollow fleet sums up the sizes of a holder's state and never came to the end of an itertools.count; a test worker grew to 22 GB twice.

--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -78,7 +78,8 @@
         for engine in world.engines_of(registry, name):
             if not _poll_due(p, now_ms, engine, service, terms):
                 continue
-            poll = Poll(f"report:{engine['name']}:{next(p.report_numbers)}", now_ms)
+            p.report_count += 1
+            poll = Poll(f"report:{engine['name']}:{p.report_count}", now_ms)
             p.polls[engine["name"]] = poll
             effects.append(again.call(p, now_ms, poll.id, "report", engine, {}, terms, "", ""))
     return effects
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -1,6 +1,5 @@
 """What a placer keeps in memory beside the shard's replicated ledger."""
 
-import itertools
 from dataclasses import dataclass, field
 
 from replication import shard_log
@@ -74,7 +73,7 @@
     not_before_ms: float = float("inf")
     reports: dict = field(default_factory=dict)
     polls: dict = field(default_factory=dict)
-    report_numbers: object = field(default_factory=itertools.count)
+    report_count: int = 0
     calls: dict = field(default_factory=dict)
     call_end_ms: dict = field(default_factory=dict)
     doubt_ms: dict = field(default_factory=dict)
