--- a/libs/placement/src/placement/again.py
+++ b/libs/placement/src/placement/again.py
@@ -8,8 +8,8 @@
 
 from transport.effects import Call, Wake
 
+from placement import engine_view, line, order_notes, world
 from placement import ledger as ledgers
-from placement import line, order_counts, order_notes, world
 from placement.state import PendingCall, log
 
 __all__ = ["call", "due", "on_answer", "order_body"]
@@ -18,12 +18,17 @@
 # The status of an engine that isn't the one that an order was meant for.
 _ANOTHER_ENGINE = 421
 _LEAST_PAUSE_MS = 20.0
+# Each pause between two calls that give an order again is so much longer.
+_SLOWER = 1.4
+_UNKNOWN_LOAD_MS = 500.0
+# Of the time that an order usually takes: when it is first given again, and the first pause.
+_FIRST_REPEAT, _FIRST_PAUSE = 0.7, 0.05
 
 
 def order_body(p, engine, item, order):
     """What every call of an order says, the first one and those that give it again."""
     body = {"epoch": p.epoch, "order": order, "item": item}
-    expected = order_counts.expected(p, engine)
+    expected = engine_view.expected_count(engine_view.view_of(p, engine))
     return body if expected is None else {**body, "expected": expected}
 
 
@@ -48,12 +53,11 @@
     first = id_ == order
     state = _answered(called, pending.verb, first)
     order_notes.answered(p, order, called, state, not first)
-    if first and state == "taken":
-        order_counts.taken(p, now_ms, engine, pending.expected)
+    view = engine_view.view_of(p, engine)
     if called.code == _ANOTHER_ENGINE:
-        _replaced(p, now_ms, engine, terms)
-    if first and called.code and state in ("refused", "unknown"):
-        order_counts.doubt(p, now_ms, engine)
+        engine_view.address_reused(view, now_ms + terms.dark_ms)
+    if first:
+        _first_ended(view, now_ms, called, pending, state)
     entry = p.ledger.engines.get(engine, {}).get(item)
     if entry is None or entry["order"] != order:
         return
@@ -61,30 +65,29 @@
         return
     if state in ("loaded", "unloaded"):
         _done(p, now_ms, engine, item, entry, state)
-    if first:
-        p.call_end_ms[order] = now_ms
+        if state == "loaded" and not first and "/" not in item:
+            line.learn(p, now_ms, engine, entry)
     if state == "refused":
-        p.refused_ms[engine, item] = now_ms
+        p.plan.refused_ms[engine, item] = now_ms
         p.demand.pauseMs[engine] = now_ms + terms.call_ms / 10
     log(p, ledgers.state_record(engine, item, order, state))
 
 
-def _replaced(p, now_ms, engine, terms):
-    """Another engine has this one's address.  It answers reports as its own, so for a while
-    none is believed and nothing is ordered; by then the platform's list has told."""
-    p.reports.pop(engine, None)
-    p.replaced_until_ms[engine] = now_ms + terms.dark_ms
+def _first_ended(view, now_ms, called, pending, state):
+    """The call that sent an order has ended: what that says of the engine's count."""
+    engine_view.call_ended(view, now_ms, pending.order)
+    if state == "taken":
+        engine_view.order_taken(view, now_ms, pending.expected)
+    elif called.code and state in ("refused", "unknown"):
+        engine_view.doubt_count(view, now_ms)
 
 
 def _done(p, now_ms, engine, item, entry, state):
     """An order was carried out, by the engine's own word."""
-    p.changed_ms[engine] = now_ms
-    p.again_ms.pop(entry["order"], None)
+    engine_view.settled(p.engines[engine], now_ms, item, entry["order"])
     if state == "loaded":
         p.demand.up_ms[engine, item] = now_ms
         p.demand.before.setdefault(engine, set()).add(item)
-        if "/" not in item:
-            line.learn(p, now_ms, entry["service"], entry["order"])
 
 
 def _answered(called, verb, first):
@@ -109,23 +112,23 @@
         return []
     effects, soon_ms = [], float("inf")
     for engine in world.engines_of(registry, name):
-        if not world.usable(registry, engine) or not order_counts.known(p, engine["name"]):
+        view = p.engines.get(engine["name"])
+        if view is None or not world.usable(registry, engine) or not engine_view.count_known(view):
             continue
         for item, entry in p.ledger.engines.get(engine["name"], {}).items():
-            order, end_ms = entry["order"], p.call_end_ms.get(entry["order"])
-            if entry["state"] != "taken" or end_ms is None or f"again:{order}" in p.calls:
+            order = entry["order"]
+            call_of = view.calls.get(order)
+            if entry["state"] != "taken" or call_of is None or call_of.ended_ms is None:
                 continue
-            usual_ms = (
-                p.loadMs.get(name, 500.0)
-                if (entry["verb"] == "load" and "/" not in item)
-                else _ADAPTER_MS
-            )
-            next_ms, pauseMs = p.again_ms.get(order, (end_ms + 0.7 * usual_ms, 0.05 * usual_ms))
+            if f"again:{order}" in p.calls:
+                continue
+            next_ms, pause_ms = _next_repeat(call_of, _usual_ms(p, name, item, entry))
             if now_ms < next_ms:
                 soon_ms = min(soon_ms, next_ms)
                 continue
-            pauseMs = max(_LEAST_PAUSE_MS, 1.4 * pauseMs)
-            p.again_ms[order] = (now_ms + pauseMs, pauseMs)
+            pause_ms = max(_LEAST_PAUSE_MS, _SLOWER * pause_ms)
+            engine_view.repeat_at(view, order, now_ms + pause_ms, pause_ms)
+            body = order_body(p, engine["name"], item, order)
             effects.append(
                 call(
                     p,
@@ -133,12 +136,26 @@
                     f"again:{order}",
                     entry["verb"],
                     engine,
-                    order_body(p, engine["name"], item, order),
+                    body,
                     terms,
                     item,
                     order,
                     last_ms,
                 )
             )
-            soon_ms = min(soon_ms, now_ms + pauseMs)
+            soon_ms = min(soon_ms, now_ms + pause_ms)
     return effects + ([Wake(soon_ms)] if effects or soon_ms < float("inf") else [])
+
+
+def _next_repeat(call_of, usual_ms):
+    """(when an order is to be given again, the pause before that)."""
+    if call_of.repeat_ms is None:
+        return call_of.ended_ms + _FIRST_REPEAT * usual_ms, _FIRST_PAUSE * usual_ms
+    return call_of.repeat_ms, call_of.pause_ms
+
+
+def _usual_ms(p, service, item, entry):
+    """How long an order usually takes once the engine has taken it."""
+    if entry["verb"] == "load" and "/" not in item:
+        return p.plan.load_ms.get(service, _UNKNOWN_LOAD_MS)
+    return _ADAPTER_MS
--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -10,7 +10,15 @@
 
 from transport.rendezvous import weight
 
-from placement import demand_view, making_room, order_notes, orders, waiting_summary, world
+from placement import (
+    demand_view,
+    engine_view,
+    making_room,
+    order_notes,
+    orders,
+    waiting_summary,
+    world,
+)
 from placement.demand import FADE_MS, learn_run, tell
 from placement.demand_view import View
 
@@ -29,7 +37,7 @@
     """Give the orders that are due now; at most one an engine."""
     engines = {
         e.name: e
-        for e in world.placement_engines(registry, name, p.reports)
+        for e in world.placement_engines(registry, name, engine_view.reports_of(p))
         if e.name not in p.ledger.suspects
     }
     if not engines:
@@ -55,7 +63,7 @@
     view.rates = demand_view.rates_of(p.demand, now_ms)
     view.adapters = demand_view.adapter_rates(view.rates)
     view.hosts = demand_view.hosts_of(p, engines)
-    running = [p.reports[name].running for name in engines]
+    running = [p.engines[name].report.running for name in engines]
     if None not in running:
         asked = sum(rate for item, rate in view.rates.items() if "/" not in item)
         learn_run(p.demand, now_ms, sum(running), asked)
--- a/libs/placement/src/placement/demand_view.py
+++ b/libs/placement/src/placement/demand_view.py
@@ -4,8 +4,8 @@
 
 from configuration.schema import rank_of
 
+from placement import engine_view
 from placement import ledger as ledgers
-from placement import order_counts
 from placement.demand import owed, rate
 from placement.placement import item_name
 
@@ -77,7 +77,7 @@
     found = {}
     for id_, hold in placer.ledger.holds.items():
         if hold["service"] == name:
-            since_ms = placer.holds_ms.get(id_, now_ms)
+            since_ms = placer.line.since_ms.get(id_, now_ms)
             caller = since_ms, 1 / (1 + _LESS_URGENT * rank_of(hold["class"]))
             for item in {hold["model"], item_name(hold["model"], hold["adapter"])}:
                 found.setdefault(item, []).append(caller)
@@ -135,7 +135,8 @@
     """Whether an order may be given to an engine now."""
     if placer.demand.pauseMs.get(engine, 0.0) > now_ms:
         return False
-    if not order_counts.known(placer, engine):
+    view = placer.engines.get(engine)
+    if view is None or not engine_view.count_known(view):
         return False
-    items = placer.ledger.engines.get(engine, {})
-    return all(entry["state"] == "loaded" for entry in items.values())
+    entries = placer.ledger.engines.get(engine, {})
+    return all(entry["state"] == "loaded" for entry in entries.values())
--- a/libs/placement/src/placement/ledger.py
+++ b/libs/placement/src/placement/ledger.py
@@ -170,6 +170,7 @@
             "mb": facts["mb"],
             "places": facts["places"],
             "service": told["service"],
+            "sized": facts.get("sized", True),
         }
 
 
--- a/libs/placement/src/placement/line.py
+++ b/libs/placement/src/placement/line.py
@@ -10,8 +10,8 @@
 
 from configuration.schema import rank_of
 
+from placement import engine_view, placement
 from placement import ledger as ledgers
-from placement import placement
 from placement.state import log
 
 __all__ = ["queue", "estimate", "give_up", "learn", "drop_lost", "store_rate", "waited_for"]
@@ -31,7 +31,7 @@
     for id_, hold in p.ledger.holds.items():
         if hold["service"] != name:
             continue
-        at_ms = p.holds_ms.get(id_, 0.0) + rank_of(hold["class"]) * _STEP_MS
+        at_ms = p.line.since_ms.get(id_, 0.0) + rank_of(hold["class"]) * _STEP_MS
         for item in {hold["model"], placement.item_name(hold["model"], hold["adapter"])}:
             found[item] = min(found.get(item, at_ms), at_ms)
     return found
@@ -64,35 +64,36 @@
     )
 
 
-def learn(p, now_ms, service, order):
+def learn(p, now_ms, engine, entry):
     """A load was seen done: remember how long they take."""
-    end_ms = p.call_end_ms.get(order)
-    if end_ms is not None:
-        took_ms = now_ms - end_ms
-        p.loadMs[service] = 0.7 * p.loadMs.get(service, took_ms) + 0.3 * took_ms
+    ended_ms, service = _ended_ms(p, engine, entry), entry["service"]
+    if ended_ms is not None:
+        took_ms = now_ms - ended_ms
+        p.plan.load_ms[service] = 0.7 * p.plan.load_ms.get(service, took_ms) + 0.3 * took_ms
 
 
 def estimate(p, now_ms, name, loads, item, terms):
     """In how many ms an item will be up somewhere; None if nothing brings it.  What
     a silent engine may be loading, or one that gets no work holds, is no hope."""
-    loadMs = p.loadMs.get(name, 2 * terms.report_ms)
+    loadMs = p.plan.load_ms.get(name, 2 * terms.report_ms)
     base, _, adapter = item.partition("/")
     serving = _serving(p, name)
     entries = [
-        e
+        (n, e)
         for n, items in p.ledger.engines.items()
         for i, e in items.items()
         if i == item and e["verb"] == "load" and n in serving
     ]
-    if any(e["state"] == "loaded" for e in entries):
+    if any(e["state"] == "loaded" for _, e in entries):
         return 0.0
     if entries:
-        start_ms = max(p.call_end_ms.get(e["order"], now_ms) for e in entries)
+        ended = [_ended_ms(p, n, e) for n, e in entries]
+        start_ms = max(now_ms if at_ms is None else at_ms for at_ms in ended)
         return max(terms.report_ms, loadMs - (now_ms - start_ms))
-    places = [n for n, (_, i) in enumerate(p.queues.get(name, ()), 1) if i == item]
+    places = [n for n, (_, i) in enumerate(p.plan.queues.get(name, ()), 1) if i == item]
     if not places or not loads["atOnce"] or not loads["perMinute"]:
         return None
-    tokens = p.tokens.get(name, (0.0, now_ms))[0]
+    tokens = p.plan.tokens.get(name, (0.0, now_ms))[0]
     per_ms = max(1e-9, store_rate(loads)[1])
     open_loads = ledgers.loads_out(p.ledger, name)
     rate_ms = max(0.0, (places[0] - tokens) / per_ms)
@@ -101,14 +102,20 @@
     return max(rate_ms, turns_ms) + steps * (loadMs + terms.report_ms)
 
 
+def _ended_ms(p, engine, entry):
+    """When the call of an entry's order ended, None if it hasn't or isn't known."""
+    view = p.engines.get(engine)
+    return None if view is None else engine_view.ended_ms(view, entry["order"])
+
+
 def _loaded(p, item):
     return any(ledgers.loaded(p.ledger, engine, item) for engine in p.ledger.engines)
 
 
 def _serving(p, name):
     """Engines that the last plan counted on: heard of, and open for new work."""
-    plan = p.plans.get(name)
-    return {e.name for e in plan[0][2]} if plan else set(p.reports)
+    plan = p.plan.plans.get(name)
+    return {e.name for e in plan[0][2]} if plan else set(engine_view.reports_of(p))
 
 
 def give_up(p, now_ms, name, loads, made, terms):
@@ -116,7 +123,7 @@
     coming = {i for targets in made.targets.values() for i in targets}
     serving = _serving(p, name)
     coming |= {i for n, items in p.ledger.engines.items() if n in serving for i in items}
-    p.hope_ms = {i: ms for i, ms in p.hope_ms.items() if i in p.ledger.holds}
+    p.line.hope_ms = {i: ms for i, ms in p.line.hope_ms.items() if i in p.ledger.holds}
     for id_, hold in list(p.ledger.holds.items()):
         if hold["service"] != name:
             continue
@@ -125,17 +132,17 @@
             _tell(p, id_, "no-room", 10 * terms.call_ms)
             continue
         wait_ms = estimate(p, now_ms, name, loads, item, terms)
-        end_ms = p.holds_ms.get(id_, now_ms) + hold["waitMs"]
+        end_ms = p.line.since_ms.get(id_, now_ms) + hold["waitMs"]
         if wait_ms is None:
             continue
-        hope_ms = p.hope_ms.setdefault(id_, now_ms + wait_ms)
+        hope_ms = p.line.hope_ms.setdefault(id_, now_ms + wait_ms)
         overdue = now_ms > hope_ms + wait_ms and not _comes_up(p, item)
         if overdue or now_ms + 0.9 * wait_ms > end_ms:
             _tell(p, id_, "loads-queue", wait_ms)
 
 
 def _tell(p, id_, why, retryMs):
-    p.holds_ms.pop(id_, None)
+    p.line.since_ms.pop(id_, None)
     log(p, ledgers.unhold_record(id_, why, int(max(1000, retryMs))))
 
 
--- a/libs/placement/src/placement/order_notes.py
+++ b/libs/placement/src/placement/order_notes.py
@@ -7,8 +7,8 @@
 
 from transport.effects import Note
 
+from placement import engine_view
 from placement import ledger as ledgers
-from placement import order_counts
 
 __all__ = ["drain", "ordered", "answered", "reported", "found", "summary", "summary_due"]
 
@@ -35,7 +35,7 @@
             "engine": engine,
             "item": item,
             "verb": verb,
-            "expected": order_counts.expected(placer, engine),
+            "expected": engine_view.expected_count(engine_view.view_of(placer, engine)),
             "charged": ledgers.charged(placer.ledger, engine),
         },
     )
@@ -71,7 +71,7 @@
             "was": f"{entry['verb']} {entry['state']}",
             "state": state,
             "count": report.orders,
-            "known": order_counts.expected(placer, engine),
+            "known": engine_view.expected_count(engine_view.view_of(placer, engine)),
             "busy": report.busy,
             "ageMs": round(now_ms - report.asked_ms),
         },
--- a/libs/placement/src/placement/orders.py
+++ b/libs/placement/src/placement/orders.py
@@ -6,7 +6,7 @@
 takeover, so two holders together never spend more than one may.
 """
 
-from placement import again, line, order_counts, order_notes, placement, world
+from placement import again, engine_view, line, order_notes, placement, world
 from placement import ledger as ledgers
 from placement.state import log
 
@@ -17,15 +17,17 @@
 
 
 def plan(p, now_ms, registry, name, service, terms):
-    p.refused_ms = {k: ms for k, ms in p.refused_ms.items() if now_ms - ms < 2 * terms.call_ms}
-    engines = world.placement_engines(registry, name, p.reports)
+    p.plan.refused_ms = {
+        k: ms for k, ms in p.plan.refused_ms.items() if now_ms - ms < 2 * terms.call_ms
+    }
+    engines = world.placement_engines(registry, name, engine_view.reports_of(p))
     made = _made(p, registry, name, service, engines)
     if engines:
         line.give_up(p, now_ms, name, service["loads"], made, terms)
     sizes = {e.name: e for e in engines}
     for engine in engines:
         _unload(p, registry, engine, name, made, sizes)
-    for engine, item in p.queues[name]:
+    for engine, item in p.plan.queues[name]:
         if _fits(p, registry, sizes[engine], item) and not _load(
             p, now_ms, registry, engine, item, name, service
         ):
@@ -35,7 +37,7 @@
 def _made(p, registry, name, service, engines):
     """The plan, made anew only when something that it looks at has changed."""
     inputs = (registry.stamp, p.held.next, tuple(engines))
-    kept = p.plans.get(name)
+    kept = p.plan.plans.get(name)
     if kept is not None and kept[0] == inputs:
         return kept[1]
     present = {
@@ -44,9 +46,9 @@
     }
     wishes = world.wishes_of(registry, name, p.ledger)
     made = placement.place(engines, wishes, world.shares_of(service), present)
-    p.queues[name] = line.queue(p, name, made, {w.id: w.yields for w in wishes})
+    p.plan.queues[name] = line.queue(p, name, made, {w.id: w.yields for w in wishes})
     _tell_unmet(p, name, made, service)
-    p.plans[name] = (inputs, made)
+    p.plan.plans[name] = (inputs, made)
     return made
 
 
@@ -87,11 +89,9 @@
 
 
 def _may_order(p, engine):
-    """Whether an engine may be given an order now; one that counts its orders carries
-    out one at a time, so nothing is given beside one that is under way."""
-    if order_counts.expected(p, engine) is None:
-        return order_counts.known(p, engine)
-    return all(e["state"] == "loaded" for e in p.ledger.engines.get(engine, {}).values())
+    """Whether an engine may be given an order now."""
+    entries = p.ledger.engines.get(engine, {})
+    return engine_view.may_order(engine_view.view_of(p, engine), entries)
 
 
 def _moving(p, registry, engine, item, made, sizes):
@@ -120,7 +120,7 @@
             continue
         if not _may_order(p, engine.name):
             return
-        if (engine.name, item) in p.refused_ms or _moving(
+        if (engine.name, item) in p.plan.refused_ms or _moving(
             p, registry, engine.name, item, made, sizes
         ):
             continue
@@ -130,7 +130,7 @@
 def _fits(p, registry, engine, item):
     """Whether an order for an item may be given now, beside all that may be there."""
     items = p.ledger.engines.get(engine.name, {})
-    if item in items or (engine.name, item) in p.refused_ms:
+    if item in items or (engine.name, item) in p.plan.refused_ms:
         return False
     if not _may_order(p, engine.name):
         return False
@@ -170,10 +170,10 @@
     """Whether one more load keeps within the service's part of the store; takes it."""
     burst, per_ms = line.store_rate(loads)
     out = ledgers.loads_out(p.ledger, name, loads.get("adapters", True))
-    if out >= _at_once(loads, per_ms * p.loadMs.get(name, 0.0)):
+    if out >= _at_once(loads, per_ms * p.plan.load_ms.get(name, 0.0)):
         return False
-    tokens, at_ms = p.tokens.get(name, (burst if p.epoch == 1 else 0.0, now_ms))
+    tokens, at_ms = p.plan.tokens.get(name, (burst if p.epoch == 1 else 0.0, now_ms))
     tokens = min(burst, tokens + (now_ms - at_ms) * per_ms)
     allowed = tokens >= 1
-    p.tokens[name] = (tokens - 1 if allowed else tokens, now_ms)
+    p.plan.tokens[name] = (tokens - 1 if allowed else tokens, now_ms)
     return allowed
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -15,19 +15,20 @@
     again,
     asked,
     demand,
+    engine_reports,
+    engine_view,
     line,
-    order_counts,
     order_notes,
     orders,
     placement,
-    settle,
     suspects,
     world,
 )
 from placement import ledger as ledgers
-from placement.state import Poll, log
+from placement.engine_view import Poll
+from placement.state import log
 
-__all__ = ["taken_over", "tick", "on_called", "on_durable", "command"]
+__all__ = ["taken_over", "tick", "on_called", "on_durable", "command", "poll_of"]
 
 _OWN = 0.25
 # Of a call's time: the least time between two plans that answers bring about.
@@ -43,11 +44,9 @@
     p.not_before_ms = now_ms + (
         _OWN * terms.call_ms if p.own and terms.turnMs else max(terms.call_ms, terms.turnMs)
     )
-    for items in p.ledger.engines.values():
-        for entry in items.values():
-            if entry["state"] == "taken":
-                p.call_end_ms[entry["order"]] = now_ms
-    p.holds_ms = {id_: now_ms for id_ in p.ledger.holds}
+    for engine, entries in p.ledger.engines.items():
+        engine_view.recovered(engine_view.view_of(p, engine), now_ms, entries)
+    p.line.since_ms = {id_: now_ms for id_ in p.ledger.holds}
 
 
 def tick(p, now_ms, registry, shards, terms, lease_end_ms, lost):
@@ -60,7 +59,7 @@
     line.drop_lost(p, lost)
     suspects.due(p, now_ms, registry, shards, terms)
     if now_ms >= p.not_before_ms:
-        p.planned_ms = now_ms
+        p.plan.planned_ms = now_ms
         for name, service in world.services_of(registry, p.shard, shards).items():
             if service.get("byDemand"):
                 asked.plan(p, now_ms, registry, name, service, terms)
@@ -78,16 +77,22 @@
         for engine in world.engines_of(registry, name):
             if not _poll_due(p, now_ms, engine, service, terms):
                 continue
-            p.report_count += 1
-            poll = Poll(f"report:{engine['name']}:{p.report_count}", now_ms)
-            p.polls[engine["name"]] = poll
+            poll = poll_of(p, now_ms, engine["name"])
             effects.append(again.call(p, now_ms, poll.id, "report", engine, {}, terms, "", ""))
     return effects
 
 
+def poll_of(p, now_ms, engine):
+    """The next call for an engine's report."""
+    p.report_count += 1
+    poll = Poll(f"report:{engine}:{p.report_count}", now_ms)
+    engine_view.poll_made(engine_view.view_of(p, engine), poll)
+    return poll
+
+
 def _poll_due(p, now_ms, engine, service, terms):
     """Whether a report is to be asked for: not beside one that may still be answered."""
-    last = p.polls.get(engine["name"])
+    last = engine_view.view_of(p, engine["name"]).poll
     if last is None:
         return True
     since_ms = now_ms - last.asked_ms
@@ -99,10 +104,12 @@
 def _pause(p, engine, service, terms):
     """How long to wait between reports; where orders tell their own end, reports are
     only for what was left in doubt."""
-    if not service.get("byDemand") or not order_counts.known(p, engine["name"]):
+    view = engine_view.view_of(p, engine["name"])
+    if not service.get("byDemand") or not engine_view.count_known(view):
         return terms.report_ms
     if any(
-        e["state"] == "unknown" or (e["state"] == "intended" and e["order"] not in p.calls)
+        e["state"] == "unknown"
+        or (e["state"] == "intended" and not engine_view.call_open(view, e["order"]))
         for e in p.ledger.engines.get(engine["name"], {}).values()
     ):
         return terms.report_ms
@@ -114,22 +121,19 @@
     until it can no longer ask the store; a new holder counts it from its start."""
     for engine in [e for e in p.ledger.incarnations if e not in registry.engines]:
         log(p, ledgers.dropped_record(engine))
-        p.reports.pop(engine, None)
-        p.polls.pop(engine, None)
-        p.replaced_until_ms.pop(engine, None)
-        order_counts.forget(p, engine)
+        p.engines.pop(engine, None)
     for order, service in list(p.ledger.lingering.items()):
-        last_ms = max(terms.dark_ms, 2 * p.loadMs.get(service, 0.0))
-        if now_ms - p.linger_ms.setdefault(order, now_ms) >= last_ms:
-            del p.linger_ms[order]
+        last_ms = max(terms.dark_ms, 2 * p.plan.load_ms.get(service, 0.0))
+        if now_ms - p.plan.lingering_ms.setdefault(order, now_ms) >= last_ms:
+            del p.plan.lingering_ms[order]
             log(p, ledgers.lingered_record(order))
 
 
 def _expire_holds(p, now_ms):
     for id_, hold in list(p.ledger.holds.items()):
-        if now_ms - p.holds_ms.setdefault(id_, now_ms) > hold["waitMs"]:
+        if now_ms - p.line.since_ms.setdefault(id_, now_ms) > hold["waitMs"]:
             log(p, ledgers.unhold_record(id_, "expired"))
-            p.holds_ms.pop(id_, None)
+            p.line.since_ms.pop(id_, None)
 
 
 def on_durable(p, now_ms, then, registry, terms, lease_end_ms):
@@ -144,6 +148,7 @@
         if facts is None or now_ms >= last_ms or p.held.lost or not world.usable(registry, facts):
             log(p, ledgers.state_record(engine, item, order, "refused"))
             return []
+        engine_view.order_sent(engine_view.view_of(p, engine), order)
         return [again.call(p, now_ms, order, verb, facts, body, terms, item, order, last_ms)]
     return []
 
@@ -157,9 +162,9 @@
         engine = pending.engine
         if called.code == 200:
             asked_ms = pending.asked_ms - terms.lagMs
-            settle.on_report(p, now_ms, engine, called.body, asked_ms, registry)
-        elif engine in p.reports and now_ms - p.reports[engine].asked_ms > terms.dark_ms:
-            del p.reports[engine]
+            engine_reports.on_report(p, now_ms, engine, called.body, asked_ms, registry)
+        else:
+            engine_view.report_silent(engine_view.view_of(p, engine), now_ms, terms.dark_ms)
         return order_notes.drain(p)
     again.on_answer(p, now_ms, id_, called, pending, terms)
     return _soon(p, now_ms, terms) + order_notes.drain(p)
@@ -168,7 +173,9 @@
 def _soon(p, now_ms, terms):
     """Plan again now, but not for each of many answers that come at once."""
     return (
-        [Wake(max(now_ms, p.planned_ms + _BETWEEN_PLANS * terms.call_ms))] if terms.turnMs else []
+        [Wake(max(now_ms, p.plan.planned_ms + _BETWEEN_PLANS * terms.call_ms))]
+        if terms.turnMs
+        else []
     )
 
 
@@ -188,7 +195,7 @@
     hold = p.ledger.holds[id_]
     for item in {hold["model"], placement.item_name(hold["model"], hold["adapter"])}:
         _pay(p, item)
-    p.holds_ms.pop(id_, None)
+    p.line.since_ms.pop(id_, None)
     log(
         p,
         ledgers.unhold_record(id_, str(body.get("why", "")) or "done"),
@@ -226,7 +233,7 @@
     wait_ms = line.estimate(p, now_ms, body["service"], loads, item, terms)
     if wait_ms is not None and wait_ms > body["waitMs"]:
         return [Reply(token, failures.NoRoom(int(wait_ms), body["model"], "loads-queue"))]
-    p.holds_ms[id_] = now_ms
+    p.line.since_ms[id_] = now_ms
     log(
         p,
         ledgers.hold_record(
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -8,7 +8,7 @@
 from placement import ledger as ledgers
 from placement import watching
 
-__all__ = ["Placer", "Terms", "Report", "PendingCall", "Poll", "log"]
+__all__ = ["LineState", "PendingCall", "Placer", "PlanState", "Terms", "log"]
 
 
 @dataclass(frozen=True)
@@ -26,21 +26,6 @@
     holds_per_model: int = 200
 
 
-@dataclass(frozen=True)
-class Report:
-    """What an engine told of itself.  `orders`: how many it has taken, None if it doesn't
-    count them; `running`: requests that it runs or that wait at it, None if it doesn't tell."""
-
-    incarnation: str
-    roomMb: int
-    places: int
-    items: dict
-    asked_ms: float
-    busy: bool = False
-    orders: int | None = None
-    running: int | None = None
-
-
 @dataclass(frozen=True)
 class PendingCall:
     """A call to an engine that hasn't ended; `item` and `order` are empty for a report.
@@ -54,44 +39,48 @@
     expected: int | None = None
 
 
-@dataclass(frozen=True)
-class Poll:
-    """The last call for an engine's report; each has an id of its own, so that an answer
-    that comes after the next was made is judged by the time of its own call."""
+@dataclass
+class PlanState:
+    """`tokens`: service -> (loads that the store bears now, at); `plans`: service -> (inputs,
+    plan); `queues`: service -> (engine, item) still to be loaded; `load_ms`: service -> how
+    long loads have been taking; `refused_ms`: (engine, item) -> when an order was refused;
+    `lingering_ms`: order -> since when its load is counted on an engine that is gone."""
 
-    id: str
-    asked_ms: float
+    tokens: dict = field(default_factory=dict)
+    plans: dict = field(default_factory=dict)
+    queues: dict = field(default_factory=dict)
+    load_ms: dict = field(default_factory=dict)
+    refused_ms: dict = field(default_factory=dict)
+    lingering_ms: dict = field(default_factory=dict)
+    planned_ms: float = float("-inf")
+
+
+@dataclass
+class LineState:
+    """Of callers who wait: `since_ms` by id, and `hope_ms`, when each was told to be served."""
+
+    since_ms: dict = field(default_factory=dict)
+    hope_ms: dict = field(default_factory=dict)
 
 
 @dataclass
 class Placer:
+    """The holder of a service's shard.  `engines`: name -> EngineView, what is known of each
+    engine beside the ledger's entries; `calls`: id -> PendingCall; `own`: whether this node
+    held the shard before as well."""
+
     shard: int
     epoch: int
     held: shard_log.ShardLog
     own: bool = False
     ledger: ledgers.Ledger = field(default_factory=ledgers.Ledger)
     not_before_ms: float = float("inf")
-    reports: dict = field(default_factory=dict)
-    polls: dict = field(default_factory=dict)
-    report_count: int = 0
-    calls: dict = field(default_factory=dict)
-    call_end_ms: dict = field(default_factory=dict)
-    doubt_ms: dict = field(default_factory=dict)
-    tokens: dict = field(default_factory=dict)
-    holds_ms: dict = field(default_factory=dict)
-    hope_ms: dict = field(default_factory=dict)
-    plans: dict = field(default_factory=dict)
-    queues: dict = field(default_factory=dict)
-    loadMs: dict = field(default_factory=dict)
-    refused_ms: dict = field(default_factory=dict)
-    linger_ms: dict = field(default_factory=dict)
-    planned_ms: float = float("-inf")
-    again_ms: dict = field(default_factory=dict)
-    changed_ms: dict = field(default_factory=dict)
-    order_counts: dict = field(default_factory=dict)
-    count_doubt_ms: dict = field(default_factory=dict)
-    replaced_until_ms: dict = field(default_factory=dict)
+    engines: dict = field(default_factory=dict)
     demand: demands.Demand = field(default_factory=demands.Demand)
+    plan: PlanState = field(default_factory=PlanState)
+    line: LineState = field(default_factory=LineState)
+    calls: dict = field(default_factory=dict)
+    report_count: int = 0
     watch: watching.Watch = field(default_factory=watching.Watch)
     notes: list = field(default_factory=list)
     summary_ms: float = float("-inf")
--- a/libs/simulation/src/simulation/model/search.py
+++ b/libs/simulation/src/simulation/model/search.py
@@ -7,7 +7,7 @@
 from simulation.model.invariants import Violation
 from simulation.model.steps import Skipped, take
 
-__all__ = ["Found", "Search", "search"]
+__all__ = ["Found", "Moves", "Search", "search"]
 
 
 @dataclass
@@ -29,7 +29,27 @@
     found: list = field(default_factory=list)
 
 
-def search(start, limits, depth, states, stop_at_first=True, at_state=None, seconds=1e9):
+@dataclass(frozen=True)
+class Moves:
+    """What may happen to a state: `choices(state, limits)` and `take(state, step)`."""
+
+    choices: object
+    take: object
+
+
+REPLICATION = Moves(choices, take)
+
+
+def search(
+    start,
+    limits,
+    depth,
+    states,
+    stop_at_first=True,
+    at_state=None,
+    seconds=1e9,
+    moves=REPLICATION,
+):
     """Explore from `start`; `at_state` is asked about each new state as well."""
     began, result = time.monotonic(), Search()
     seen, parents = {start.key()}, [(None, None)]
@@ -46,11 +66,11 @@
     while frontier and result.depth < depth:
         following = []
         for world, number in frontier:
-            for step in choices(world, limits):
+            for step in moves.choices(world, limits):
                 child = world.fork()
                 result.steps += 1
                 try:
-                    take(child, step)
+                    moves.take(child, step)
                     key = child.key()
                     if key in seen:
                         continue
--- a/libs/simulation/src/simulation/mutants_of_placement.py
+++ b/libs/simulation/src/simulation/mutants_of_placement.py
@@ -1,6 +1,6 @@
 """Mutants of placement: engine states, room, the weight store and partners' shares."""
 
-from placement import ledger, orders, placement, settle, world
+from placement import engine_reports, ledger, orders, placement, world
 
 from simulation import breaking
 from simulation.mutant import Mutant
@@ -46,11 +46,12 @@
         lambda d: [step(1000, "burst"), step(4000, "engine-emptied", "e1", 2000)],
         lambda: [
             (
-                settle,
+                engine_reports,
                 "_facts",
-                lambda reg, e, items: {i: {"state": "loaded", "mb": 0, "places": 0} for i in items},
+                lambda reg, e, items: {
+                    i: {"state": "loaded", "mb": 0, "places": 0, "sized": True} for i in items
+                },
             ),
-            (settle, "_resized", lambda *a: False),
             (world, "charge_of", lambda reg, item, entry: (entry["mb"], entry["places"])),
         ],
         seeds=(2, 8),
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -3,7 +3,8 @@
 import json
 
 from configuration import registry
-from placement import ledger, orders, state, world
+from placement import engine_view, ledger, orders, state, world
+from placement.engine_view import Report
 from replication import shard_log
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -73,7 +74,7 @@
             ),
         )
         room = self.reg.engines[engine]["roomMb"]
-        self.p.reports[engine] = state.Report("i", room, 0, {}, 0.0)
+        engine_view.view_of(self.p, engine).report = Report("i", room, 0, {}, 0.0)
 
     def ordered(self):
         """Plan once; what was ordered: (verb, engine, item)."""
--- a/tests/test_order_counts.py
+++ b/tests/test_order_counts.py
@@ -2,9 +2,8 @@
 
 import test_platform_again
 from adapter import engines
-from placement import order_counts
-from placement.state import Placer, Report
-from replication.shard_log import ShardLog
+from placement import engine_view
+from placement.engine_view import EngineView, Report
 from simulation.placing import PlainEngine, _ordered
 from testtools import TestCase
 from testtools.matchers import Equals, Not
@@ -17,14 +16,17 @@
 class Counts(TestCase):
     def setUp(self):
         super().setUp()
-        self.placer = Placer(1, 1, ShardLog(1, 1, ready=True))
+        self.view = EngineView()
 
     def read(self, told, now_ms=100.0):
-        self.placer.reports["e"] = told
-        order_counts.read(self.placer, now_ms, "e", told)
+        self.view.report = told
+        engine_view.learn_count(self.view, now_ms, told)
 
     def state(self):
-        return order_counts.known(self.placer, "e"), order_counts.expected(self.placer, "e")
+        return engine_view.count_known(self.view), engine_view.expected_count(self.view)
+
+    def outdated(self, told):
+        return engine_view.is_outdated(self.view, told)
 
     def test_nothing_is_known_before_a_report(self):
         self.assertThat(self.state(), Equals((False, None)))
@@ -36,31 +38,31 @@
     def test_an_engine_that_counts_nothing_is_ordered_without_a_count(self):
         self.read(report(None, 90.0))
         self.assertThat(self.state(), Equals((True, None)))
-        self.assertFalse(order_counts.outdated(self.placer, "e", report(None, 0.0)))
+        self.assertFalse(self.outdated(report(None, 0.0)))
 
     def test_taken_orders_advance_it_once_each(self):
         self.read(report(4, 90.0))
-        order_counts.taken(self.placer, 110.0, "e", 4)
+        engine_view.order_taken(self.view, 110.0, 4)
         self.assertThat(self.state(), Equals((True, 5)))
-        order_counts.taken(self.placer, 120.0, "e", 4)
+        engine_view.order_taken(self.view, 120.0, 4)
         self.assertThat(self.state(), Equals((True, 5)))
 
     def test_an_earlier_report_is_outdated_and_a_later_one_is_believed(self):
         self.read(report(4, 90.0))
-        order_counts.taken(self.placer, 110.0, "e", 4)
-        self.assertTrue(order_counts.outdated(self.placer, "e", report(4, 110.0)))
-        self.assertFalse(order_counts.outdated(self.placer, "e", report(5, 105.0)))
+        engine_view.order_taken(self.view, 110.0, 4)
+        self.assertTrue(self.outdated(report(4, 110.0)))
+        self.assertFalse(self.outdated(report(5, 105.0)))
         late = report(4, 111.0)
-        self.assertFalse(order_counts.outdated(self.placer, "e", late))
+        self.assertFalse(self.outdated(late))
         self.read(late)
         self.assertThat(self.state(), Equals((True, 4)))
 
     def test_doubt_lasts_until_a_later_report_of_an_idle_engine(self):
         self.read(report(4, 90.0))
-        order_counts.doubt(self.placer, 120.0, "e")
+        engine_view.doubt_count(self.view, 120.0)
         self.assertThat(self.state(), Equals((False, None)))
-        self.assertTrue(order_counts.outdated(self.placer, "e", report(4, 120.0)))
-        self.assertFalse(order_counts.outdated(self.placer, "e", report(5, 121.0)))
+        self.assertTrue(self.outdated(report(4, 120.0)))
+        self.assertFalse(self.outdated(report(5, 121.0)))
         self.read(report(5, 121.0, busy=True))
         self.assertThat(self.state(), Equals((False, None)))
         self.read(report(5, 130.0))
@@ -68,9 +70,9 @@
 
     def test_a_new_engine_under_the_name_is_unknown(self):
         self.read(report(4, 90.0))
-        order_counts.doubt(self.placer, 120.0, "e")
-        order_counts.forget(self.placer, "e")
-        self.assertFalse(order_counts.outdated(self.placer, "e", report(0, 95.0)))
+        engine_view.doubt_count(self.view, 120.0)
+        engine_view.new_life(self.view)
+        self.assertFalse(self.outdated(report(0, 95.0)))
         self.assertThat(self.state()[1], Equals(None))
 
 
@@ -121,9 +123,9 @@
 
     def test_a_refusal_ends_orders_until_a_later_report(self):
         self.answer(self.give(), 409)
-        self.assertFalse(order_counts.known(self.p, "e0"))
+        self.assertFalse(engine_view.count_known(self.p.engines["e0"]))
         self.report(["other"], at=self.now_ms - 1, orders=7)
-        self.assertFalse(order_counts.known(self.p, "e0"))
+        self.assertFalse(engine_view.count_known(self.p.engines["e0"]))
         self.now_ms += 500
         self.report(["other"], at=self.now_ms - 10, orders=7)
         self.give()
@@ -137,7 +139,7 @@
 
     def test_an_unsent_order_leaves_the_count_known(self):
         self.answer(self.give(), 0, begun=False)
-        self.assertTrue(order_counts.known(self.p, "e0"))
+        self.assertTrue(engine_view.count_known(self.p.engines["e0"]))
 
 
 class Wire(TestCase):
--- a/tests/test_order_proofs.py
+++ b/tests/test_order_proofs.py
@@ -7,7 +7,7 @@
 import random
 
 import test_platform_again
-from placement import order_counts, world
+from placement import engine_view, world
 from simulation.placing import TERMS, Late, Stale
 from test_platform_asked import Floor
 from testtools import TestCase
@@ -27,7 +27,7 @@
         self.assertThat((self.state(), self.count()), Equals(("loaded", 4)))
 
     def count(self):
-        return order_counts.expected(self.p, "e0")
+        return engine_view.expected_count(self.p.engines["e0"])
 
     def told(self, items, orders=4, busy=False):
         """A report asked for just now."""
@@ -41,7 +41,7 @@
         will; "done" may be an answer to something else."""
         self.answer(self.give("unload"), 200)
         self.assertThat(self.state(), Equals("unknown"))
-        self.assertFalse(order_counts.known(self.p, "e0"))
+        self.assertFalse(engine_view.count_known(self.p.engines["e0"]))
 
     def test_a_report_settles_it_either_way(self):
         self.answer(self.give("unload"), 200)
@@ -130,7 +130,10 @@
 
     def usable(self):
         return [
-            e.name for e in world.placement_engines(self.registry, self.service, self.p.reports)
+            e.name
+            for e in world.placement_engines(
+                self.registry, self.service, engine_view.reports_of(self.p)
+            )
         ]
 
     def test_an_engine_that_is_no_longer_there_is_not_counted_on(self):
@@ -163,13 +166,15 @@
 
     def test_the_count_is_not_learned_beside_it(self):
         self.refused(begun=False)
-        self.assertThat((self.state(), order_counts.expected(self.p, "e0")), Equals((None, 3)))
+        self.assertThat(
+            (self.state(), engine_view.expected_count(self.p.engines["e0"])), Equals((None, 3))
+        )
 
     def test_the_next_report_finds_it(self):
         self.refused(begun=False)
         self.now_ms += 1000
         self.report(["other", self.model], at=self.now_ms - 10, orders=4)
-        found = self.state(), order_counts.expected(self.p, "e0")
+        found = self.state(), engine_view.expected_count(self.p.engines["e0"])
         self.assertThat(found, Equals(("loaded", 4)))
 
 
--- a/tests/test_orders_late.py
+++ b/tests/test_orders_late.py
@@ -3,7 +3,7 @@
 
 import random
 
-from placement import order_counts
+from placement import engine_view
 from simulation.placing import TERMS, Late
 from test_platform_asked import Floor
 from testtools import TestCase
@@ -46,7 +46,7 @@
 
     def test_orders_without_a_count_are_seen(self):
         """The same runs are red as soon as orders don't name what they expect."""
-        self.patch(order_counts, "expected", lambda placer, engine: None)
+        self.patch(engine_view, "expected_count", lambda view: None)
         found = [self.broken(self.played(seed)) for seed in SEEDS]
         self.assertThat(len([b for b in found if b]), GreaterThan(2))
 
--- a/tests/test_platform_again.py
+++ b/tests/test_platform_again.py
@@ -4,7 +4,7 @@
 
 from adapter import configuration
 from configuration import registry as registries
-from placement import again, ledger, orders, placer, settle, state
+from placement import again, engine_reports, ledger, orders, placer, state
 from replication.shard_log import ShardLog
 from simulation import platform_made as made
 from simulation.placing import SHARDS, TERMS, engine_facts
@@ -37,7 +37,7 @@
 
     def report(self, items, at, busy=False, orders=None):
         """A report asked for at a time, its lag taken off, and answered now."""
-        settle.on_report(
+        engine_reports.on_report(
             self.p,
             self.now_ms,
             "e0",
@@ -217,7 +217,7 @@
     def test_a_new_life_forgets(self):
         self.answer(self.give(), 200)
         self.now_ms += 100
-        settle.on_report(
+        engine_reports.on_report(
             self.p,
             self.now_ms,
             "e0",
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from configuration import registry
-from placement import ledger, orders, placer, settle, state
+from placement import engine_reports, engine_view, ledger, orders, placer, state
 from replication import shard_log
 from simulation import deployments
 from simulation.sim import floor, run
@@ -107,15 +107,14 @@
         )
         p = state.Placer(1, 1, shard_log.ShardLog(1, 1, ready=True), not_before_ms=0.0)
         told = {"incarnation": "old", "roomMb": 10, "adapterPlaces": 0, "items": {}}
-        settle.on_report(p, 1.0, "e0", told, 0.0, reg)
+        engine_reports.on_report(p, 1.0, "e0", told, 0.0, reg)
         state.log(p, ledger.order_record("e0", "m", "load", "1.1.1", 5, 0, "g"))
-        p.calls["1.1.1"] = ("load", "e0", "m", "1.1.1", 2.0)
-        settle.on_report(p, 3.0, "e0", {**told, "incarnation": "new"}, 1.5, reg)
+        engine_view.order_sent(p.engines["e0"], "1.1.1")
+        engine_reports.on_report(p, 3.0, "e0", {**told, "incarnation": "new"}, 1.5, reg)
         self.assertThat(ledger.loads_out(p.ledger, "g"), Equals(1))
-        del p.calls["1.1.1"]
-        p.call_end_ms["1.1.1"] = 4.0
+        engine_view.call_ended(p.engines["e0"], 4.0, "1.1.1")
         state.log(p, ledger.state_record("e0", "m", "1.1.1", "taken"))
-        settle.on_report(p, 6.0, "e0", {**told, "incarnation": "new"}, 5.0, reg)
+        engine_reports.on_report(p, 6.0, "e0", {**told, "incarnation": "new"}, 5.0, reg)
         self.assertThat(ledger.loads_out(p.ledger, "g"), Equals(0))
 
     def test_a_gone_engines_load_still_counts_for_a_while(self):
