Loads are sent only if they fit with the sizes told now; the checker has a command

Cause (LIMIT, found by the model checker, "grows"): an order is logged, sent once its record is safe, and in between a configuration may grow its model or what stands beside it. While a disk stalls that takes seconds.

Change: a load whose room, with the sizes told now, no longer does is not sent.

Ruled out: unloads need no room and are sent as before; a load that was logged beside something without a size is not held back by it.

--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -145,7 +145,10 @@
         _, engine, item, order, verb, body = then
         facts = registry.engines.get(engine)
         last_ms = lease_end_ms - terms.call_ms
-        if facts is None or now_ms >= last_ms or p.held.lost or not world.usable(registry, facts):
+        may_send = facts is not None and now_ms < last_ms and not p.held.lost
+        if may_send and verb == "load":
+            may_send = _still_fits(p, registry, facts)
+        if not may_send or not world.usable(registry, facts):
             log(p, ledgers.state_record(engine, item, order, "refused"))
             return []
         engine_view.order_sent(engine_view.view_of(p, engine), order)
@@ -153,6 +156,15 @@
     return []
 
 
+def _still_fits(p, registry, facts):
+    """Whether a load still fits with the sizes told now: another configuration may be in force
+    than when the order was logged, and have grown what is charged beyond the room."""
+    logged_mb, logged_places = ledgers.charged(p.ledger, facts["name"])
+    used_mb, used_places = world.charged(registry, p.ledger, facts["name"])
+    room_mb, places = world.room_of(registry, facts)
+    return used_mb <= max(room_mb, logged_mb) and used_places <= max(places, logged_places)
+
+
 def on_called(p, now_ms, id_, called, registry, shards, terms):
     """A call ended: a report is settled, an order's answer is logged."""
     pending = p.calls.pop(id_, None)
--- a/libs/simulation/src/simulation/cli.py
+++ b/libs/simulation/src/simulation/cli.py
@@ -10,6 +10,7 @@
 from simulation import deployments
 from simulation.engine_process import EngineServer
 from simulation.judge_command import JudgeCommand
+from simulation.orders_command import OrdersCommand
 from simulation.soak_command import SoakCommand
 
 __all__ = ["main"]
@@ -286,6 +287,7 @@
         ReplayCommand,
         MutantsCommand,
         ModelCommand,
+        OrdersCommand,
         TrialCommand,
         JudgeCommand,
         SoakCommand,
