--- a/libs/placement/src/placement/demand_view.py
+++ b/libs/placement/src/placement/demand_view.py
@@ -64,7 +64,7 @@
 
 def adapter_rates(rates):
     """model -> askings a second for its adapters."""
-    found = {}
+    found: dict = {}
     for item, asked in rates.items():
         model, _, adapter = item.partition("/")
         if adapter:
@@ -74,7 +74,7 @@
 
 def waiting_of(placer, now_ms, name):
     """item -> (since when, weight by class) of each that waits for it in line."""
-    found = {}
+    found: dict = {}
     for id_, hold in placer.ledger.holds.items():
         if hold["service"] == name:
             since_ms = placer.line.since_ms.get(id_, now_ms)
@@ -98,7 +98,7 @@
 
 def copies_of(placer, engines):
     """item -> how many engines hold it or are loading it."""
-    found = {}
+    found: dict = {}
     for name in engines:
         for item, entry in placer.ledger.engines.get(name, {}).items():
             if entry["verb"] == "load":
@@ -123,7 +123,7 @@
 
 def hosts_of(placer, engines):
     """model -> names of the engines where it is up."""
-    found = {}
+    found: dict = {}
     for name in engines:
         for item in placer.ledger.engines.get(name, {}):
             if "/" not in item and ledgers.loaded(placer.ledger, name, item):
--- a/libs/placement/src/placement/line.py
+++ b/libs/placement/src/placement/line.py
@@ -27,7 +27,7 @@
 
 def waited_for(p, name):
     """item -> since when, in effect, somebody waits for it."""
-    found = {}
+    found: dict = {}
     for id_, hold in p.ledger.holds.items():
         if hold["service"] != name:
             continue
--- a/libs/placement/src/placement/placement.py
+++ b/libs/placement/src/placement/placement.py
@@ -128,7 +128,7 @@
         found = [n for n in found if _cost(work, wish, n) <= left_mb]
     if not found:
         return False
-    zones = {}
+    zones: dict = {}
     for name in mine:
         zones[work.engines[name].zone] = zones.get(work.engines[name].zone, 0) + 1
     best = min(found, key=lambda n: _rank(work, wish, item, n, zones))
--- a/libs/placement/src/placement/world.py
+++ b/libs/placement/src/placement/world.py
@@ -97,19 +97,21 @@
                         wish["yields"],
                     )
                 )
-    turns = {}
+    turns: dict = {}
     for hold in ledger.holds.values():
         if hold["service"] == service:
             key = (hold["model"], hold["adapter"])
             turns[key] = min(turns.get(key, hold["turn"]), hold["turn"])
-    for number, (_turn, key) in enumerate(sorted((t, k) for k, t in turns.items())):
-        if size_of(registry, item_name(*key)):
+    for number, (_turn, (model, adapter)) in enumerate(sorted((t, k) for k, t in turns.items())):
+        item = item_name(model, adapter)
+        if size_of(registry, item):
             found.append(
                 _wish(
                     models,
-                    f"hold:{item_name(*key)}",
-                    models[key[0]]["partner"],
-                    *key,
+                    f"hold:{item}",
+                    models[model]["partner"],
+                    model,
+                    adapter,
                     1,
                     (),
                     LAST + number,
--- a/libs/replication/src/replication/batch_writer.py
+++ b/libs/replication/src/replication/batch_writer.py
@@ -153,7 +153,7 @@
 
 def settle(replica, writer, now_ms):
     """Tell each connection, in one frame, the new durable places of its shards."""
-    told = {}
+    told: dict = {}
     while writer.flights and writer.flights[0].index <= replica.commit:
         flight = writer.flights.pop(0)
         writer.flush_ms += 0.25 * (now_ms - flight.sent_ms - writer.flush_ms)
--- a/libs/replication/src/replication/depot.py
+++ b/libs/replication/src/replication/depot.py
@@ -138,7 +138,7 @@
 def _after(depot, now_ms):
     """What follows any event: open or close the batch writer, write, tell, feed."""
     replica = depot.group
-    effects = []
+    effects: list = []
     if replica.role != "leader":
         if depot.writer.serving:
             depot.writer = batch_writer.BatchWriter(
--- a/libs/replication/src/replication/disk.py
+++ b/libs/replication/src/replication/disk.py
@@ -50,7 +50,7 @@
     the next loss of power, so it is synced before anybody counts on it.  Two writes
     in flight may lie in two segments: if the first is lost, the second was never
     told of, and is passed over; what was written after the next start follows it."""
-    log = []
+    log: list = []
     for number, path in _segments(folder):
         if number < first_segment:
             continue
@@ -134,7 +134,7 @@
             self._lock = open(self._folder / "lock", "w", encoding="ascii")
         except OSError as failed:
             raise DiskFailed(
-                failures.FolderUnwritable(str(self._folder), failed.strerror)
+                failures.FolderUnwritable(str(self._folder), str(failed.strerror))
             ) from failed
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -157,11 +157,9 @@
         """Claim the blocks for a Write, in the order effects were given."""
         data = b"".join(segment_format.pack(e, effect.known) for e in effect.entries)
         with self._guard:
-            if self._current is None or (
-                self._at > self._segment_bytes and not self._current.overwriting
-            ):
-                self._roll()
             segment = self._current
+            if segment is None or (self._at > self._segment_bytes and not segment.overwriting):
+                segment = self._roll()
             claim = _Claim(segment.handle, self._at, data)
             segment.pending += 1
             if effect.entries[0].index <= self._last:
@@ -193,9 +191,9 @@
             segment.handle = None
 
     def _roll(self):
-        """Begin a new segment.  Never while a write that makes earlier entries void is
-        under way: if that were lost and the next, in a new file, kept, the void entries
-        would be read as if the kept ones followed them."""
+        """Begin a new segment and return it.  Never while a write that makes earlier entries
+        void is under way: if that were lost and the next, in a new file, kept, the void
+        entries would be read as if the kept ones followed them."""
         before = self._current
         number = self._number + 1
         path = self._folder / f"log.{number:012d}"
@@ -206,6 +204,7 @@
         sync_folder(self._folder)
         if before is not None:
             self._close_if_done(before)
+        return self._current
 
     def close(self):
         """Give the folder back, for another to open."""
--- a/libs/replication/src/replication/entry_batch.py
+++ b/libs/replication/src/replication/entry_batch.py
@@ -5,7 +5,8 @@
 
 def up_to_bytes(entries, most):
     """(the first of `entries` that have at most so many bytes together, their bytes)."""
-    found, total = [], 0
+    found: list = []
+    total = 0
     for entry in entries:
         size = len(entry.body)
         if found and total + size > most:
--- a/libs/routing/src/routing/routes.py
+++ b/libs/routing/src/routing/routes.py
@@ -9,7 +9,7 @@
 def _index(registry):
     """{host: {prefix: (name, route)}}, made once for each layout."""
     if "routes" not in registry.memo:
-        found = {}
+        found: dict = {}
         for section in registry.sections.values():
             for name, route in section["routes"].items():
                 if "prefix" in route:
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 from dataclasses import dataclass
-from typing import ClassVar
+from typing import ClassVar, dataclass_transform
 
 __all__ = [
     "Failure",
@@ -57,6 +57,7 @@
     status: ClassVar[int] = 500
 
 
+@dataclass_transform(frozen_default=True)
 def _kind(tag, status):
     def wrap(cls):
         cls.tag, cls.status = tag, status
