Greetings say who the depots are only to those who know it otherwise

Change: a greeting tells a digest of the membership that its sender knows, and the membership itself only to one who told another digest, to one never heard while it is new, and with announcements.

--- a/libs/membership/src/membership/peer_table.py
+++ b/libs/membership/src/membership/peer_table.py
@@ -6,9 +6,9 @@
 stamp wins and a node never goes back to an older one.  Addresses learned are
 kept, so swapped seeds matter only to those who start.
 
-Peers that know the same names are told only of cards met lately, and how long
-each node has been silent in a byte each; of two cards of one node the later met
-is the present one.
+Peers that know the same names are told only of cards met lately, those that know the
+same membership nothing of it, and all how long each node has been silent in a byte each;
+of two cards of one node the later met is the present one.
 """
 
 import math
@@ -42,6 +42,8 @@
 _WHOLE = 50
 _STEPS = 64
 _LONGEST = 255
+# For so many turns another membership counts as new to all who were never heard.
+_GROUP_IS_NEW = 5
 
 
 @dataclass
@@ -58,6 +60,9 @@
     next_ms: float = 0.0
     turn: int = 0
     digests: dict = field(default_factory=dict)
+    group_digests: dict = field(default_factory=dict)
+    turn_group: GroupCard = NO_GROUP
+    group_turn: int = 0
     met_ms: dict = field(default_factory=dict)
     learned_ms: dict = field(default_factory=dict)
     settled_turns: int = 0
@@ -111,14 +116,25 @@
         peers.card,
         answer,
         tuple(peers.cards[n] for n in known),
-        peers.group,
+        peers.group if _lacks_group(peers, answer, to) else NO_GROUP,
         _silence(peers, now_ms, names),
         told,
         named,
         tuple(int(min(1e12, now_ms - peers.met_ms.get(n, -1e12))) for n in known),
+        summaries.group_digest(peers.group),
     )
 
 
+def _lacks_group(peers, answer, to):
+    """Whether a node is told of the depots' membership: if it knows another one than we do.
+    One that we never heard tells in its answer what it knows, so it is told only what is
+    new, or when it isn't asked for an answer."""
+    theirs = peers.group_digests.get(to)
+    if theirs is None:
+        return not answer or peers.turn - peers.group_turn < _GROUP_IS_NEW
+    return theirs != summaries.group_digest(peers.group)
+
+
 def _fresh(peers, now_ms, answer):
     """Names whose cards we learned lately; now and then all, whatever was lost, but
     only as an answer, since only then what the other knows was told just now."""
@@ -149,6 +165,8 @@
     if others:
         targets.add(peers.cards[others[peers.random.randrange(len(others))]].address)
     peers.turn += 1
+    if peers.turn_group is not peers.group:
+        peers.turn_group, peers.group_turn = peers.group, peers.turn
     if not peers.group.group or len(peers.cards) < summaries.WATCHED or peers.turn % 10 == 0:
         targets |= set(peers.seeds)
     depots = depot_addresses(peers)
@@ -171,6 +189,7 @@
     if message.card.name and message.card.name != peers.card.name:
         effects += _meet(peers, now_ms, message.card, None)
     peers.digests[message.card.address] = message.digest, message.names
+    peers.group_digests[message.card.address] = message.group_digest
     for number, card in enumerate(message.cards):
         if card.name != peers.card.name:
             if number < len(message.ages):
--- a/libs/membership/src/membership/summaries.py
+++ b/libs/membership/src/membership/summaries.py
@@ -4,13 +4,14 @@
 a table keeps what was made for as long as its cards stay the same.
 """
 
+import functools
 import hashlib
 import zlib
 from dataclasses import dataclass
 
 from transport.messages import Card
 
-__all__ = ["Summary", "made", "weight", "WATCHED"]
+__all__ = ["Summary", "group_digest", "made", "weight", "WATCHED"]
 
 WATCHED = 4
 """How many peers a node watches."""
@@ -38,6 +39,12 @@
     return Summary(card, dict(cards), _crc(known), _crc(names), tuple(names), tuple(near[:WATCHED]))
 
 
+@functools.lru_cache(maxsize=64)
+def group_digest(group):
+    """A number that differs for memberships that differ; never 0, which tells none."""
+    return _crc(group) or 1
+
+
 def weight(watcher, name):
     return hashlib.blake2b(f"{watcher}>{name}".encode(), digest_size=8).digest()
 
--- a/libs/transport/src/transport/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -61,7 +61,8 @@
     """`digest` and `names` tell in short which cards, and which names, the sender
     knows, its own included.  `silent`: how long each node has not been heard of by
     anyone, a byte each: of all names in order to one who is known to know the same,
-    of `cards` to another.  `ages`: how long ago each of `cards` was first met."""
+    of `cards` to another.  `ages`: how long ago each of `cards` was first met.  `group`: the
+    depots' membership, empty to one who has told the same `group_digest`."""
 
     card: Card
     answer: bool
@@ -71,6 +72,7 @@
     digest: int = 0
     names: int = 0
     ages: tuple[int, ...] = ()
+    group_digest: int = 0
 
 
 @dataclass(frozen=True)
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -6,7 +6,7 @@
 
 from adapter import callers, configuration, engines
 from configuration import registry as registries
-from placement import roster, settle
+from placement import engine_reports, roster
 from placement import state as dispatching
 from replication.shard_log import ShardLog
 from routing.passing import Head
@@ -130,7 +130,7 @@
             )
             p = dispatching.Placer(1, 1, ShardLog(1, 1, ready=True))
             for asked_ms in (1.0, 2.0):
-                settle.on_report(p, 3.0, "e0", found, asked_ms, registry)
+                engine_reports.on_report(p, 3.0, "e0", found, asked_ms, registry)
 
     def test_nothing_is_read_of_what_failed(self):
         for verb in ("load", "unload", "report", "list"):
