--- a/libs/transport/src/transport/frames.py
+++ b/libs/transport/src/transport/frames.py
@@ -1,22 +1,25 @@
 """Frames on a connection.
 
 A frame is a fixed header (magic, form, kind, size, checksum) and a body that
-`codec` understands.  `feed` takes whatever bytes arrived and gives back the
-whole messages among them; a broken frame is a typed failure, and the connection
-that carried it is closed by the caller, nothing else.
+`codec` understands, compressed if it is long and that makes it shorter.  `feed`
+takes whatever bytes arrived and gives back the whole messages among them; a broken
+frame is a typed failure, and the connection that carried it is closed by the
+caller, nothing else.
 """
 
 import dataclasses
 import struct
 import zlib
 
-from transport import codec, messages
+from transport import codec, compression, messages
 
 __all__ = ["Intake", "Broken", "pack", "feed", "LIMIT_BYTES"]
 
 LIMIT_BYTES = 32 << 20
 _MAGIC = b"PHW1"
 _HEADER = struct.Struct(">4sHII")
+# Set in a frame's kind if its body is compressed.
+_COMPRESSED = 1 << 15
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,6 +37,9 @@
 def pack(message):
     body = codec.to_bytes(message)
     kind = messages.KIND_OF[type(message)]
+    shorter = compression.compressed(body)
+    if shorter is not None:
+        body, kind = shorter, kind | _COMPRESSED
     return _HEADER.pack(_MAGIC, kind, len(body), zlib.crc32(body)) + body
 
 
@@ -47,7 +53,8 @@
             return found, Broken("magic")
         if size > LIMIT_BYTES:
             return found, Broken("oversized")
-        if kind not in messages.TYPE_OF:
+        known = messages.TYPE_OF.get(kind & ~_COMPRESSED)
+        if known is None:
             return found, Broken("kind")
         end = _HEADER.size + size
         if len(intake.waiting) < end:
@@ -56,8 +63,10 @@
         if zlib.crc32(body) != crc:
             return found, Broken("checksum")
         try:
-            found.append(codec.from_bytes(messages.TYPE_OF[kind], body))
-        except codec.BadBody:
+            if kind & _COMPRESSED:
+                body = compression.restored(body, LIMIT_BYTES)
+            found.append(codec.from_bytes(known, body))
+        except (codec.BadBody, compression.NotRestored):
             return found, Broken("body")
         del intake.waiting[:end]
     return found, None
