One round answers all asks of a quarter of a heartbeat

Cause: every node asks several times a second whether it is up to date, and each ask that found no round under way began one: 97 rounds a second with 22 nodes, each a message to every other depot and back, 457 messages a second out of the leader.

Change: a round for asks begins at most once in a quarter of a heartbeat (37 ms here) and answers all that came before it; one that asks alone is answered at once. Ruled out: that news or writes wait, which go as before; that an ask waits for more than that time and a round trip (test_feed_pace, red before).

--- a/libs/replication/src/replication/feed.py
+++ b/libs/replication/src/replication/feed.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from transport.effects import Send
+from transport.effects import Send, Wake
 from transport.messages import FeedItems, Mark
 
 from replication import entry_batch, feed_snapshots, log_replication
@@ -17,7 +17,8 @@
 __all__ = ["Asks", "on_ask", "answer", "push"]
 
 _PER_SEND = 128
-# Of the time between two heartbeats: how long a node that holds nothing waits for more news.
+# Of the time between two heartbeats: how long a node that holds nothing waits for more news,
+# and how long asks wait for those that come after them.
 _PACE = 0.25
 _BYTES_PER_SEND = 1 << 20
 _WINDOW_BYTES = 2 << 20
@@ -27,7 +28,11 @@
 
 @dataclass
 class Asks:
+    """(sender, Ask, the round that answers it) of each that waits, and when a round for them
+    last began."""
+
     waiting: list = field(default_factory=list)
+    round_ms: float = float("-inf")
 
 
 def on_ask(replica, nodes, asks, now_ms, sender, ask):
@@ -35,9 +40,7 @@
     node = nodes.seen[ask.name]
     _learn_place(replica, node, now_ms, ask.place)
     asks.waiting.append((sender, ask, replica.round + 1))
-    effects = []
-    if log_replication.confirmed_round(replica) >= replica.round:
-        effects += log_replication.new_round(replica, now_ms)
+    effects = _begin_round(replica, asks, now_ms)
     feed_snapshots.refresh(replica, nodes, now_ms)
     if node.transfer and ask.place >= node.transfer.snapshot.id.index:
         feed_snapshots.finish(replica, nodes, node)
@@ -73,13 +76,26 @@
         Send(sender, Mark(ask.sent_ms, replica.term, replica.commit, True))
         for sender, ask, _ in ready
     ]
-    if asks.waiting and round_ >= replica.round:
-        effects += log_replication.new_round(replica, now_ms)
-        if len(replica.progress) == 0:
+    if asks.waiting:
+        begun = _begin_round(replica, asks, now_ms)
+        effects += begun
+        if len(replica.progress) == 0 and round_ < replica.round:
             effects += answer(replica, asks, now_ms)
     return effects
 
 
+def _begin_round(replica, asks, now_ms):
+    """A round for the asks that wait, unless one is under way or began just now: hundreds of
+    nodes ask all the time, and one round answers all that asked before it."""
+    if log_replication.confirmed_round(replica) < replica.round:
+        return []
+    due_ms = asks.round_ms + _PACE * replica.times.heartbeat_ms
+    if replica.progress and now_ms < due_ms:
+        return [Wake(due_ms)]
+    asks.round_ms = now_ms
+    return log_replication.new_round(replica, now_ms)
+
+
 def push(replica, nodes, now_ms):
     """Send every known node what was committed since it was last sent to: at once to those
     that may hold a shard, to the others no more often than `_PACE` allows, since hundreds
