--- a/libs/placement/src/placement/asked.py
+++ b/libs/placement/src/placement/asked.py
@@ -62,7 +62,6 @@
         _seed(view)
     view.rates = demand_view.rates_of(p.demand, now_ms)
     view.adapters = demand_view.adapter_rates(view.rates)
-    view.busy_part = making_room.busy_part(view)
     view.hosts = demand_view.hosts_of(p, engines)
     running = [p.engines[name].report.running for name in engines]
     if None not in running:
--- a/libs/placement/src/placement/demand_view.py
+++ b/libs/placement/src/placement/demand_view.py
@@ -38,8 +38,7 @@
     """`engines`: name -> Engine; `copies`: item -> how many hold or load it; `waiting`: item
     -> (since when, weight) of each caller in line; `wished`: items that are waited for, or
     owed to callers who have left; `rates`: item -> askings a second;
-    `adapters`: model -> askings a second for its adapters; `busy_part`: the part of their slots
-    that copies may be busy at before one more is needed; `idle`: names of the engines that
+    `adapters`: model -> askings a second for its adapters; `idle`: names of the engines that
     may be given an order now; `hosts`: model -> names of the engines where it is up."""
 
     placer: object
@@ -53,7 +52,6 @@
     wished: set = field(default_factory=set)
     rates: dict = field(default_factory=dict)
     adapters: dict = field(default_factory=dict)
-    busy_part: float = 0.5
     idle: set = field(default_factory=set)
     hosts: dict = field(default_factory=dict)
 
--- a/libs/placement/src/placement/making_room.py
+++ b/libs/placement/src/placement/making_room.py
@@ -5,15 +5,12 @@
 from placement import world
 from placement.demand_view import claim
 
-__all__ = ["SPARE", "busy_part", "needed_copies", "pushed_out", "wanted_copies", "worth"]
+__all__ = ["SPARE", "needed_copies", "pushed_out", "wanted_copies", "worth"]
 
 # Parts of their slots that a model's copies may be busy at: with fewer copies callers are
 # turned away, and with more than these nothing is gained.
 _FULL_PART = 0.5
 _BUSY_PART = 0.3
-_PARTS = (_BUSY_PART, 0.35, 0.4, 0.45)
-# Of all places, the part that popular models may take before they are left fewer copies.
-_POPULAR_PLACES = 0.4
 _SLOTS = 16
 # Askings a second from which on a model isn't left to a single engine.
 _OFTEN = 2.0
@@ -39,8 +36,8 @@
 
 
 def needed_copies(view, model):
-    """How many copies a model needs: with fewer, callers are turned away or wait."""
-    return _copies(view, model, view.busy_part)
+    """How many copies a model's demand fills: with fewer, callers are turned away."""
+    return _copies(view, model, _FULL_PART)
 
 
 def wanted_copies(view, model):
@@ -49,22 +46,6 @@
     return max(least, _copies(view, model, _BUSY_PART))
 
 
-def busy_part(view):
-    """The part of their slots that popular models' copies may be busy at before one more is
-    needed.  While they take but a part of all places they get copies for bursts, and so that
-    no engine is crowded; with fewer places for all others, only what their demand fills."""
-    places = sum(
-        "/" not in item
-        for name in view.engines
-        for item in view.placer.ledger.engines.get(name, {})
-    )
-    popular = [model for model, rate in view.rates.items() if rate > _OFTEN and "/" not in model]
-    for part in _PARTS:
-        if sum(_copies(view, model, part) for model in popular) <= _POPULAR_PLACES * places:
-            return part
-    return _FULL_PART
-
-
 def _copies(view, model, part):
     """How many copies a model's demand keeps busy to a part of their slots."""
     slots = max(1, view.service.get("slots") or _SLOTS)
