--- a/libs/placement/src/placement/engine_view.py
+++ b/libs/placement/src/placement/engine_view.py
@@ -1,9 +1,7 @@
 """What a holder knows of one engine beside what its ledger charges there.
 
 The ledger's entries say what may be on the engine; an `EngineView` says how far that is
-known: how many orders the engine has taken, which calls of orders are still open, since when
-something has been missing from its reports, and up to when reports are too old to tell
-anything.  Only the functions here and in `engine_reports` change it, one for each event.
+known.  Only the functions here and in `engine_reports` change it, one for each event.
 
 An engine that counts the orders it takes tells the count in its reports and refuses an order
 that expects another.  What it holds while no order is under way follows from the orders that
@@ -202,9 +200,8 @@
 
 
 def is_outdated(view, report):
-    """Whether a report is of a time before the engine's count was last learned or came into
-    doubt.  A lower count in a later one shows that an answer was taken for another order's,
-    and the report is right."""
+    """Whether a report is older than what is known of the engine's count.  A lower count in a
+    later one shows that an answer was taken for another order's: the report is right."""
     if report.orders is None:
         return False
     if report.asked_ms <= view.doubted_ms:
@@ -215,8 +212,7 @@
 
 
 def learn_count(view, now_ms, report):
-    """The entries now charge all that a report shows: its count is the engine's, unless an
-    order was under way, whose item no report shows yet."""
+    """The entries charge all that a report shows: its count is the engine's, unless it is busy."""
     if report.orders is None or report.busy:
         return
     view.doubted_ms = _NEVER_MS
