--- a/libs/placement/src/placement/engine_view.py
+++ b/libs/placement/src/placement/engine_view.py
@@ -6,10 +6,9 @@
 An engine that counts the orders it takes tells the count in its reports and refuses an order
 that expects another.  What it holds while no order is under way follows from the orders that
 it has taken, so an order that names the count on which its room was worked out is taken in
-that very state or not at all: one that a broken link has held up, or that an earlier holder
-sent, finds a higher count.  The promise kept after every event: at each count at which an
-order may still be taken, the entries charge no less than what may be there, this order
-included.  `simulation.engine_orders` checks it over every order of events.
+that very state or not at all: a late one finds a higher count.  The promise kept after every
+event: at each count at which an order may be taken, the entries charge no less than what may
+be there, this order included (checked by `simulation.engine_orders`).
 """
 
 from dataclasses import dataclass, field
@@ -191,7 +190,7 @@
 
 
 def settled(view, now_ms, item, order):
-    """An entry stands, or is gone, by the engine's own word: no earlier report counts."""
+    """An entry stands, or is gone, by the engine's word: no earlier report counts."""
     view.changed_ms = now_ms
     view.missing_ms.pop((item, order), None)
     call = view.calls.get(order)
@@ -227,8 +226,8 @@
 
 
 def address_reused(view, until_ms):
-    """Another engine has this one's address.  It answers reports as its own, so for a while
-    none is believed and nothing is ordered; by then the platform's list has told."""
+    """Another engine has this one's address, and answers reports as its own: for a while none
+    is believed, and nothing ordered."""
     view.report = None
     view.replaced_until_ms = until_ms
 
@@ -241,7 +240,7 @@
 
 
 def forget_ended(view, entries):
-    """Drop what is remembered of calls and items that no entry stands for any more."""
+    """Drop what is remembered of calls and items without an entry."""
     orders = {entry["order"] for entry in entries.values()}
     view.calls = {o: c for o, c in view.calls.items() if o in orders or c.ended_ms is None}
     view.missing_ms = {
