--- /dev/null
+++ b/libs/simulation/src/simulation/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of `pulleyhitch-simulation`, a module for each kind of work."""
