--- a/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
+++ b/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
@@ -10,7 +10,7 @@
 
 from placement import world
 from replication import follower as follows
-from routing import router
+from routing import router, tasks
 from transport import failures
 from transport.effects import Reply, Send
 from transport.messages import Command, CommandAnswer
@@ -200,7 +200,7 @@
     out, queue = [], list(effects)
     while queue:
         effect = queue.pop(0)
-        if isinstance(effect, router.Hold):
+        if isinstance(effect, tasks.Hold):
             queue = _hold(node, now_ms, effect) + queue
         elif isinstance(effect, Reply) and effect.token.startswith("cmd|"):
             out.append(_command_answer(effect))
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -14,7 +14,8 @@
 from transport.effects import Reply
 
 from routing import choice, engine_lives, engine_outcomes, retry_budget, waiting_line
-from routing.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
+from routing.final_answers import fail, leave_line, spent, unlisted
+from routing.tasks import Done, Leg, Router, Stay, Task, Terms
 
 __all__ = [
     "Router",
@@ -32,69 +33,34 @@
 ]
 
 
-# When to come back for a model that no configuration known here lists.
-_UNLISTED_RETRY_MS = 1000
 # Ends after which nothing more is done for a task.
 _OVER = ("done", "failed", "gone", "unanswered", "cut", "cut-late")
 _AVOID_MS = {"not-run": 100.0, "no-pipe": 1000.0, "unknown": 1e12}
 
 
-def _fail(r, task, failure):
-    """The task's final answer; what promises that it has not run is told only if no leg
-    may have."""
-    if task.may_have_run:
-        failure = failures.once_begun(failure)
-    r.tasks.pop(task.token, None)
-    r.refused += 1
-    gone = _unhold(r, task, "refused")
-    return [Reply(task.token, failure)] + gone
-
-
-def _unhold(r, task, why):
-    if not task.waiting or task.short:
-        task.waiting = False
-        return []
-    task.waiting = False
-    return [Hold("unhold", -1, {"service": task.service, "id": task.id, "why": why})]
-
-
 def begin(r, now_ms, floor, age_ms, crew, task):
     """A caller's task has come in."""
     r.tasks[task.token] = task
     task.since_ms = now_ms
     if age_ms > r.terms.staleMs:
-        return _fail(r, task, failures.Stale(int(r.terms.staleMs), int(min(age_ms, 1e9))))
+        return fail(r, task, failures.Stale(int(r.terms.staleMs), int(min(age_ms, 1e9))))
     service = registries.services(floor.registry).get(task.service)
     if service is None:
-        return _fail(r, task, failures.UnknownService(task.service))
+        return fail(r, task, failures.UnknownService(task.service))
     retry_budget.count_request(r, now_ms, task.service)
     if service["kind"] == "models":
-        unlisted = _unlisted(floor, task)
-        if unlisted is not None:
-            return _fail(r, task, unlisted)
+        failure = unlisted(floor, task)
+        if failure is not None:
+            return fail(r, task, failure)
     return _go(r, now_ms, floor, crew, task)
 
 
-def _unlisted(floor, task):
-    """What to tell a task whose model the configuration doesn't list, or None if it may go
-    on.  A platform's caller may have it from a newer configuration, so it comes back later;
-    one that names no model is any engine's."""
-    item = item_name(task.model, task.adapter)
-    if task.told and not item:
-        return None
-    if world.size_of(floor.registry, item):
-        return None
-    if task.told:
-        return failures.NoRoom(_UNLISTED_RETRY_MS, item, "unlisted")
-    return failures.UnknownModel(task.service, item)
-
-
 def _go(r, now_ms, floor, crew, task):
     """Give the task a leg, or a place in line, or its final answer."""
     if now_ms >= task.end_ms:
-        return _fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
+        return fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
     if task.sent >= task.tries:
-        return _fail(r, task, _spent(task))
+        return fail(r, task, spent(task))
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
     found = [e for e in found if task.avoid.get(e["name"], 0.0) <= now_ms]
@@ -111,7 +77,7 @@
             for wanted in {task.model, item}:
                 key = task.service, wanted
                 r.wanted[key] = r.wanted.get(key, 0) + 1
-        return [Reply(task.token, leg)] + _unhold(r, task, "served")
+        return [Reply(task.token, leg)] + leave_line(r, task, "served")
     if found or not item or (task.legs and not task.told):
         if task.waiting:
             if not task.up and not task.short:
@@ -123,28 +89,19 @@
             task.give_up_ms = min(task.end_ms, now_ms + ready_ms + 2 * r.terms.pauseMs)
             return []
         retryMs = int(max(ready_ms, 1000 * (1 + task.rank)))
-        return _fail(r, task, failures.Overloaded(retryMs, "all-busy" if found else "no-engine"))
+        return fail(r, task, failures.Overloaded(retryMs, "all-busy" if found else "no-engine"))
     return _line_up(r, now_ms, floor, task)
 
 
-def _spent(task):
-    """What is told of a task whose legs have all ended without an answer."""
-    return (
-        failures.OutcomeUnknown("leg-broken")
-        if task.may_have_run
-        else (failures.Overloaded(1000, "all-busy"))
-    )
-
-
 def _line_up(r, now_ms, floor, task):
     if task.waiting:
         return []
     if not waiting_line.is_open(r, task):
-        return _fail(r, task, failures.Overloaded(3000 * (1 + task.rank), "line-full"))
+        return fail(r, task, failures.Overloaded(3000 * (1 + task.rank), "line-full"))
     if not any(
         world.usable(floor.registry, e) for e in world.engines_of(floor.registry, task.service)
     ):
-        return _fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
+        return fail(r, task, failures.NoRoom(3000, task.model, "no-engine"))
     return [waiting_line.hold(floor, task, now_ms)]
 
 
@@ -154,7 +111,7 @@
         if task.id == id_ and task.waiting:
             if isinstance(outcome, failures.Failure):
                 task.waiting = False
-                return _fail(r, task, outcome)
+                return fail(r, task, outcome)
             task.turn = outcome.get("turn", 0)
     return []
 
@@ -197,7 +154,7 @@
         told = waiting_line.dropped(floor, task)
         if told:
             task.waiting = False
-            effects += _fail(r, task, failures.NoRoom(told[1], task.model, told[0]))
+            effects += fail(r, task, failures.NoRoom(told[1], task.model, told[0]))
         else:
             effects += _go(r, now_ms, floor, crew, task)
     return effects
@@ -212,7 +169,7 @@
             for_a_place = task.short or task.up
             if not for_a_place and now_ms < waiting_line.until_it_comes_ms(floor, task):
                 continue
-            effects += _fail(
+            effects += fail(
                 r,
                 task,
                 failures.Overloaded(1000, "all-busy")
@@ -245,7 +202,7 @@
     if proof in _OVER:
         r.tasks.pop(token, None)
         r.served += proof == "done"
-        return [Reply(token, Done())] + _unhold(r, task, proof)
+        return [Reply(token, Done())] + leave_line(r, task, proof)
     task.may_have_run = task.may_have_run or proof == "unknown"
     if task.legs:
         task.avoid[task.legs[-1]] = now_ms + (_AVOID_MS.get(proof, 1e12) if task.told else 1e12)
@@ -258,7 +215,7 @@
         return [Reply(token, failures.OutcomeUnknown("leg-broken"))]
     if not retry_budget.retry_allowed(r, now_ms, task.service, age_ms, crew):
         if task.may_have_run:
-            return _fail(r, task, failures.OutcomeUnknown("leg-broken"))
-        return _fail(r, task, failures.Overloaded(2000, "no-retry-left"))
+            return fail(r, task, failures.OutcomeUnknown("leg-broken"))
+        return fail(r, task, failures.Overloaded(2000, "no-retry-left"))
     r.retried += 1
     return _go(r, now_ms, floor, crew, task)
