--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -33,6 +33,8 @@
     "replay",
     "services",
     "models",
+    "tenants",
+    "has_tenants",
     "zone_names",
     "VERBS",
 ]
@@ -67,13 +69,22 @@
     return _owned(registry, "models")
 
 
+def tenants(registry):
+    """Every tenant by name."""
+    return _owned(registry, "tenants")
+
+
+def has_tenants(registry):
+    return bool(tenants(registry))
+
+
 def _owned(registry, part):
     """Made once for each layout, since every task and every plan asks for it."""
     if part not in registry.memo:
         registry.memo[part] = {
             name: {**facts, "partner": partner}
             for partner, section in sorted(registry.sections.items())
-            for name, facts in section[part].items()
+            for name, facts in section.get(part, {}).items()
         }
     return registry.memo[part]
 
--- a/libs/pulleyhitch/src/pulleyhitch/http_handler.py
+++ b/libs/pulleyhitch/src/pulleyhitch/http_handler.py
@@ -4,11 +4,16 @@
 event of a stream is one packet.
 """
 
+import collections
 import io
 
 from werkzeug.serving import WSGIRequestHandler
 
-__all__ = ["Handler", "Front"]
+__all__ = ["Handler", "Front", "REPEATED_FIELDS"]
+
+# Where the environment tells which header fields stand more than once, in small letters:
+# their values are joined by commas there, and look like one.
+REPEATED_FIELDS = "pulleyhitch.repeated-fields"
 
 _LAST_CHUNK = b"0\r\n\r\n"
 
@@ -59,6 +64,8 @@
         environ.pop("wsgi.input_terminated", None)
         environ["wsgi.input"] = io.BytesIO(body)
         environ["CONTENT_LENGTH"] = str(len(body))
+        counts = collections.Counter(name.lower() for name in self.headers.keys())
+        environ[REPEATED_FIELDS] = {name for name, count in counts.items() if count > 1}
         return environ
 
     def finish(self):
--- a/libs/pulleyhitch/src/pulleyhitch/introspection.py
+++ b/libs/pulleyhitch/src/pulleyhitch/introspection.py
@@ -6,6 +6,7 @@
 from placement import world
 from replication import depot as depots
 from replication import follower as follows
+from routing import tenants
 
 __all__ = ["all_of", "read", "fleet"]
 
@@ -19,7 +20,7 @@
         return {
             **head,
             "partners": {
-                p: {"stamp": reg.stamps.get(p, 0), "section": s}
+                p: {"stamp": reg.stamps.get(p, 0), "section": _without_keys(s)}
                 for p, s in sorted(reg.sections.items())
                 if name in ("", p)
             },
@@ -42,6 +43,17 @@
     }
 
 
+def _without_keys(section):
+    """A section with fingerprints in place of its tenants' API keys."""
+    if "tenants" not in section:
+        return section
+    shown = {
+        name: {**facts, "keys": [tenants.fingerprint_of_text(key) for key in facts["keys"]]}
+        for name, facts in section["tenants"].items()
+    }
+    return {**section, "tenants": shown}
+
+
 def _engines(node, name):
     found = []
     for engine in node.floor.registry.engines.values():
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -10,7 +10,7 @@
 from configuration import registry as registries
 from placement import world
 from replication import follower as follows
-from routing import engine_outcomes, router, routes
+from routing import engine_outcomes, router, routes, tenants
 from transport import failures
 from transport.effects import Reply, Send
 from transport.messages import Command
@@ -18,6 +18,8 @@
 __all__ = ["begin", "ready", "tell_wanted"]
 
 _OPENING = 2
+# The class of routes that tell none.
+_RANK = 5
 
 
 def ready(node, now_ms):
@@ -44,9 +46,14 @@
     if found is None:
         return [Reply(token, failures.NotFound("route"))]
     name, route = found
-    task = _task(token, told, route, now_ms)
+    credential = _credential(told, route)
+    tenant = tenants.identify(node.floor.registry, credential)
+    if isinstance(tenant, failures.Failure):
+        return [Reply(token, _unknown_key(node, age_ms, tenant))]
+    task = _task(token, told, route, now_ms, credential, tenant)
     told.update(
         route=name,
+        tenant=tenant.name,
         kind=route["kind"],
         repeatable=task.repeatable,
         resumable=route.get("resumable", False),
@@ -56,10 +63,26 @@
     return router.begin(node.router, now_ms, node.floor, age_ms, crew, task)
 
 
-def _task(token, told, route, now_ms):
+def _credential(told, route):
+    """What a request shows of its sender; its key itself is kept no longer."""
+    key = told.pop("key", b"")
+    return tenants.Credential(
+        tenants.digest(key), route.get("public", False), route.get("rank", _RANK)
+    )
+
+
+def _unknown_key(node, age_ms, unauthorized):
+    """Only a node that is sure of the configuration says that a key is nobody's: another
+    may know a newer one that holds it."""
+    bound_ms = node.config.bounds.layoutMs
+    if age_ms > bound_ms:
+        return failures.Stale(int(bound_ms), int(age_ms))
+    return unauthorized
+
+
+def _task(token, told, route, now_ms, credential, tenant):
     stream = route["kind"] == "stream"
     repeatable = route["kind"] == "safe" or (stream and route.get("resumable", False))
-    rank = route.get("rank", 5)
     holdMs = min(told["deadlineMs"], route["holdMs"])
     return router.Task(
         token,
@@ -67,17 +90,19 @@
         routes.service_for(route, told["id"]),
         told["model"],
         told["adapter"],
-        f"rank{rank}",
+        f"rank{tenant.rank}",
         "|".join(told["opening"][:_OPENING]),
         repeatable,
         stream,
         now_ms + holdMs,
-        rank=rank,
+        rank=tenant.rank,
         aimMs=route["aimMs"],
         tries=route.get("tries", 1),
         tokens=told["tokens"],
         told=True,
         patience_ms=route.get("patienceMs") or float("inf"),
+        credential=credential,
+        tenant=tenant.name,
     )
 
 
--- a/libs/routing/src/routing/resuming.py
+++ b/libs/routing/src/routing/resuming.py
@@ -4,7 +4,7 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import retry_budget
+from routing import retry_budget, tenants
 from routing.tasks import Leg
 
 __all__ = ["resume"]
@@ -20,10 +20,10 @@
         engine is None
         or floors.incarnation(floor, engine) != incarnation
         or (now_ms >= task.end_ms)
+        or tenants.judge(floor.registry, task) is not None
         or not retry_budget.retry_allowed(r, now_ms, task.service, 0.0, crew)
     ):
         return [Reply(token, failures.StreamCut("not-resumed", 0))]
     r.resumed += 1
-    return [
-        Reply(token, Leg(engine["name"], engine["url"], min(r.terms.leg_ms, task.end_ms - now_ms)))
-    ]
+    timeout_ms = min(r.terms.leg_ms, task.end_ms - now_ms)
+    return [Reply(token, Leg(engine["name"], engine["url"], timeout_ms, tenant=task.tenant))]
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -13,7 +13,7 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, engine_lives, engine_outcomes, retry_budget, waiting_line
+from routing import choice, engine_lives, engine_outcomes, retry_budget, tenants, waiting_line
 from routing.final_answers import fail, leave_line, spent, unlisted
 from routing.tasks import Done, Leg, Router, Stay, Task, Terms
 
@@ -57,6 +57,9 @@
 
 def _go(r, now_ms, floor, crew, task):
     """Give the task a leg, or a place in line, or its final answer."""
+    unauthorized = tenants.judge(floor.registry, task)
+    if unauthorized is not None:
+        return fail(r, task, unauthorized)
     if now_ms >= task.end_ms:
         return fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
     if task.sent >= task.tries:
@@ -72,7 +75,8 @@
         task.sent += 1
         timeout_ms = min(r.terms.leg_ms, task.end_ms - now_ms)
         again = task.sent > 1
-        leg = Leg(best["name"], best["url"], timeout_ms, task.rank, again, now_ms + timeout_ms)
+        end_ms = now_ms + timeout_ms
+        leg = Leg(best["name"], best["url"], timeout_ms, task.rank, again, end_ms, task.tenant)
         if item and not leg.again:
             for wanted in {task.model, item}:
                 key = task.service, wanted
@@ -125,6 +129,7 @@
         or not task.repeatable
         or not task.legs
         or task.sent >= task.tries
+        or not tenants.is_held(floor.registry, task)
         or not retry_budget.retry_allowed(r, now_ms, task.service, age_ms, crew, True)
     ):
         return [Reply(token, Stay())]
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from routing.tenants import Credential
+
 __all__ = ["Terms", "Task", "Leg", "Done", "Stay", "Hold", "Router"]
 
 
@@ -21,6 +23,9 @@
 
 @dataclass
 class Task:
+    """`credential` None: its caller is asked for no key.  `tenant`: the name of whom the last
+    attempt, or the next one, is for; None: nobody in particular."""
+
     token: str
     id: str
     service: str
@@ -48,12 +53,15 @@
     told: bool = False
     tokens: tuple = ()
     patience_ms: float = float("inf")
+    credential: Credential | None = None
+    tenant: str | None = None
 
 
 @dataclass(frozen=True)
 class Leg:
     """One attempt at an engine, decided by the node's owner.  `end_ms`, on its steady
-    clock: when the attempt must have ended, however late it begins."""
+    clock: when the attempt must have ended, however late it begins.  `tenant`: the name of
+    whom it is for, by the configuration at the moment of the decision."""
 
     engine: str
     url: str
@@ -61,6 +69,7 @@
     rank: int = 0
     again: bool = False
     end_ms: float = float("inf")
+    tenant: str | None = None
 
 
 @dataclass(frozen=True)
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -19,6 +19,7 @@
     "BodyOversized",
     "BodyIncomplete",
     "BodyMalformed",
+    "Unauthorized",
     "UnknownModel",
     "UnknownService",
     "NotFound",
@@ -48,7 +49,7 @@
 ]
 
 # Statuses by which a caller is promised that its request has not run and never will.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
+NOT_RUN_STATUSES = (401, 408, 421, 429, 503)
 
 
 @dataclass(frozen=True)
@@ -104,6 +105,13 @@
     """The request ended before its body did; what was sent in full may be sent again."""
 
 
+@_kind("unauthorized", 401)
+class Unauthorized(Failure):
+    """No tenant holds the request's API key; of the key, only a fingerprint is told."""
+
+    fingerprint: str
+
+
 @_kind("unknown-model", 404)
 class UnknownModel(Failure):
     service: str
--- /dev/null
+++ b/tests/test_tenant_headers.py
@@ -0,0 +1,123 @@
+"""An engine hears of a request's tenant from this node alone, and never sees a client's key."""
+
+import random
+import socket
+
+from adapter import callers
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pulleyhitch.caller import Caller
+from pulleyhitch.http_handler import Front, Handler
+from pulleyhitch.request_framing import Complete, measure
+from routing.tasks import Leg
+from testtools import TestCase
+from testtools.matchers import Equals
+from transport import failures
+from werkzeug.wrappers import Request
+
+KEY = b"k-5e3c0de5"
+FORGED = ("X-Sender", "X-Credential")
+LEG = Leg("e1", "http://e1", 1000.0, 3)
+CASES = (str, str.upper, str.lower, str.swapcase)
+
+
+def told_of(lines):
+    """What the adapter reads of a request with these header lines, as it comes by wire."""
+    head = b"\r\n".join([b"POST /a/b HTTP/1.1", b"Host: h.example", *lines, b"", b""])
+    request = measure(head, 10)
+    assert isinstance(request, Complete), request
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        front = Front(("h", 1), None, None)
+        handler = Handler(Caller(ours, ("c", 1), 0.0, request=request), ("c", 1), front)
+        return callers.read_caller(Request(handler.told), handler.target)
+
+
+def sent_to_engine(told, leg):
+    """[(name, value)] of a leg's header lines, names in small letters."""
+    lines = [line.partition(":") for line in callers.leg_headers(told, leg, 0)]
+    return [(name.strip(";").lower(), value.strip()) for name, _, value in lines]
+
+
+def of_senders(told, leg):
+    forged = {name.lower() for name in FORGED}
+    return [pair for pair in sent_to_engine(told, leg) if pair[0] in forged]
+
+
+class TenantHeaders(TestCase):
+    # Guards against UNASKED: what a client wrote of its sender went on to the engine.
+    def test_nothing_of_a_clients_own_goes_to_an_engine(self):
+        for tenant in (None, "acme"):
+            leg = Leg("e1", "http://e1", 1000.0, 3, tenant=tenant)
+            expected = [("x-sender", tenant)] if tenant else []
+            for name in FORGED:
+                for case in CASES:
+                    line = f"{case(name)}: forged".encode()
+                    for lines in ([line], [line, line], [line, b"Connection: " + name.encode()]):
+                        found = of_senders(told_of(lines), leg)
+                        self.assertThat(found, Equals(expected), f"{lines}")
+
+    # Guards against UNASKED: a header hidden in another's folded line.
+    def test_folded_lines_are_refused(self):
+        for lines in (b"X-Odd: a\r\n X-Sender: forged", b"X-Odd: a\rX-Sender: forged"):
+            head = b"POST /a/b HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n\r\n"
+            self.assertThat(measure(head, 10).status, Equals(400))
+
+    # Guards against UNASKED: any mix of the headers, in any case and order.
+    @settings(max_examples=150, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from((*FORGED, "Connection", "X-Odd")),
+                st.sampled_from(CASES),
+                st.sampled_from(("forged", "", "X-Sender", "x-credential, close", "k-5e3c0de5")),
+            ),
+            max_size=6,
+        ),
+        st.sampled_from((None, "acme")),
+    )
+    def test_any_mix_of_headers(self, fields, tenant):
+        lines = [f"{case(name)}: {value}".encode() for name, case, value in fields]
+        leg = Leg("e1", "http://e1", 1000.0, 3, tenant=tenant)
+        expected = [("x-sender", tenant)] if tenant else []
+        self.assertThat(of_senders(told_of(lines), leg), Equals(expected))
+
+    def test_a_name_of_any_letters_goes_as_its_bytes(self):
+        leg = Leg("e1", "http://e1", 1000.0, 3, tenant="č-åß")
+        (line,) = [h for h in callers.leg_headers(told_of([]), leg, 0) if h.startswith("X-Sender")]
+        self.assertThat(line.encode("latin1"), Equals("X-Sender: č-åß".encode()))
+
+
+class KeyRead(TestCase):
+    def test_alone_in_its_header(self):
+        for line in (b"X-Credential: %s", b"x-credential:%s", b"X-CREDENTIAL:\t %s \t"):
+            self.assertThat(told_of([line % KEY])["key"], Equals(KEY))
+        odd = bytes(range(0x80, 0x100)) + b"\x0b\x0c\x1c"
+        self.assertThat(
+            told_of([b"X-Credential: a" + odd + b"z"])["key"], Equals(b"a" + odd + b"z")
+        )
+
+    # Guards against UNASKED: a request with two keys belongs to nobody.
+    def test_a_header_that_stands_twice_holds_no_key(self):
+        line = b"X-Credential: " + KEY
+        for lines in ([line, line], [line, b"x-credential: other"], [line, b"X-CREDENTIAL:"]):
+            rng = random.Random(1)
+            for _ in range(3):
+                rng.shuffle(lines)
+                self.assertThat(told_of(lines)["key"], Equals(b""))
+
+    def test_none(self):
+        for lines in ([], [b"X-Credential:"], [b"X-Credential: \t"], [b"X_Credential: k"]):
+            self.assertThat(told_of(lines)["key"], Equals(b""))
+
+    def test_named_in_connection_it_is_still_read(self):
+        lines = [b"X-Credential: " + KEY, b"Connection: x-credential"]
+        self.assertThat(told_of(lines)["key"], Equals(KEY))
+
+
+class Refused(TestCase):
+    def test_status_and_no_key(self):
+        failure = failures.Unauthorized("ab12cd34")
+        status, headers, body = callers.refusal(failure)
+        self.assertThat((status, "Retry-After" in headers), Equals((401, False)))
+        self.assertThat(KEY.decode() in body, Equals(False))
