--- a/libs/simulation/src/simulation/raw_requests.py
+++ b/libs/simulation/src/simulation/raw_requests.py
@@ -1,9 +1,24 @@
-"""Requests as callers may write them: any case of names, odd bytes, chunks or a length."""
+"""Requests as callers may write them: any case of names, odd bytes, chunks or a length, and
+forged senders."""
 
-__all__ = ["COMPARED", "RawRequest"]
+__all__ = ["COMPARED", "TENANTS", "RawRequest"]
 
-# The fields that an engine must read as the caller wrote them.
-COMPARED = ("x-try-id", "x-parcel", "x-tokens", "x-prompt-prefix", "x-odd", "content-type")
+# The fields that an engine must read as the caller wrote them, and then the tenant's name
+# and the key, of which it must read the name of the key's tenant and nothing.
+_SENDER = ("x-sender", "x-credential")
+_AS_WRITTEN = ("x-try-id", "x-parcel", "x-tokens", "x-prompt-prefix", "x-odd", "content-type")
+COMPARED = (*_AS_WRITTEN, *_SENDER)
+# Who holds which key.
+TENANTS = {"k-1": "acme", "k-2": "acme", "k-3": "other"}
+_FORGED = (
+    (),
+    (),
+    ("x-sender: other",),
+    ("x-sender: other", "x-sender: acme"),
+    ("x-sender:", "connection: x-sender, x-credential"),
+    ("x_sender: other", "connection: x-credential"),
+)
+_KEY_TWICE_SHARE = 0.1
 _SIZES_BYTES = (0, 1, 700, 40_000, 300_000)
 _TARGETS = ("/a/b", "/a/%2e%2e/b?x=1&y=%00", "/a/?q", "/a//b;c", "/a/\xe9?\xff")
 _ODD_VALUES = ("\x85\xa0\xff", "a\x0bb\x0cc\x1cd\x1ee", "a:b, c", "\t tab", "x" * 3000)
@@ -36,14 +51,27 @@
         if rng.random() < _TYPED_SHARE:
             self._fields["content-type"] = rng.choice(_TYPES)
         self._chunked = rng.random() < _CHUNKED_SHARE
+        self._tenant, self._sender_lines = self._sender(rng)
         self._rng = rng
 
+    def _sender(self, rng):
+        """(whose it is, the header lines that say so or claim something else)"""
+        key = rng.choice(("", "k-9", *TENANTS))
+        lines = [f"x-credential: {key}"] if key else []
+        tenant = TENANTS.get(key, "")
+        if lines and rng.random() < _KEY_TWICE_SHARE:
+            lines, tenant = lines * 2, ""
+        return tenant, (*lines, *rng.choice(_FORGED))
+
     def wire(self):
         """Its bytes; the fields stand in any order."""
         lines = [
             f"{_any_case(self._rng, name)}:{self._rng.choice(('', ' ', '  '))}{value}"
             for name, value in self._fields.items()
         ]
+        for line in self._sender_lines:
+            name, colon, value = line.partition(":")
+            lines.append(_any_case(self._rng, name) + colon + value)
         self._rng.shuffle(lines)
         if self._chunked:
             lines.append("Transfer-Encoding: chunked")
@@ -64,5 +92,5 @@
 
     def facts(self):
         """(method, target, values of the compared fields, body), as an engine must read them."""
-        values = tuple(self._fields.get(name, "").strip(" \t") for name in COMPARED)
-        return self.method, self.target, values, self.body
+        values = tuple(self._fields.get(name, "").strip(" \t") for name in _AS_WRITTEN)
+        return self.method, self.target, (*values, self._tenant, ""), self.body
--- a/libs/simulation/src/simulation/unruly_engine.py
+++ b/libs/simulation/src/simulation/unruly_engine.py
@@ -120,5 +120,6 @@
         fields = {}
         for line in lines[1:]:
             name, _, value = line.partition(":")
-            fields[name.lower()] = value.strip(" \t")
+            before = f"{fields[name.lower()]}," if name.lower() in fields else ""
+            fields[name.lower()] = before + value.strip(" \t")
         return words[0], words[1], fields
--- a/tests/test_unasked.py
+++ b/tests/test_unasked.py
@@ -1,4 +1,5 @@
-"""What engines read is what callers sent, byte for byte, whatever engines and callers do.
+"""What engines read is what callers sent, byte for byte, whatever engines and callers do;
+and the name of the key's tenant in place of the key.
 
 Callers write raw requests at the real listener; engines answer early, twice, late or not
 at all, and read on.  Whatever an engine reads must be one caller's request, unchanged.
@@ -20,7 +21,7 @@
 from routing.pool import Pool
 from routing.router import Leg
 from routing.tasks import Done, Stay
-from simulation.raw_requests import RawRequest
+from simulation.raw_requests import TENANTS, RawRequest
 from simulation.unruly_engine import UnrulyEngine
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
@@ -45,9 +46,9 @@
             httpThreads=32,
         )
 
-    def _leg(self):
+    def _leg(self, tenant):
         engine = self._rng.choice(self._engines)
-        return Leg("i-1", engine.url, 3000.0, 0)
+        return Leg("i-1", engine.url, 3000.0, 0, tenant=tenant)
 
     def post(self, token, verb, told):
         told.update(
@@ -56,10 +57,11 @@
             aimMs=500.0,
             repeatable=self._rng.random() < 0.7,
         )
+        tenant = TENANTS.get(told.pop("key").decode())
         with self._lock:
-            self._left[token] = (2, told["repeatable"])
+            self._left[token] = (2, told["repeatable"], tenant)
         future = Future()
-        future.set_result(self._leg())
+        future.set_result(self._leg(tenant))
         return future
 
     def tell(self, token, verb, body):
@@ -70,12 +72,12 @@
             return Stay()
         proof = body["proof"]
         with self._lock:
-            left, repeatable = self._left.get(token, (0, False))
-            self._left[token] = (left - 1, repeatable)
+            left, repeatable, tenant = self._left.get(token, (0, False, None))
+            self._left[token] = (left - 1, repeatable, tenant)
         if proof in ("done", "gone", "cut"):
             return Done()
         if left > 0 and (repeatable or proof in ("not-run", "no-pipe")):
-            return self._leg()
+            return self._leg(tenant)
         return failures.OutcomeUnknown("leg-broken")
 
 
@@ -126,6 +128,9 @@
 
 
 class Unasked(TestCase):
+    """Guards against UNASKED: engines read what nobody sent, a tenant's name that isn't that
+    of the key's holder, or the key itself."""
+
     def write(self, rng, port, sent):
         """A caller writes its request, all of it or not, and reads what comes."""
         wire, manner = sent.wire(), rng.choice(("whole",) * 5 + ("more", "half", "leaves"))
