--- a/libs/replication/src/replication/depot.py
+++ b/libs/replication/src/replication/depot.py
@@ -19,6 +19,8 @@
     feed_snapshots,
     leases,
     leaving,
+    log_compaction,
+    log_following,
     log_replication,
     reconfiguration,
     snapshot_receiving,
@@ -79,7 +81,7 @@
 def _receive(depot, now_ms, sender, message, known):
     replica = depot.group
     if isinstance(message, m.AppendEntries):
-        return log_replication.on_entries(replica, now_ms, sender, message)
+        return log_following.on_entries(replica, now_ms, sender, message)
     if isinstance(message, m.AppendReply):
         if message.term > replica.term:
             return election.step_back(replica, message.term, now_ms)
@@ -158,7 +160,7 @@
         at = batch_writer.wake_at(replica, depot.writer, now_ms)
         if at is not None:
             effects.append(Wake(at))
-    return effects + log_replication.trim(replica)
+    return effects + log_compaction.trim(replica)
 
 
 def described(depot):
--- a/libs/replication/src/replication/snapshot_receiving.py
+++ b/libs/replication/src/replication/snapshot_receiving.py
@@ -4,19 +4,19 @@
 from transport.replication_messages import SnapshotPart
 from transport.transfer_messages import ReplicaChunkReply
 
-from replication import log_replication, snapshot_transfer
+from replication import log_following, snapshot_transfer
 
 __all__ = ["on_chunk"]
 
 
 def on_chunk(replica, now_ms, sender, message):
     """Take a chunk and tell what we hold by now."""
-    accepted, effects = log_replication.accept_leader(replica, now_ms, sender, message)
+    accepted, effects = log_following.accept_leader(replica, now_ms, sender, message)
     if not accepted:
         return effects
     if message.chunk.snapshot.index <= replica.commit:
         replica.incoming = snapshot_transfer.Incoming()
-        reply = log_replication.matched_reply(replica, message.round)
+        reply = log_following.matched_reply(replica, message.round)
         return effects + [Send(sender, reply)]
     ack, whole = snapshot_transfer.on_chunk(replica.incoming, message.chunk, now_ms)
     if whole is not None:
@@ -42,4 +42,4 @@
         snapshot.term,
         body,
     )
-    return log_replication.on_snapshot(replica, now_ms, sender, part)
+    return log_following.on_snapshot(replica, now_ms, sender, part)
--- a/libs/simulation/src/simulation/model/hooks.py
+++ b/libs/simulation/src/simulation/model/hooks.py
@@ -5,7 +5,7 @@
 
 from replication import disk as disks
 from replication import group as groups
-from replication import log_replication, state_machine
+from replication import log_compaction, log_replication, state_machine
 from transport import codec
 
 from simulation.model.invariants import INVARIANTS, JUDGED
@@ -37,7 +37,7 @@
     JUDGED.append(frozenset(judged or INVARIANTS))
     changes = [
         (disks, "sync_file", lambda path: None),
-        (log_replication, "_KEPT_ENTRIES", settings.keep_entries),
+        (log_compaction, "_KEPT_ENTRIES", settings.keep_entries),
         (log_replication, "_PER_SEND", settings.per_send),
         (state_machine, "from_bytes", decode),
         (groups, "from_bytes", decode),
--- a/libs/simulation/src/simulation/model/mutants.py
+++ b/libs/simulation/src/simulation/model/mutants.py
@@ -6,7 +6,15 @@
 
 from dataclasses import dataclass
 
-from replication import batch_writer, bootstrap, election, leaving, log_replication
+from replication import (
+    batch_writer,
+    bootstrap,
+    election,
+    leaving,
+    log_compaction,
+    log_following,
+    log_replication,
+)
 from replication import disk as disks
 from replication import group as groups
 
@@ -63,13 +71,13 @@
     Mutant(
         "entries taken after others than the leader's",
         "log-matching",
-        [(log_replication, "on_entries", variants.any_previous)],
+        [(log_following, "on_entries", variants.any_previous)],
         script="differing_logs",
     ),
     Mutant(
         "a follower commits what was not compared",
         "state-machine-safety",
-        [(log_replication, "on_entries", variants.commits_unverified)],
+        [(log_following, "on_entries", variants.commits_unverified)],
         script="differing_logs",
     ),
     Mutant(
@@ -80,12 +88,12 @@
     Mutant(
         "entries acknowledged before they are synced",
         "acknowledged-kept",
-        [(log_replication, "_ack", variants.acks_unsynced)],
+        [(log_following, "_ack", variants.acks_unsynced)],
     ),
     Mutant(
         "a snapshot drops what lies past it",
         "acknowledged-kept",
-        [(log_replication, "on_snapshot", variants.drops_suffix)],
+        [(log_following, "on_snapshot", variants.drops_suffix)],
         script="late_snapshot",
     ),
     Mutant(
@@ -97,7 +105,7 @@
     Mutant(
         "a snapshot keeps what does not follow it",
         "terms-ordered",
-        [(log_replication, "on_snapshot", variants.keeps_all)],
+        [(log_following, "on_snapshot", variants.keeps_all)],
         script="differing_snapshot",
     ),
     Mutant(
@@ -137,7 +145,7 @@
     Mutant(
         "the log cut behind an older snapshot",
         "disk-trusted",
-        [(log_replication, "trim", variants.removes_too_much)],
+        [(log_compaction, "trim", variants.removes_too_much)],
     ),
     Mutant(
         "no election after the first", "serves-again", [(election, "tick", variants.no_election)]
--- a/libs/simulation/src/simulation/model/variants.py
+++ b/libs/simulation/src/simulation/model/variants.py
@@ -2,7 +2,15 @@
 
 import dataclasses
 
-from replication import batch_writer, election, log_replication, state_machine
+from replication import (
+    batch_writer,
+    election,
+    log_commit,
+    log_compaction,
+    log_following,
+    log_replication,
+    state_machine,
+)
 from replication import disk as disks
 from replication import group as groups
 from transport.codec import to_bytes
@@ -67,7 +75,7 @@
 def commits_unverified(replica, now_ms, sender, message):
     """Whatever is here is committed as far as the leader is, also after a refusal."""
     effects = _REAL["on_entries"](replica, now_ms, sender, message)
-    log_replication.advance(replica, min(message.commit, groups.last_index(replica)))
+    log_commit.advance(replica, min(message.commit, groups.last_index(replica)))
     return effects
 
 
@@ -80,13 +88,11 @@
     voters = groups.members(replica)
     places = [o.match for i, o in replica.progress.items() if i in voters] + [replica.synced]
     place = sorted(places, reverse=True)[groups.majority(replica) - 1]
-    return log_replication.advance(replica, place) if place > replica.commit else []
+    return log_commit.advance(replica, place) if place > replica.commit else []
 
 
 def alone(replica):
-    return (
-        log_replication.advance(replica, replica.synced) if replica.synced > replica.commit else []
-    )
+    return log_commit.advance(replica, replica.synced) if replica.synced > replica.commit else []
 
 
 def older_views(replica, now_ms, sender, message):
@@ -101,7 +107,7 @@
 def drops_suffix(replica, now_ms, sender, message):
     """A snapshot drops what was synced past it."""
     if replica.commit < message.index < groups.last_index(replica):
-        log_replication._cut(replica, message.index + 1)
+        log_commit.cut(replica, message.index + 1)
     return _REAL["on_snapshot"](replica, now_ms, sender, message)
 
 
@@ -180,19 +186,19 @@
 
     SNAPSHOT_HANDLER = (_receiving, "on_chunk")
 except ImportError:  # Snapshots go as one message.
-    SNAPSHOT_HANDLER = (log_replication, "on_snapshot")
+    SNAPSHOT_HANDLER = (log_following, "on_snapshot")
 
 _REAL = {
     "snapshot_handler": getattr(*SNAPSHOT_HANDLER),
     "on_vote_request": election.on_vote_request,
     "open_replica": groups.open_replica,
-    "on_entries": log_replication.on_entries,
-    "_ack": log_replication._ack,
-    "on_snapshot": log_replication.on_snapshot,
+    "on_entries": log_following.on_entries,
+    "_ack": log_following._ack,
+    "on_snapshot": log_following.on_snapshot,
     "propose": log_replication.propose,
     "settle": batch_writer.settle,
     "load_entries": disks.load_entries,
-    "trim": log_replication.trim,
+    "trim": log_compaction.trim,
     "tick": election.tick,
     "on_ack": log_replication.on_ack,
 }
--- a/libs/simulation/src/simulation/mutants_of_control.py
+++ b/libs/simulation/src/simulation/mutants_of_control.py
@@ -1,7 +1,7 @@
 """Mutants of control: configurations, the feed, the log, leases, clocks and elections."""
 
 from pulleyhitch import config, shard_ownership
-from replication import election, feed, follower, log_replication
+from replication import election, feed, follower, log_commit, log_replication
 from routing import router
 
 from simulation import breaking
@@ -58,7 +58,7 @@
             (
                 log_replication,
                 "count",
-                lambda g: log_replication.advance(g, g.synced) if g.synced > g.commit else [],
+                lambda g: log_commit.advance(g, g.synced) if g.synced > g.commit else [],
             )
         ],
     ),
@@ -70,7 +70,7 @@
             (
                 log_replication,
                 "count",
-                lambda g: log_replication.advance(g, g.synced) if g.synced > g.commit else [],
+                lambda g: log_commit.advance(g, g.synced) if g.synced > g.commit else [],
             )
         ],
         seeds=(3, 4, 8, 11),
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -5,7 +5,7 @@
 
 from replication import depot as depots
 from replication import group as replicas
-from replication import log_replication, state_machine
+from replication import log_commit, log_compaction, log_replication, state_machine
 from replication.snapshot_transfer import CHUNK_BYTES, WINDOW_CHUNKS
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -189,7 +189,7 @@
             passing[0] = 6
             body = batch(1, number, random.Random(number).randbytes(100_000))
             group.propose("a", body)
-            log_replication.advance(leader, leader.synced)
+            log_commit.advance(leader, leader.synced)
             group.heartbeat("a")
         passing[0] = 1 << 30
         for _ in range(4):
@@ -244,7 +244,7 @@
             body = batch(1, number, bytes(800_000))
             log_replication.propose(leader, group.now_ms, body)
             leader.synced = replicas.last_index(leader)
-            log_replication.advance(leader, leader.synced)
-            log_replication.trim(leader)
+            log_commit.advance(leader, leader.synced)
+            log_compaction.trim(leader)
         kept = sum(len(entry.body) for entry in leader.log)
         self.assertThat(kept, LessThan(36 << 20))
--- a/tests/test_feed_snapshots.py
+++ b/tests/test_feed_snapshots.py
@@ -3,7 +3,16 @@
 import random
 
 from replication import depot as depots
-from replication import feed, follower, leases, log_replication, shard_log, state_machine
+from replication import (
+    feed,
+    follower,
+    leases,
+    log_commit,
+    log_compaction,
+    log_replication,
+    shard_log,
+    state_machine,
+)
 from replication import group as replicas
 from replication.batch_writer import BatchWriter
 from replication.snapshot_transfer import CHUNK_BYTES, WINDOW_CHUNKS
@@ -36,8 +45,8 @@
         body = batch(1, number, random.Random(number).randbytes(size))
         log_replication.propose(replica, self.now_ms, body)
         replica.synced = replicas.last_index(replica)
-        log_replication.advance(replica, replica.synced)
-        log_replication.trim(replica)
+        log_commit.advance(replica, replica.synced)
+        log_compaction.trim(replica)
 
     def ping(self):
         self.now_ms += 240.0
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,6 +8,7 @@
     catch_up,
     election,
     leaving,
+    log_following,
     log_replication,
     reconfiguration,
     snapshot_receiving,
@@ -39,9 +40,9 @@
 HANDLERS = {
     VoteRequest: lambda r, now, sender, m: election.on_vote_request(r, now, sender, m),
     VoteReply: lambda r, now, sender, m: election.on_vote_reply(r, now, m),
-    AppendEntries: lambda r, now, sender, m: log_replication.on_entries(r, now, sender, m),
+    AppendEntries: lambda r, now, sender, m: log_following.on_entries(r, now, sender, m),
     AppendReply: lambda r, now, sender, m: log_replication.on_ack(r, now, m),
-    SnapshotPart: lambda r, now, sender, m: log_replication.on_snapshot(r, now, sender, m),
+    SnapshotPart: lambda r, now, sender, m: log_following.on_snapshot(r, now, sender, m),
     ReplicaChunk: lambda r, now, sender, m: snapshot_receiving.on_chunk(r, now, sender, m),
     ReplicaChunkReply: lambda r, now, _, m: snapshot_sending.on_chunk_reply(r, now, m),
 }
@@ -160,7 +161,7 @@
         0,
         tuple(entries),
     )
-    return log_replication.on_entries(follower, 0.0, leader, message)
+    return log_following.on_entries(follower, 0.0, leader, message)
 
 
 def snapshot_of(index, term, entries, to, sender_term=3):
@@ -184,7 +185,7 @@
     follower = replica("b")
     append(follower, "a", LOG, Entry(0, 0, b""))
     assert acknowledged(log_replication.on_written(follower, 0.0, 7, 3)) == [7]
-    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_following.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert groups.last_index(follower) == 7
     assert [groups.term_at(follower, i) for i in (5, 6, 7)] == [3, 3, 3]
     assert (follower.commit, follower.synced) == (5, 7)
@@ -197,7 +198,7 @@
     follower = replica("b")
     entries = [*LOG[:5], members_entry(6, 3, "abd"), LOG[6]]
     append(follower, "a", entries, Entry(0, 0, b""))
-    log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    log_following.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert set(groups.members(follower)) == set("abd")
 
 
@@ -206,7 +207,7 @@
     follower = replica("b")
     append(follower, "a", LOG[:4], Entry(0, 0, b""))
     append(follower, "a", LOG[4:], LOG[3])
-    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_following.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert acknowledged(effects) == [5]
     assert acknowledged(log_replication.on_written(follower, 0.0, 7, 3)) == [5]
     assert acknowledged(log_replication.on_written(follower, 0.0, 4, 3)) == [7]
@@ -215,7 +216,7 @@
 def test_a_snapshot_that_does_not_fit_the_log_replaces_it():
     stale = [members_entry(1, 1, "abc")] + [plain_entry(i, 2) for i in range(2, 8)]
     follower = replica("b", stale, term=2)
-    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_following.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert (groups.last_index(follower), groups.last_term(follower)) == (5, 3)
     assert acknowledged(effects) == [5]
     assert [e.restart for e in effects if isinstance(e, Install)] == [True]
@@ -228,7 +229,7 @@
     follower = replica("b")
     append(follower, "a", LOG, Entry(0, 0, b""), commit=7)
     assert (follower.commit, follower.synced) == (7, 0)
-    effects = log_replication.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
+    effects = log_following.on_snapshot(follower, 0.0, "a", snapshot_of(5, 3, LOG[:5], "b"))
     assert acknowledged(effects) == [0]
 
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -5,7 +5,7 @@
 
 from replication import depot as depots
 from replication import group as replicas
-from replication import log_replication
+from replication import log_compaction, log_replication
 from test_catching_up import TIMES, batch, make_depot
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
@@ -164,7 +164,7 @@
     def test_whatever_is_lost(self):
         """Snapshots are taken after few bytes, so that some members are sent one."""
         times = replicas.Times(**{**vars(TIMES), "keep_bytes": 2000})
-        self.patch(log_replication, "_KEPT_ENTRIES", 2)
+        self.patch(log_compaction, "_KEPT_ENTRIES", 2)
         chunks = 0
         for seed in range(6):
             walk = Walk(self, seed)
