--- a/libs/membership/src/membership/peer_table.py
+++ b/libs/membership/src/membership/peer_table.py
@@ -6,19 +6,17 @@
 stamp wins and a node never goes back to an older one.  Addresses learned are
 kept, so swapped seeds matter only to those who start.
 
-Peers that know the same names are told only of cards met lately, those that know the
-same membership nothing of it, and all how long each node has been silent in a byte each;
-of two cards of one node the later met is the present one.
+What is told is in `greetings`.  Of two cards of one node the later met is the present one.
 """
 
-import math
 import random
 from dataclasses import dataclass, field
 
 from transport.effects import Note, Send
-from transport.messages import Card, Greet, GroupCard
+from transport.messages import Card, GroupCard
 
-from membership import summaries
+from membership import greetings, summaries
+from membership.greetings import LONGEST_SILENCE, NO_GROUP, SILENCE_STEPS
 
 __all__ = [
     "PeerTable",
@@ -28,22 +26,14 @@
     "watched",
     "counters",
     "depot_addresses",
-    "NO_GROUP",
     "live",
     "announce",
-    "greeting",
     "lost",
 ]
 
-NO_GROUP = GroupCard("", 0, 0, "", ())
+# After so many turns in which all peers knew what we know, greetings come more seldom.
 _SETTLED = 5
 _CALM = 2.0
-_FRESH = 40
-_WHOLE = 50
-_STEPS = 64
-_LONGEST = 255
-# For so many turns another membership counts as new to all who were never heard.
-_GROUP_IS_NEW = 5
 
 
 @dataclass
@@ -71,7 +61,7 @@
 
 def watched(peers):
     """The few peers whose heartbeat this node minds."""
-    return list(_summary(peers).watched)
+    return list(summaries.of(peers).watched)
 
 
 def live(peers, now_ms):
@@ -90,70 +80,7 @@
 
 def digest(peers):
     """What cards we know, our own included, in a few bytes."""
-    return _summary(peers).digest
-
-
-def _summary(peers):
-    """Cards that are the same objects compare in no time, so this asks for no care
-    of whoever puts one into the table."""
-    made = peers.summary
-    if made is None or made.card != peers.card or made.cards != peers.cards:
-        made = peers.summary = summaries.made(peers.card, peers.cards)
-    return made
-
-
-def greeting(peers, answer, now_ms, to=None):
-    """Who we are and how lately each node has been heard of; to one who knows the
-    same names only the cards that are new, to another all.  One we never heard is
-    told no more: its answer, or our next, brings what either lacks."""
-    made = _summary(peers)
-    told, named = made.digest, made.names_digest
-    theirs, their_names = peers.digests.get(to, (0, named))
-    alike = their_names == named
-    names = made.names if alike else list(peers.cards)
-    known = () if theirs == told else _fresh(peers, now_ms, answer) if alike else names
-    return Greet(
-        peers.card,
-        answer,
-        tuple(peers.cards[n] for n in known),
-        peers.group if _lacks_group(peers, answer, to) else NO_GROUP,
-        _silence(peers, now_ms, names),
-        told,
-        named,
-        tuple(int(min(1e12, now_ms - peers.met_ms.get(n, -1e12))) for n in known),
-        summaries.group_digest(peers.group),
-    )
-
-
-def _lacks_group(peers, answer, to):
-    """Whether a node is told of the depots' membership: if it knows another one than we do.
-    One that we never heard tells in its answer what it knows, so it is told only what is
-    new, or when it isn't asked for an answer."""
-    theirs = peers.group_digests.get(to)
-    if theirs is None:
-        return not answer or peers.turn - peers.group_turn < _GROUP_IS_NEW
-    return theirs != summaries.group_digest(peers.group)
-
-
-def _fresh(peers, now_ms, answer):
-    """Names whose cards we learned lately; now and then all, whatever was lost, but
-    only as an answer, since only then what the other knows was told just now."""
-    if not answer and peers.turn % _WHOLE == 0:
-        return list(peers.cards)
-    return [
-        n for n in peers.cards if now_ms - peers.learned_ms.get(n, -1e12) < _FRESH * peers.gossip_ms
-    ]
-
-
-def _silence(peers, now_ms, names):
-    """How long each of `names` has been silent, a byte each, in parts of the time
-    after which a node counts as lost."""
-    told, alive_ms, lost_ms = bytearray(), peers.alive_ms, peers.lost_ms
-    for name in names:
-        silent_ms = now_ms - alive_ms.get(name, -1e9)
-        steps = math.ceil(silent_ms * _STEPS / lost_ms) if silent_ms > 0 else 0
-        told.append(0 if name == peers.card.name else steps if steps < _LONGEST else _LONGEST)
-    return bytes(told)
+    return summaries.of(peers).digest
 
 
 def tick(peers, now_ms):
@@ -180,7 +107,7 @@
     peers.settled_turns = peers.settled_turns + 1 if known and peers.group.group else 0
     if peers.settled_turns > _SETTLED:
         peers.next_ms += _CALM * peers.gossip_ms
-    return [Send(to, greeting(peers, True, now_ms, to)) for to in sorted(targets)]
+    return [Send(to, greetings.greeting(peers, True, now_ms, to)) for to in sorted(targets)]
 
 
 def on_greet(peers, now_ms, sender, message):
@@ -197,7 +124,7 @@
     _hear(peers, now_ms, message)
     learn_group(peers, message.group, message.card.address)
     if message.answer:
-        effects.append(Send(sender, greeting(peers, False, now_ms, sender)))
+        effects.append(Send(sender, greetings.greeting(peers, False, now_ms, sender)))
     return effects
 
 
@@ -205,15 +132,15 @@
     """Take how lately others have heard of each node."""
     names, alive_ms = [card.name for card in message.cards], peers.alive_ms
     if len(message.silent) == len(peers.cards) + 1:
-        made = _summary(peers)
+        made = summaries.of(peers)
         if message.names == made.names_digest:
             names = made.names
     if len(message.silent) != len(names):
         return
     for name, steps in zip(names, message.silent):
         if name != peers.card.name:
-            at_ms = now_ms - steps * peers.lost_ms / _STEPS - peers.gossip_ms / 10
-            if steps == _LONGEST:
+            at_ms = now_ms - steps * peers.lost_ms / SILENCE_STEPS - peers.gossip_ms / 10
+            if steps == LONGEST_SILENCE:
                 at_ms = -1e9
             if at_ms > alive_ms.get(name, -1e12):
                 alive_ms[name] = at_ms
@@ -240,7 +167,7 @@
 def announce(peers, now_ms):
     """Tell everyone known what we know, as a new leader does."""
     return [
-        Send(card.address, greeting(peers, False, now_ms, card.address))
+        Send(card.address, greetings.greeting(peers, False, now_ms, card.address))
         for _, card in sorted(peers.cards.items())
     ]
 
--- a/libs/membership/src/membership/summaries.py
+++ b/libs/membership/src/membership/summaries.py
@@ -11,7 +11,7 @@
 
 from transport.messages import Card
 
-__all__ = ["Summary", "group_digest", "made", "weight", "WATCHED"]
+__all__ = ["Summary", "group_digest", "made", "of", "weight", "WATCHED"]
 
 WATCHED = 4
 """How many peers a node watches."""
@@ -39,6 +39,17 @@
     return Summary(card, dict(cards), _crc(known), _crc(names), tuple(names), tuple(near[:WATCHED]))
 
 
+def of(peers):
+    """The summary of a peer table's present cards.
+
+    Cards that are the same objects compare in no time, so this asks for no care of whoever
+    puts one into the table."""
+    known = peers.summary
+    if known is None or known.card != peers.card or known.cards != peers.cards:
+        known = peers.summary = made(peers.card, peers.cards)
+    return known
+
+
 @functools.lru_cache(maxsize=64)
 def group_digest(group):
     """A number that differs for memberships that differ; never 0, which tells none."""
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import dataclass
 
-from membership import peer_table
+from membership import greetings, peer_table
 from placement import floor as floors
 from replication import depot as depots
 from replication import follower as follows
@@ -175,7 +175,7 @@
         around = peer_table.depot_addresses(node.peers) or list(node.peers.seeds)
         if around:
             target = around[node.ask_turn % len(around)]
-            effects.append(Send(target, peer_table.greeting(node.peers, True, now_ms, target)))
+            effects.append(Send(target, greetings.greeting(node.peers, True, now_ms, target)))
             to = to if node.ask_turn % 2 and to else target
         for name in peer_table.watched(node.peers)[:2]:
             card = node.peers.cards[name]
--- a/libs/simulation/src/simulation/hollow/run.py
+++ b/libs/simulation/src/simulation/hollow/run.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass, field
 
-from membership import peer_table
+from membership import greetings, peer_table
 
 from simulation.hollow import floor as floors
 from simulation.hollow import meter as meters
@@ -70,7 +70,7 @@
                 peers.cards[name] = card
                 peers.alive_ms[name] = peers.heard_ms[name] = world.now_ms
         peer_table.learn_group(peers, group)
-        told = peer_table.greeting(peers, False, world.now_ms)
+        told = greetings.greeting(peers, False, world.now_ms)
         peers.digests = {c.address: (told.digest, told.names) for c in cards.values()}
         peers.settled_turns, peers.turn = 100, world.random.randrange(1, 9)
         peers.next_ms = world.now_ms + world.random.random() * 3 * peers.gossip_ms
--- a/libs/simulation/src/simulation/measure.py
+++ b/libs/simulation/src/simulation/measure.py
@@ -12,7 +12,7 @@
 import time
 
 import pycurl
-from membership import peer_table
+from membership import greetings
 from replication import follower, shard_log
 from transport import messages as m
 from transport.connections import Connections
@@ -59,7 +59,7 @@
         self._got = queue.SimpleQueue()
         self._pipes = Connections(
             address,
-            lambda: m.Greet(self._card, False, (), peer_table.NO_GROUP),
+            lambda: m.Greet(self._card, False, (), greetings.NO_GROUP),
             lambda _, message: self._got.put(message),
             lambda *_: None,
             2000,
--- a/tests/test_circle.py
+++ b/tests/test_circle.py
@@ -2,7 +2,7 @@
 
 import random
 
-from membership import peer_table
+from membership import greetings, peer_table
 from transport import frames
 from transport.effects import Send
 from transport.messages import Card, GroupCard
@@ -35,7 +35,7 @@
                 one.cards[card(n).name] = card(n)
                 one.met_ms[card(n).name] = now_ms - 1e6
                 one.alive_ms[card(n).name] = one.heard_ms[card(n).name] = now_ms
-    told = peer_table.greeting(found["10.0.0.0:1"], False, now_ms)
+    told = greetings.greeting(found["10.0.0.0:1"], False, now_ms)
     for one in found.values():
         one.digests = {a: (told.digest, told.names) for a in found}
     return found
@@ -82,24 +82,24 @@
 
 def test_hearsay_of_an_earlier_life_is_not_believed():
     one = circle_of(1)
-    peer_table.on_greet(one, 1e6, "10.0.0.2:1", peer_table.greeting(circle_of(2, "2"), False, 1e6))
+    peer_table.on_greet(one, 1e6, "10.0.0.2:1", greetings.greeting(circle_of(2, "2"), False, 1e6))
     teller = circle_of(3)
     teller.cards["n002"], teller.met_ms["n002"] = card(2, "1"), 1e6 - 50000
     peer_table.on_greet(
-        one, 1e6 + 9000, "10.0.0.3:1", peer_table.greeting(teller, False, 1e6 + 9000)
+        one, 1e6 + 9000, "10.0.0.3:1", greetings.greeting(teller, False, 1e6 + 9000)
     )
     assert one.cards["n002"].incarnation == "2.2"
 
 
 def test_hearsay_of_a_later_life_is_believed_once_the_node_is_silent_here():
     one, teller = circle_of(1), circle_of(3)
-    peer_table.on_greet(one, 1e6, "10.0.0.2:1", peer_table.greeting(circle_of(2), False, 1e6))
+    peer_table.on_greet(one, 1e6, "10.0.0.2:1", greetings.greeting(circle_of(2), False, 1e6))
     peer_table.on_greet(
-        teller, 1e6 + 500, "10.0.0.2:1", peer_table.greeting(circle_of(2, "2"), False, 1e6 + 500)
+        teller, 1e6 + 500, "10.0.0.2:1", greetings.greeting(circle_of(2, "2"), False, 1e6 + 500)
     )
-    peer_table.on_greet(one, 1e6 + 1000, "x", peer_table.greeting(teller, False, 1e6 + 1000))
+    peer_table.on_greet(one, 1e6 + 1000, "x", greetings.greeting(teller, False, 1e6 + 1000))
     assert one.cards["n002"].incarnation == "2.1"
-    peer_table.on_greet(one, 1e6 + 4000, "x", peer_table.greeting(teller, False, 1e6 + 4000))
+    peer_table.on_greet(one, 1e6 + 4000, "x", greetings.greeting(teller, False, 1e6 + 4000))
     assert one.cards["n002"].incarnation == "2.2"
 
 
@@ -110,7 +110,7 @@
         teller.cards["n002"] = card(2)
         teller.alive_ms["n002"] = 1e9 - silent_ms
         one.alive_ms.clear()
-        peer_table.on_greet(one, 1e9, "x", peer_table.greeting(teller, False, 1e9))
+        peer_table.on_greet(one, 1e9, "x", greetings.greeting(teller, False, 1e9))
         told_ms = 1e9 - one.alive_ms["n002"]
         assert told_ms >= silent_ms
         assert told_ms <= silent_ms + 100 or silent_ms > 11000
--- a/tests/test_greeting_size.py
+++ b/tests/test_greeting_size.py
@@ -2,7 +2,7 @@
 
 import random
 
-from membership import peer_table
+from membership import greetings
 from test_circle import acquainted, circle_of, turns
 from transport import frames
 from transport.messages import GroupCard, Member
@@ -40,7 +40,7 @@
 def test_a_new_life_is_told_of_the_group():
     found = settled(20)
     found["10.0.0.7:1"] = circle_of(7, "2", ["10.0.0.1:1"])
-    found["10.0.0.7:1"].group = peer_table.NO_GROUP
+    found["10.0.0.7:1"].group = greetings.NO_GROUP
     turns(found, 1e6 + 4000, 4000)
     assert found["10.0.0.7:1"].group == GROUP
 
--- a/tests/test_summaries.py
+++ b/tests/test_summaries.py
@@ -8,7 +8,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from membership import peer_table
+from membership import greetings, peer_table
 from transport.messages import Card, Greet, GroupCard
 
 GROUP = GroupCard("g", 1, 1, "10.0.0.0:1", ())
@@ -88,7 +88,7 @@
             peers.card = Card(**{**vars(card), "name": OWN})
         assert peer_table.digest(peers) == plain_digest(peers)
         assert peer_table.watched(peers) == plain_watched(peers)
-        assert peer_table.greeting(peers, True, 5.0).names == plain_names(peers)
+        assert greetings.greeting(peers, True, 5.0).names == plain_names(peers)
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
@@ -103,7 +103,7 @@
     peers.cards, peers.alive_ms = {card.name: card for card in known}, alive_ms
     peers.digests["to"] = (1, plain_names(peers) if alike else -1)
     names = sorted([*peers.cards, OWN]) if alike else list(peers.cards)
-    told = peer_table.greeting(peers, True, now_ms, "to").silent
+    told = greetings.greeting(peers, True, now_ms, "to").silent
     assert told == bytes(plain_silence(peers, now_ms, name) for name in names)
 
 
