--- a/libs/configuration/src/configuration/checked_document.py
+++ b/libs/configuration/src/configuration/checked_document.py
@@ -30,13 +30,16 @@
     """A document with its items' facts.
 
     `sound`: whether the check of the whole is known to find nothing, None if it was
-    not made yet.  Only of a sound one are `places` and `uses` (of its services) known."""
+    not made yet.  Only of a sound one are `places` (of its routes), `uses` (of its
+    services) and `holders` (of the tenants' keys) known."""
 
     document: dict
     routes: dict = field(default_factory=dict)
     services: dict = field(default_factory=dict)
+    tenants: dict = field(default_factory=dict)
     places: dict = field(default_factory=dict)
     uses: Counter = field(default_factory=Counter)
+    holders: dict = field(default_factory=dict)
     sound: bool | None = None
 
 
@@ -52,15 +55,11 @@
     return {name: _read(part, name, item, read_item) for name, item in items.items()}
 
 
-def _parts(reader):
-    return ((reader.routes, reader.route), (reader.services, reader.service))
-
-
 def read_whole(reader, document):
     """The CheckedDocument of a document of which nothing is known."""
     found = [
         read_items(part, document["parts"].get(part, {}), read_item)
-        for part, read_item in _parts(reader)
+        for part, read_item in reader.parts()
     ]
     return CheckedDocument(document, *found)
 
@@ -70,33 +69,48 @@
     that `checked` is of; or, if that is None, read anew."""
     if checked is None:
         return read_whole(reader, document)
-    found = []
-    touched = {reader.routes: set(), reader.services: set()}
-    for (part, read_item), facts in zip(_parts(reader), (checked.routes, checked.services)):
-        facts = dict(facts)
+    found, touched = [], {}
+    known = (checked.routes, checked.services, checked.tenants)
+    for (part, read_item), facts in zip(reader.parts(), known):
+        facts, touched[part] = dict(facts), set()
         for told in differences:
-            items, gone = told["set"].get(part, {}), told["gone"].get(part, ())
-            touched[part].update(items, gone)
-            for name in gone:
-                facts.pop(name, None)
-            facts.update(read_items(part, items, read_item))
-            if part in told["order"]:
-                facts = {name: facts[name] for name in told["order"][part]}
+            facts = _with_difference(part, read_item, facts, told, touched[part])
         found.append(facts)
     made = CheckedDocument(document, *found)
     if checked.sound and accepts(reader, checked, document, touched):
-        _carry_on(made, checked, touched[reader.routes])
+        _carry_on(made, checked, touched[reader.routes], touched[reader.tenants])
     return made
 
 
-def _carry_on(made, checked, touched):
-    """What is known of the earlier document's routes, with what has changed."""
+def _with_difference(part, read_item, facts, told, touched):
+    """A part's facts with one difference laid over them; its names go to `touched`."""
+    if part in told.get("absent", ()):
+        touched.update(facts)
+        facts = {}
+    items, gone = told["set"].get(part, {}), told["gone"].get(part, ())
+    touched.update(items, gone)
+    for name in gone:
+        facts.pop(name, None)
+    facts.update(read_items(part, items, read_item))
+    if part in told["order"]:
+        facts = {name: facts[name] for name in told["order"][part]}
+    return facts
+
+
+def _carry_on(made, checked, routes, tenants):
+    """What is known of the earlier document, with the routes and tenants of these names
+    changed."""
     made.sound = True
     made.places, made.uses = dict(checked.places), Counter(checked.uses)
-    for name in touched & checked.routes.keys():
+    made.holders = dict(checked.holders)
+    for name in routes & checked.routes.keys():
         _forget_route(made, name, checked.routes[name])
-    for name in touched & made.routes.keys():
+    for name in routes & made.routes.keys():
         _note_route(made, name, made.routes[name])
+    for name in tenants & checked.tenants.keys():
+        _forget_tenant(made, checked.tenants[name])
+    for name in tenants & made.tenants.keys():
+        _note_tenant(made, name, made.tenants[name])
 
 
 def _place(route):
@@ -114,11 +128,23 @@
     checked.uses.update(share["service"] for share in route["split"])
 
 
+def _forget_tenant(checked, tenant):
+    for key in tenant["keys"]:
+        checked.holders.pop(key, None)
+
+
+def _note_tenant(checked, name, tenant):
+    for key in tenant["keys"]:
+        checked.holders[key] = name
+
+
 def _whole_is_sound(checked):
     if checked.sound is None:
-        checked.sound = not passages.check(checked.routes, checked.services)
+        checked.sound = not passages.check(checked.routes, checked.services, checked.tenants)
         for name, route in checked.routes.items() if checked.sound else ():
             _note_route(checked, name, route)
+        for name, tenant in checked.tenants.items() if checked.sound else ():
+            _note_tenant(checked, name, tenant)
     return checked.sound
 
 
@@ -128,16 +154,18 @@
     if not _whole_is_sound(checked):
         return False
     try:
-        routes, services = [
+        routes, services, tenants = [
             _changed(part, read_item, checked, document, touched[part])
-            for part, read_item in _parts(reader)
+            for part, read_item in reader.parts()
         ]
     except Unreadable:
         return False
     return (
         all(_well_formed(passages.SERVICE, facts) for facts in services.values())
         and all(_well_formed(passages.ROUTE, facts) for facts in routes.values())
+        and all(_well_formed(passages.TENANT, facts) for facts in tenants.values())
         and _fit(reader, checked, document, routes, touched)
+        and _keys_fit(checked, document["parts"].get(reader.tenants, {}), tenants)
     )
 
 
@@ -176,3 +204,15 @@
     gone = touched[reader.services] & checked.services.keys() - services.keys()
     unused = all(checked.uses[n] + uses[n] <= 0 for n in gone)
     return unused and all(n in services for n, count in uses.items() if count > 0)
+
+
+def _keys_fit(checked, names, changed):
+    """Whether no key of a changed tenant is another's; `names`: all tenants there are."""
+    holders = {}
+    for name, tenant in changed.items():
+        for key in tenant["keys"]:
+            before = checked.holders.get(key, name)
+            held = before != name and before in names and before not in changed
+            if held or holders.setdefault(key, name) != name:
+                return False
+    return True
--- a/libs/configuration/src/configuration/passages.py
+++ b/libs/configuration/src/configuration/passages.py
@@ -1,4 +1,5 @@
-"""The written layout: one document for all, with routes by host and path prefix.
+"""The written layout: one document for all, with routes by host and path prefix, and
+tenants with their API keys and rate limits.
 
 A platform's operators may write the layout in a form of their own.  A reader
 (given by the platform's adapter) turns each item of theirs into the facts named
@@ -7,16 +8,18 @@
 difference.  Shapes: a route's facts are `host`, `prefix`, `kind` ("safe",
 "unsafe" or "stream"), `holdMs`, `aimMs`, `rank`, `split` ((service, weight),
 ...), `tries`, `resumable`, `pauseMs`, `patienceMs` (how long its callers bear silence, 0
-if that isn't known); a service's are in `_Service`.
+if that isn't known), `public` (whether it asks for no key); a service's are in `_Service`,
+a tenant's in `_Tenant`.
 """
 
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
 from transport.failures import FieldWrong
 
-__all__ = ["check", "section", "OWNER", "ROUTE", "SERVICE"]
+__all__ = ["check", "section", "OWNER", "ROUTE", "SERVICE", "TENANT"]
 
 OWNER = "floor"
 _MOST = 1e12
+_TENANT_DEFAULTS = {"ratePerS": 0.0, "burst": 0.0, "rank": None}
 
 
 class _Loose(Schema):
@@ -28,8 +31,8 @@
     return fields.String(required=True, validate=validate.Length(min=1, max=300))
 
 
-def _count(low=0, high=10**9):
-    return fields.Integer(strict=True, validate=validate.Range(min=low, max=high))
+def _count(low=0, high=10**9, **more):
+    return fields.Integer(strict=True, validate=validate.Range(min=low, max=high), **more)
 
 
 def _number(low=0.0, **more):
@@ -59,6 +62,7 @@
     resumable = fields.Boolean(load_default=False)
     pauseMs = _number(load_default=0.0)
     patienceMs = _number(load_default=0.0)
+    public = fields.Boolean(load_default=False)
 
 
 class _Model(_Loose):
@@ -83,7 +87,24 @@
     models = fields.List(fields.Nested(_Model), load_default=list)
 
 
-ROUTE, SERVICE = _Route(), _Service()
+def _encodable(key):
+    """A lone surrogate can't be encoded, so no request could carry the key."""
+    try:
+        key.encode()
+    except UnicodeEncodeError as failed:
+        raise ValidationError("Not a Unicode text.") from failed
+
+
+class _Tenant(_Loose):
+    """`ratePerS`: 0 for no limit; `rank`: None for the route's."""
+
+    keys = fields.List(fields.String(validate=[validate.Length(min=1), _encodable]), required=True)
+    ratePerS = _number(load_default=0.0)
+    burst = _number(load_default=0.0)
+    rank = _count(0, 9, allow_none=True, load_default=None)
+
+
+ROUTE, SERVICE, TENANT = _Route(), _Service(), _Tenant()
 
 
 def _first(messages, path):
@@ -93,16 +114,31 @@
     return FieldWrong(path, str(messages[0] if isinstance(messages, list) else messages))
 
 
-def check(routes, services):
-    """FieldWrongs of {name: facts} of routes and services; empty if all is well."""
+def check(routes, services, tenants):
+    """FieldWrongs of {name: facts} of each part; empty if all is well."""
     wrong = []
-    for part, schema, items in (("services", SERVICE, services), ("routes", ROUTE, routes)):
+    parts = (
+        ("services", SERVICE, services),
+        ("routes", ROUTE, routes),
+        ("tenants", TENANT, tenants),
+    )
+    for part, schema, items in parts:
         for name, facts in items.items():
             try:
                 schema.load(facts)
             except (ValidationError, TypeError) as failed:
                 wrong.append(_first(getattr(failed, "messages", "unreadable"), f"{part}.{name}"))
-    return wrong or _clashes(routes, services)
+    return wrong or _clashes(routes, services) + _shared_keys(tenants)
+
+
+def _shared_keys(tenants):
+    """A FieldWrong for each tenant that has a key of an earlier one; keys aren't told."""
+    wrong, holders = [], {}
+    for name, tenant in tenants.items():
+        others = {holders.setdefault(key, name) for key in tenant["keys"]} - {name}
+        for other in sorted(others):
+            wrong.append(FieldWrong(f"tenants.{name}.keys", f"a key is {other}'s"))
+    return wrong
 
 
 def _clashes(routes, services):
@@ -122,8 +158,8 @@
     return wrong
 
 
-def section(routes, services):
-    """A section like a partner's, of checked routes and services."""
+def section(routes, services, tenants=None):
+    """A section like a partner's, of checked routes, services and tenants."""
     models = {
         m["name"]: {
             "roomMb": m.get("roomMb", 0.0),
@@ -154,6 +190,7 @@
         "wishes": {},
         "routes": routes,
         "weightStore": {"atOnce": 0, "perMinute": 0},
+        "tenants": {name: {**_TENANT_DEFAULTS, **facts} for name, facts in (tenants or {}).items()},
     }
 
 
--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -20,7 +20,16 @@
     as_json,
 )
 
-from configuration import answers, checked_document, documents, engine_list, merging, passages
+from configuration import (
+    answers,
+    checked_document,
+    document_changes,
+    documents,
+    earlier_records,
+    engine_list,
+    merging,
+    passages,
+)
 from configuration.answers import Answers
 from configuration.checked_document import CheckedDocument
 
@@ -33,6 +42,8 @@
     "replay",
     "services",
     "models",
+    "tenants",
+    "has_tenants",
     "zone_names",
     "VERBS",
 ]
@@ -67,6 +78,22 @@
     return _owned(registry, "models")
 
 
+def tenants(registry):
+    """Every tenant's facts (`passages`) by name; made once for each layout."""
+    if "tenants" not in registry.memo:
+        registry.memo["tenants"] = {
+            name: facts
+            for _, section in sorted(registry.sections.items())
+            for name, facts in section.get("tenants", {}).items()
+        }
+    return registry.memo["tenants"]
+
+
+def has_tenants(registry):
+    """Whether the configuration in force names tenants, and so asks for their keys."""
+    return bool(tenants(registry))
+
+
 def _owned(registry, part):
     """Made once for each layout, since every task and every plan asks for it."""
     if part not in registry.memo:
@@ -111,7 +138,8 @@
         registry.sections[told["partner"]] = told["section"]
         registry.stamps[told["partner"]] = told["stamp"]
     elif kind == "written":
-        registry.document = documents.merged(registry.document, told)
+        told = earlier_records.translated(registry.reader, registry.document, told)
+        registry.document = document_changes.merged(registry.document, told)
         registry.stamps[passages.OWNER] = told["stamp"]
     elif kind == "zone":
         registry.zoneStamps[told["zone"]] = told["stamp"]
@@ -255,5 +283,6 @@
         return Registry(zonesKnown=zonesKnown, reader=reader)
     registry = Registry(**json.loads(body), zonesKnown=zonesKnown, reader=reader)
     registry.changes = Answers(registry.changes)
+    registry.document = earlier_records.document(reader, registry.document)
     _reread(registry)
     return registry
--- a/libs/simulation/src/simulation/hollow/settings.py
+++ b/libs/simulation/src/simulation/hollow/settings.py
@@ -60,7 +60,17 @@
     return {k: v for k, v in item.items() if k != "name"}
 
 
-READER = documents.Reader("edition", "routes", "services", "upsert", "remove", _facts, _facts)
+READER = documents.Reader(
+    edition="edition",
+    routes="routes",
+    services="services",
+    tenants="tenants",
+    upsert="upsert",
+    remove="remove",
+    route=_facts,
+    service=_facts,
+    tenant=_facts,
+)
 
 
 def names(size):
--- a/libs/simulation/src/simulation/platform_made.py
+++ b/libs/simulation/src/simulation/platform_made.py
@@ -2,7 +2,18 @@
 
 import copy
 
-__all__ = ["word", "route", "models_service", "plain_service", "configuration", "patch", "patched"]
+__all__ = [
+    "word",
+    "route",
+    "models_service",
+    "plain_service",
+    "tenant",
+    "configuration",
+    "with_tenants",
+    "patch",
+    "tenants_patch",
+    "patched",
+]
 
 _FIRST, _SECOND = "bdfgjklmnprstvz", "aeiou"
 
@@ -80,6 +91,15 @@
     }
 
 
+def tenant(rng, name, keys=2):
+    made = {"name": name, "keys": [word(rng, 8) for _ in range(keys)], "ratePerS": 0}
+    if rng.random() < 0.5:
+        made.update(ratePerS=rng.randrange(1, 99), burst=rng.randrange(99))
+    if rng.random() < 0.5:
+        made["classOfMail"] = rng.randrange(10)
+    return made
+
+
 def configuration(rng, edition, routes=4):
     """A whole good configuration."""
     services = [models_service(rng, word(rng)), plain_service(rng, word(rng))]
@@ -97,6 +117,11 @@
     }
 
 
+def with_tenants(rng, whole, tenants=4):
+    """A whole configuration with so many tenants."""
+    return {**whole, "senders": [tenant(rng, f"t-{word(rng)}") for _ in range(tenants)]}
+
+
 def patch(rng, whole, edition):
     """A good change of some items of `whole`."""
     services = [s["name"] for s in whole["services"]]
@@ -110,13 +135,31 @@
     return {"edition": edition, "upsert": {"routes": upsert}, "remove": {"routes": gone}}
 
 
+def tenants_patch(rng, whole, edition):
+    """A good change of some tenants: one gives its keys to another or loses them, one may
+    go, and one is new."""
+    tenants = copy.deepcopy(whole.get("senders", []))
+    rng.shuffle(tenants)
+    upsert, gone = [tenant(rng, f"t-{word(rng)}")], []
+    if len(tenants) > 2:
+        giver, taker = tenants[0], tenants[1]
+        if rng.random() < 0.5:
+            taker["keys"] += giver["keys"]
+        giver["keys"] = []
+        upsert += [giver, taker]
+        gone = [tenants[2]["name"]] if rng.random() < 0.3 else []
+    return {"edition": edition, "upsert": {"senders": upsert}, "remove": {"senders": gone}}
+
+
 def patched(whole, change):
     """What a configuration is after a change; slow and plain: lists searched by name."""
     made = copy.deepcopy(whole)
     made["edition"] = change["edition"]
     for part, names in change.get("remove", {}).items():
-        made[part] = [item for item in made[part] if item["name"] not in names]
+        if part in made:
+            made[part] = [item for item in made[part] if item["name"] not in names]
     for part, items in change.get("upsert", {}).items():
+        made.setdefault(part, [])
         for item in items:
             at = [n for n, old in enumerate(made[part]) if old["name"] == item["name"]]
             if at:
--- a/libs/simulation/src/simulation/restart_cost.py
+++ b/libs/simulation/src/simulation/restart_cost.py
@@ -24,7 +24,17 @@
 
 
 # A form in which items are written as the facts that they stand for.
-_READER = documents.Reader("edition", "routes", "services", "upsert", "remove", _facts, _facts)
+_READER = documents.Reader(
+    edition="edition",
+    routes="routes",
+    services="services",
+    tenants="tenants",
+    upsert="upsert",
+    remove="remove",
+    route=_facts,
+    service=_facts,
+    tenant=_facts,
+)
 _SEGMENT_BYTES = 8 << 20
 _TICK_MS = 40.0
 _SETTLE_MS = 20_000.0
--- a/tests/test_change_cost.py
+++ b/tests/test_change_cost.py
@@ -28,10 +28,12 @@
             READER.edition,
             READER.routes,
             READER.services,
+            READER.tenants,
             READER.upsert,
             READER.remove,
             self._counted(READER.route),
             self._counted(READER.service),
+            self._counted(READER.tenant),
         )
 
     def _counted(self, real):
--- a/tests/test_restart_cost.py
+++ b/tests/test_restart_cost.py
@@ -32,10 +32,12 @@
             READER.edition,
             READER.routes,
             READER.services,
+            READER.tenants,
             READER.upsert,
             READER.remove,
             counted(READER.route),
             counted(READER.service),
+            counted(READER.tenant),
         )
         self.depot = SingleDepot(tempfile.mkdtemp(), reader)
         self.depot.until(self.depot.serving)
--- /dev/null
+++ b/tests/test_tenant_changes.py
@@ -0,0 +1,209 @@
+"""Changes of tenants: their cost follows from what they change, the check of what changed
+agrees with the check of the whole and with a plain model."""
+
+import copy
+import json
+import random
+
+from adapter import configuration
+from configuration import checked_document, documents, passages
+from configuration import registry as registries
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from simulation import platform_made as made
+from test_change_cost import Counting, change, do, good_route
+from test_platform_written import Operator, exact
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+READER = configuration.READER
+TENANTS = 80
+NAMES = ["a", "b", "c", "d"]
+KEYS = ["k0", "k1", "k2", "k3", "k4"]
+
+
+class Cost(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.counting = Counting()
+        self.registry = registries.Registry(reader=self.counting.reader)
+        rng = random.Random(1)
+        self.whole = made.with_tenants(rng, made.configuration(rng, 1, routes=40), TENANTS)
+        _, failure, self.first = do(self.registry, change(0, self.whole, partial=False))
+        self.assertThat(failure, Equals(None))
+        for schema in (passages.ROUTE, passages.SERVICE, passages.TENANT):
+            self.patch(schema, "load", self.counting.counted_load(schema.load))
+
+    def send(self, edition, told, partial=True):
+        self.counting.read = self.counting.checked = 0
+        _, failure, record = do(
+            self.registry, change(edition - 1, {**told, "edition": edition}, partial)
+        )
+        self.assertThat(failure, Equals(None))
+        return record
+
+    def assert_cheap(self):
+        self.assertThat(self.counting.read, LessThan(8))
+        self.assertThat(self.counting.checked, LessThan(8))
+
+    def part(self, number, key):
+        item = {**self.whole["senders"][number], "keys": [key]}
+        return {"upsert": {"senders": [item]}}
+
+    # A change of one tenant must not read and check all tenants, routes and services.
+    def test_a_change_of_one_tenant_reads_and_checks_few(self):
+        self.send(2, self.part(0, "first"))
+        for edition in range(3, 20):
+            self.send(edition, self.part(edition, f"key {edition}"))
+            self.assert_cheap()
+        gone = self.whole["senders"][30]["name"]
+        self.send(20, {"remove": {"senders": [gone]}})
+        self.assert_cheap()
+
+    # Nor must a whole configuration in which one tenant differs.
+    def test_a_whole_configuration_with_one_change_checks_few(self):
+        self.send(2, self.part(0, "first"))
+        whole = copy.deepcopy(self.whole)
+        whole["senders"][0]["keys"], whole["senders"][7]["keys"] = ["first"], ["other"]
+        record = self.send(3, whole, partial=False)
+        self.assert_cheap()
+        changed = json.loads(record)["set"]["senders"]
+        self.assertThat(list(changed), Equals([whole["senders"][7]["name"]]))
+
+    # A follower reads of a logged change what it changes.
+    def test_a_record_is_followed_by_reading_what_it_changes(self):
+        follower = registries.Registry(reader=self.counting.reader)
+        registries.apply(follower, self.first)
+        records = [self.send(e, self.part(e, f"key {e}")) for e in range(2, 30)]
+        self.counting.read = 0
+        for record in records:
+            registries.apply(follower, record)
+        self.assertThat(self.counting.read, LessThan(2 * len(records)))
+        self.assertThat(follower.sections, Equals(self.registry.sections))
+
+
+def tenants():
+    return st.fixed_dictionaries(
+        {"name": st.sampled_from(NAMES), "keys": st.lists(st.sampled_from(KEYS), max_size=2)},
+        optional={
+            "ratePerS": st.sampled_from([0, 5, 5.0, 5, 5, -1]),
+            "classOfMail": st.sampled_from([0, 9, 1, 2, 3, 10]),
+        },
+    )
+
+
+def unlike(items):
+    """Lists of items of different names."""
+    return st.lists(items, max_size=3, unique_by=lambda item: item["name"])
+
+
+def bodies():
+    some = st.fixed_dictionaries(
+        {},
+        optional={
+            "upsert": st.fixed_dictionaries({}, optional={"senders": unlike(tenants())}),
+            "remove": st.fixed_dictionaries(
+                {}, optional={"senders": st.lists(st.sampled_from(NAMES), max_size=2)}
+            ),
+        },
+    ).map(lambda told: (told, True))
+    whole = st.fixed_dictionaries(
+        {
+            "routes": st.just([good_route(0)]),
+            "services": st.just([{"name": "s0"}]),
+            "limits": st.sampled_from([0, 1]),
+        },
+        optional={"senders": unlike(tenants())},
+    ).map(lambda told: (told, False))
+    return st.one_of(some, some, some, whole)
+
+
+def is_valid(whole):
+    """Whether tenants are valid, slow and plain: each key compared with each other."""
+    items = whole.get("senders", [])
+    for number, item in enumerate(items):
+        for other in items[:number]:
+            if any(key == another for key in item["keys"] for another in other["keys"]):
+                return False
+        if item.get("ratePerS", 0) < 0 or item.get("classOfMail", 0) > 9:
+            return False
+    return True
+
+
+FIRST = {
+    "edition": 1,
+    "routes": [good_route(n) for n in range(2)],
+    "services": [{"name": "s0"}],
+    "senders": [{"name": "a", "keys": ["k0"]}, {"name": "b", "keys": ["k1", "k2"]}],
+}
+
+
+class Same(TestCase):
+    # The check of what changed and that of the whole must not differ, nor either of them
+    # from what the plain model takes.
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.lists(bodies(), max_size=12))
+    def test_the_answers_are_those_of_the_whole_check(self, told):
+        registry, whole = registries.Registry(reader=READER), FIRST
+        do(registry, change(0, FIRST, partial=False))
+        for turn, (body, partial) in enumerate(told):
+            now = registry.document
+            body = {**body, "edition": now["edition"] + 1}
+            wanted, failed = documents.judged(READER, now, change(now["edition"], body, partial))
+            sent = {**change(now["edition"], body, partial), "change": f"turn {turn}"}
+            record, _, failure = registries.decide(registry, "written", sent)
+            after = made.patched(whole, body) if partial else body
+            assert failure == failed
+            assert (failure is None) == is_valid(after)
+            if failure is None:
+                whole, found = after, json.loads(record)
+                assert {k: found[k] for k in wanted} == json.loads(json.dumps(wanted))
+            registries.apply(registry, record)
+            assert exact(json.loads(documents.as_sent(READER, registry.document))) == exact(whole)
+            fresh = checked_document.read_whole(READER, registry.document)
+            assert registry.sections[passages.OWNER] == documents.read(fresh)
+            assert list(registries.tenants(registry)) == [
+                item["name"] for item in whole.get("senders", [])
+            ]
+
+
+class Random(TestCase):
+    # Changes of tenants among others, good, stale and repeated, with restarts.
+    def test_against_a_plain_model(self):
+        for seed in range(12):
+            rng, operator, sent, taken = random.Random(seed), Operator(), [], 0
+            whole = made.with_tenants(rng, made.configuration(rng, 1, routes=2))
+            self.assertThat(operator.send("PUT", whole, 0)[0], Equals(200))
+            for _ in range(30):
+                edition = whole["edition"]
+                step = rng.choice(["put", "patch", "tenants", "tenants", "stale", "again"])
+                if step == "again" and sent:
+                    call, code = rng.choice(sent)
+                    self.assertThat(operator.send(*call)[0], Equals(code))
+                    continue
+                if step == "put":
+                    told = made.configuration(rng, edition + 2, routes=2)
+                    told = made.with_tenants(rng, told) if rng.random() < 0.7 else told
+                    call = "PUT", told, edition
+                elif step == "patch":
+                    call = "PATCH", made.patch(rng, whole, edition + 1), edition
+                else:
+                    told = made.tenants_patch(rng, whole, edition + 1)
+                    call = "PATCH", told, edition - (step == "stale")
+                code, _ = operator.send(*call)
+                sent.append((call, code))
+                self.assertThat(code, Equals(412 if step == "stale" else 200))
+                if code == 200:
+                    taken += 1
+                    whole = call[1] if call[0] == "PUT" else made.patched(whole, call[1])
+                self.assertThat(operator.back(), Equals(exact(whole)))
+                found = registries.tenants(operator.registry)
+                self.assertThat(
+                    {name: facts["keys"] for name, facts in found.items()},
+                    Equals({item["name"]: item["keys"] for item in whole.get("senders", ())}),
+                )
+                if rng.random() < 0.2:
+                    operator.registry = registries.load(
+                        registries.dump(operator.registry), reader=configuration.READER
+                    )
+            self.assertThat(taken, GreaterThan(5))
