--- a/tests/test_tenant_changes.py
+++ b/tests/test_tenant_changes.py
@@ -46,9 +46,11 @@
         self.assertThat(self.counting.read, LessThan(8))
         self.assertThat(self.counting.checked, LessThan(8))
 
-    def part(self, number, key):
-        item = {**self.whole["senders"][number], "keys": [key]}
-        return {"upsert": {"senders": [item]}}
+    def part(self, *told):
+        """A change of tenants, each told by its number and the one key that it then has."""
+        pairs = zip(told[::2], told[1::2])
+        items = [{**self.whole["senders"][number], "keys": [key]} for number, key in pairs]
+        return {"upsert": {"senders": items}}
 
     # A change of one tenant must not read and check all tenants, routes and services.
     def test_a_change_of_one_tenant_reads_and_checks_few(self):
@@ -60,6 +62,23 @@
         self.send(20, {"remove": {"senders": [gone]}})
         self.assert_cheap()
 
+    # Keys that change hands, or are free again, must not cost a check of the whole.
+    def test_keys_that_change_hands_cost_as_little(self):
+        self.send(2, self.part(0, "first"))
+        self.send(3, self.part(1, "one", 2, "two"))
+        gone = self.whole["senders"][2]["name"]
+        steps = (
+            self.part(1, "two", 2, "one"),
+            self.part(2, "two", 1, "one"),
+            self.part(1, "free"),
+            self.part(3, "one"),
+            {"remove": {"senders": [gone]}},
+            self.part(4, "two"),
+        )
+        for edition, told in enumerate(steps, 4):
+            self.send(edition, told)
+            self.assert_cheap()
+
     # Nor must a whole configuration in which one tenant differs.
     def test_a_whole_configuration_with_one_change_checks_few(self):
         self.send(2, self.part(0, "first"))
