--- a/libs/simulation/src/simulation/platform_callers.py
+++ b/libs/simulation/src/simulation/platform_callers.py
@@ -21,6 +21,7 @@
     headers: tuple = ()
     events: int = 0
     deadlineMs: int = 20000
+    key: str = ""
 
 
 @dataclass
@@ -74,6 +75,7 @@
         f"Host: {request.host}",
         f"X-Try-Id: {id_}",
         f"X-Deadline-Ms: {request.deadlineMs}",
+        *([f"X-Credential: {request.key}"] if request.key else []),
         *request.headers,
     ]
     return "\r\n".join(head).encode() + _body(request.body)
--- a/libs/simulation/src/simulation/platform_engine.py
+++ b/libs/simulation/src/simulation/platform_engine.py
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True)
 class Asked:
-    """A request, as an engine reads it."""
+    """A request, as an engine reads it.  `sender`: the tenant it is told of, if any."""
 
     id: str
     method: str
@@ -70,6 +70,7 @@
     rank: int
     after: int
     end_ms: float
+    sender: str | None = None
 
 
 @dataclass
--- a/libs/simulation/src/simulation/platform_serving.py
+++ b/libs/simulation/src/simulation/platform_serving.py
@@ -118,6 +118,8 @@
 
     def _request(self, handler, body):
         asked = _asked(handler)
+        if "X-Credential" in handler.headers:
+            self.engine.wrong.append((now_ms(), "was told a key", asked.id))
         fault = self.faults.popleft() if self.faults else None
         if fault is platform_faults.Fault.RESET_UNRUN:
             return platform_faults.reset(handler)
@@ -216,4 +218,5 @@
         int(head.get("X-Mail-Class", 5)),
         int(head.get("Last-Event-Id", 0)),
         now_ms() + int(head.get("X-Deadline-Ms", 30000)),
+        ",".join(head.get_all("X-Sender")) if "X-Sender" in head else None,
     )
