--- /dev/null
+++ b/libs/configuration/src/configuration/judging.py
@@ -0,0 +1,64 @@
+"""Whether an operator's wish fits the present registry: a rule for each verb."""
+
+from transport.failures import FieldWrong, LayoutWrong, NotFound, StampStale, WrongPartner
+
+from configuration import documents, engine_list, merging, passages
+from configuration.views import zone_names
+
+__all__ = ["judged"]
+
+
+def judged(registry, verb, body):
+    """(what to log or None if nothing changes, None) or (None, failure)."""
+    expected = body.get("expect")
+    if expected is not None and (not isinstance(expected, int) or isinstance(expected, bool)):
+        return None, FieldWrong("expect", "not a whole number")
+    rule = {
+        "layout": _layout,
+        "zone": _zone,
+        "engines": engine_list.judged,
+        "written": _written,
+    }.get(verb)
+    if rule is None or (verb == "written" and registry.reader is None):
+        return None, NotFound(verb)
+    return rule(registry, body, expected)
+
+
+def _written(registry, body, expected):
+    told, failure = documents.judged(registry.reader, registry.document, body, registry.checked)
+    return (None, failure) if failure else ({"k": "written", **told}, None)
+
+
+def _layout(registry, body, expected):
+    partner, section = body.get("partner"), body.get("section")
+    if not isinstance(partner, str) or not partner:
+        return None, FieldWrong("partner", "missing")
+    if registry.reader is not None and partner == passages.OWNER:
+        return None, FieldWrong("partner", "kept for the written configuration")
+    actor = body.get("actor")
+    if actor != partner:
+        return None, WrongPartner(str(actor), partner)
+    current = registry.stamps.get(partner, 0)
+    if expected is not None and expected != current:
+        return None, StampStale(expected, current)
+    if body.get("partial"):
+        section = merging.patched(registry.sections.get(partner, {}), section)
+    checked, wrong = merging.whole(registry.sections, partner, section, zone_names(registry))
+    if wrong:
+        return None, LayoutWrong(tuple(wrong[:100]))
+    return {"k": "layout", "partner": partner, "section": checked}, None
+
+
+def _zone(registry, body, expected):
+    zone, evacuated = body.get("zone"), body.get("evacuated")
+    if not isinstance(evacuated, bool):
+        return None, FieldWrong("evacuated", "not true or false")
+    if not isinstance(zone, str) or zone not in zone_names(registry):
+        return None, FieldWrong("zone", f"unknown zone {zone}")
+    if (zone in registry.zones) == evacuated:
+        return None, None
+    if expected is not None and expected != registry.stamp:
+        return None, StampStale(expected, registry.stamp)
+    if body.get("since", registry.zoneStamps.get(zone, 0)) != registry.zoneStamps.get(zone, 0):
+        return None, StampStale(body["since"], registry.zoneStamps.get(zone, 0))
+    return {"k": "zone", "zone": zone, "evacuated": evacuated}, None
--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -12,11 +12,8 @@
 from transport.failures import (
     EditionAhead,
     FieldWrong,
-    LayoutWrong,
-    NotFound,
     RefusedBefore,
     StampStale,
-    WrongPartner,
     as_json,
 )
 
@@ -26,12 +23,12 @@
     document_changes,
     documents,
     earlier_records,
-    engine_list,
-    merging,
+    judging,
     passages,
 )
 from configuration.answers import Answers
 from configuration.checked_document import CheckedDocument
+from configuration.views import has_tenants, models, services, tenants, zone_names
 
 __all__ = [
     "Registry",
@@ -69,46 +66,6 @@
     checked: CheckedDocument | None = field(default=None, repr=False, compare=False)
 
 
-def services(registry):
-    """Every service by name, with its owner filled in."""
-    return _owned(registry, "services")
-
-
-def models(registry):
-    return _owned(registry, "models")
-
-
-def tenants(registry):
-    """Every tenant's facts (`passages`) by name; made once for each layout."""
-    if "tenants" not in registry.memo:
-        registry.memo["tenants"] = {
-            name: facts
-            for _, section in sorted(registry.sections.items())
-            for name, facts in section.get("tenants", {}).items()
-        }
-    return registry.memo["tenants"]
-
-
-def has_tenants(registry):
-    """Whether the configuration in force names tenants, and so asks for their keys."""
-    return bool(tenants(registry))
-
-
-def _owned(registry, part):
-    """Made once for each layout, since every task and every plan asks for it."""
-    if part not in registry.memo:
-        registry.memo[part] = {
-            name: {**facts, "partner": partner}
-            for partner, section in sorted(registry.sections.items())
-            for name, facts in section[part].items()
-        }
-    return registry.memo[part]
-
-
-def zone_names(registry):
-    return set(registry.zonesKnown) | {e["zone"] for e in registry.engines.values()}
-
-
 def replay(registry, records):
     """Apply many records; a written layout is read once, as it is after the last."""
     found = [_apply(registry, record) for record in records]
@@ -181,7 +138,7 @@
         return None, None, FieldWrong("change", "not a short text")
     if change and change in registry.changes:
         return None, *_told_before(registry.changes[change])
-    told, failure = _judged(registry, verb, body)
+    told, failure = judging.judged(registry, verb, body)
     if body.get("may_wait") and _is_ahead(failure):
         return None, None, EditionAhead(failure.expected, failure.current)
     stamp = registry.stamp + (told is not None)
@@ -215,61 +172,6 @@
     return json.dumps(told, separators=(",", ":")).encode()
 
 
-def _judged(registry, verb, body):
-    expected = body.get("expect")
-    if expected is not None and (not isinstance(expected, int) or isinstance(expected, bool)):
-        return None, FieldWrong("expect", "not a whole number")
-    rule = {
-        "layout": _layout,
-        "zone": _zone,
-        "engines": engine_list.judged,
-        "written": _written,
-    }.get(verb)
-    if rule is None or (verb == "written" and registry.reader is None):
-        return None, NotFound(verb)
-    return rule(registry, body, expected)
-
-
-def _written(registry, body, expected):
-    told, failure = documents.judged(registry.reader, registry.document, body, registry.checked)
-    return (None, failure) if failure else ({"k": "written", **told}, None)
-
-
-def _layout(registry, body, expected):
-    partner, section = body.get("partner"), body.get("section")
-    if not isinstance(partner, str) or not partner:
-        return None, FieldWrong("partner", "missing")
-    if registry.reader is not None and partner == passages.OWNER:
-        return None, FieldWrong("partner", "kept for the written configuration")
-    actor = body.get("actor")
-    if actor != partner:
-        return None, WrongPartner(str(actor), partner)
-    current = registry.stamps.get(partner, 0)
-    if expected is not None and expected != current:
-        return None, StampStale(expected, current)
-    if body.get("partial"):
-        section = merging.patched(registry.sections.get(partner, {}), section)
-    checked, wrong = merging.whole(registry.sections, partner, section, zone_names(registry))
-    if wrong:
-        return None, LayoutWrong(tuple(wrong[:100]))
-    return {"k": "layout", "partner": partner, "section": checked}, None
-
-
-def _zone(registry, body, expected):
-    zone, evacuated = body.get("zone"), body.get("evacuated")
-    if not isinstance(evacuated, bool):
-        return None, FieldWrong("evacuated", "not true or false")
-    if not isinstance(zone, str) or zone not in zone_names(registry):
-        return None, FieldWrong("zone", f"unknown zone {zone}")
-    if (zone in registry.zones) == evacuated:
-        return None, None
-    if expected is not None and expected != registry.stamp:
-        return None, StampStale(expected, registry.stamp)
-    if body.get("since", registry.zoneStamps.get(zone, 0)) != registry.zoneStamps.get(zone, 0):
-        return None, StampStale(body["since"], registry.zoneStamps.get(zone, 0))
-    return {"k": "zone", "zone": zone, "evacuated": evacuated}, None
-
-
 def dump(registry):
     """The registry as a checkpoint; a written layout is kept as its document only."""
     fields = {k: v for k, v in vars(registry).items() if k not in _NOT_DUMPED}
