--- /dev/null
+++ b/libs/quotas/src/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of tenants over all nodes: token buckets whose tokens are leased."""
--- /dev/null
+++ b/libs/quotas/src/quotas/bucket.py
@@ -0,0 +1,55 @@
+"""A token bucket: pure functions over a frozen value."""
+
+from dataclasses import dataclass
+
+__all__ = ["Bucket", "draw", "fill", "resize", "whole", "until_next_ms"]
+
+# What rounding may take off a whole token.
+_ROUNDING = 1e-6
+_LONGEST_MS = 60_000.0
+
+
+@dataclass(frozen=True)
+class Bucket:
+    """`tokens` were in it at `filled_ms`."""
+
+    tokens: float
+    filled_ms: float
+    capacity: float
+    rate_per_ms: float
+
+
+def fill(bucket, now_ms):
+    """The bucket as it is now; time never runs backwards."""
+    elapsed_ms = max(0.0, now_ms - bucket.filled_ms)
+    tokens = min(bucket.capacity, bucket.tokens + elapsed_ms * bucket.rate_per_ms)
+    return Bucket(tokens, bucket.filled_ms + elapsed_ms, bucket.capacity, bucket.rate_per_ms)
+
+
+def resize(bucket, now_ms, capacity, rate_per_ms):
+    """Other terms from now on: tokens over the new capacity are lost, none are added."""
+    if (bucket.capacity, bucket.rate_per_ms) == (capacity, rate_per_ms):
+        return fill(bucket, now_ms)
+    before = fill(bucket, now_ms)
+    return Bucket(min(before.tokens, capacity), before.filled_ms, capacity, rate_per_ms)
+
+
+def whole(bucket):
+    """How many whole tokens are in it."""
+    return int(bucket.tokens + _ROUNDING)
+
+
+def draw(bucket, count):
+    """The bucket after `count` tokens, at most the whole ones, were taken."""
+    left = max(0.0, bucket.tokens - count)
+    return Bucket(left, bucket.filled_ms, bucket.capacity, bucket.rate_per_ms)
+
+
+def until_next_ms(bucket):
+    """When the next whole token will be there, counted from `filled_ms`; 0 if one is."""
+    missing = 1.0 - bucket.tokens
+    if missing <= _ROUNDING:
+        return 0.0
+    if bucket.rate_per_ms <= 0:
+        return _LONGEST_MS
+    return min(_LONGEST_MS, missing / bucket.rate_per_ms)
--- /dev/null
+++ b/libs/quotas/src/quotas/standing.py
@@ -0,0 +1,98 @@
+"""Which part of every budget a depot may give out, if any.
+
+The parts of all depots that grant at one time never make up more than the whole:
+
+- A depot grants while it is a member, by what it follows, and a majority's mark reached it
+  within `trust`.  One that was removed without knowing stops in that time.
+- A newcomer grants nothing for `trust` after it first saw itself among the members, in
+  each of its lives.  A founder waits for nothing: nobody's place was given to it.  In the
+  life in which it founded the group its buckets are full: nothing was ever given out.
+- Fewer members mean a larger part, which one that was removed may still hold a piece of:
+  for `trust`, the largest membership seen counts.  One that has just started takes it that
+  the membership was larger by one before.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Share", "Standing", "observe", "share"]
+
+_ALWAYS_MS = -1e12
+
+
+@dataclass(frozen=True)
+class Share:
+    """One part in `parts` of every budget, filled since `since_ms`."""
+
+    parts: int
+    since_ms: float
+
+
+@dataclass(frozen=True)
+class _Count:
+    """How many members have to be counted, until `until_ms`."""
+
+    members: int
+    until_ms: float
+
+
+@dataclass
+class Standing:
+    """`restarted`: this depot began its life with a group on its disk.  `depots`: how many
+    members there should be."""
+
+    identity: str
+    trust_ms: float
+    depots: int
+    restarted: bool = False
+    joined: bool = False
+    members: frozenset = frozenset()
+    since_ms: float | None = None
+    earlier: list = field(default_factory=list)
+
+
+def observe(standing, now_ms, members, founders):
+    """Note the committed membership, as this depot follows it, and who founded the group,
+    all given as identities."""
+    members = frozenset(members)
+    if not members:
+        return
+    if members != standing.members:
+        _count(standing, now_ms, _counted(standing, members))
+        standing.members = members
+    if standing.identity not in members:
+        standing.since_ms = None
+    elif standing.since_ms is None:
+        standing.since_ms = _since_ms(standing, now_ms, founders)
+        standing.joined = True
+
+
+def _since_ms(standing, now_ms, founders):
+    if standing.joined or standing.identity not in founders:
+        return now_ms + standing.trust_ms
+    return now_ms if standing.restarted else _ALWAYS_MS
+
+
+def _counted(standing, after):
+    """The members to be counted after a change; one that was seen only in part counts all
+    of them, and one that may have been before a restart as if there had been one more."""
+    before = standing.members
+    if not before:
+        return standing.depots + standing.restarted
+    if len(before ^ after) <= 1:
+        return len(before)
+    return len(before | after)
+
+
+def _count(standing, now_ms, members):
+    standing.earlier = [count for count in standing.earlier if count.until_ms > now_ms]
+    standing.earlier.append(_Count(members, now_ms + standing.trust_ms))
+
+
+def share(standing, now_ms, mark_age_ms):
+    """The Share that may be granted now, or None."""
+    if standing.since_ms is None or now_ms < standing.since_ms:
+        return None
+    if mark_age_ms >= standing.trust_ms:
+        return None
+    earlier = [count.members for count in standing.earlier if count.until_ms > now_ms]
+    return Share(max([len(standing.members), *earlier]), standing.since_ms)
--- /dev/null
+++ b/libs/quotas/src/quotas/terms.py
@@ -0,0 +1,50 @@
+"""The promise about tenants' limits, and what follows from it.
+
+Over every window, the requests of a tenant that are sent and run in it number at most
+(rate x window + burst) x (1 + overrun) + allowance.  Half of the overrun and of the
+allowance is a margin; the rest pays for leases and makes the buckets larger.
+"""
+
+from dataclasses import dataclass
+
+__all__ = ["Limit", "Terms", "bound", "capacity", "lease_ms"]
+
+_SHORTEST_LEASE_MS = 50.0
+
+
+@dataclass(frozen=True)
+class Terms:
+    """`trust_ms`: how long a depot goes on granting after the last mark of a majority, and
+    how long a newcomer waits.  `silent_ms`: how long an ask may be unanswered."""
+
+    window_ms: float
+    overrun: float
+    allowance: float
+    trust_ms: float
+    silent_ms: float
+
+
+@dataclass(frozen=True)
+class Limit:
+    """A tenant's limit in one version of the configuration."""
+
+    tenant: str
+    version: int
+    rate_per_s: float
+    burst: float
+
+
+def lease_ms(terms):
+    """How long leased tokens may be spent, counted from before they were asked for."""
+    return max(_SHORTEST_LEASE_MS, terms.overrun * terms.window_ms / 2)
+
+
+def capacity(terms, burst):
+    """The size of a tenant's bucket, over all depots."""
+    return burst + (terms.overrun * burst + terms.allowance) / 2
+
+
+def bound(terms, rate_per_s, burst):
+    """The most requests that may be sent and run within one window."""
+    within = rate_per_s * terms.window_ms / 1000 + burst
+    return within * (1 + terms.overrun) + terms.allowance
--- a/libs/transport/src/transport/messages.py
+++ b/libs/transport/src/transport/messages.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from transport.quota_messages import QuotaAsk, QuotaGrant
 from transport.replication_messages import (
     AppendEntries,
     AppendReply,
@@ -226,6 +227,8 @@
     ReplicaChunkReply,
     FeedChunkReply,
     ShardChunkReply,
+    QuotaAsk,
+    QuotaGrant,
 )
 KIND_OF = {kind: number for number, kind in enumerate(_ALL, 1)}
 TYPE_OF = {number: kind for kind, number in KIND_OF.items()}
--- /dev/null
+++ b/libs/transport/src/transport/quota_messages.py
@@ -0,0 +1,44 @@
+"""How tenants' tokens are asked for and given out, in few bytes."""
+
+from dataclasses import dataclass
+
+__all__ = ["QuotaAsk", "QuotaGiven", "QuotaGrant", "QuotaWant"]
+
+
+@dataclass(frozen=True)
+class QuotaWant:
+    """Tokens for a tenant: `needed` by requests that wait, `ahead` for those to come.  The
+    limit is that of the configuration's `version` which the asker follows."""
+
+    tenant: str
+    version: int
+    ratePerS: float
+    burst: float
+    needed: int
+    ahead: int
+
+
+@dataclass(frozen=True)
+class QuotaAsk:
+    """`number` is the asker's own; without wants it only asks whether the depot gives any."""
+
+    number: int
+    wants: tuple[QuotaWant, ...]
+
+
+@dataclass(frozen=True)
+class QuotaGiven:
+    """`left` are in the bucket still; `wait_ms`: when to come back if too few were given."""
+
+    given: int
+    left: float
+    wait_ms: float
+
+
+@dataclass(frozen=True)
+class QuotaGrant:
+    """The answer to an ask, in the order of its wants; none if the depot may not give any."""
+
+    number: int
+    granting: bool
+    given: tuple[QuotaGiven, ...]
--- /dev/null
+++ b/tests/test_quota_mutants.py
@@ -0,0 +1,142 @@
+"""Each rule that keeps tenants' limits, switched off, breaks the bound on a simulated day that
+it holds on otherwise."""
+
+from quota_records import tenant
+from quota_world import World
+from quotas import bucket as buckets
+from quotas import granting, spending, standing
+from testtools import TestCase
+from testtools.matchers import GreaterThan, LessThan
+
+
+class Mutants(TestCase):
+    def check(self, day, *mutants):
+        self.assertThat(over(day()), LessThan(1e-9))
+        for target, name, mutant in mutants:
+            self.patch(target, name, mutant)
+        self.assertThat(over(day()), GreaterThan(0))
+
+    # QUOTA: a node that was idle spent what it had been leased long ago.
+    def test_leases_without_an_end(self):
+        self.check(load_that_moves, (spending, "_lasts", lambda lease, now_ms: True))
+
+    # QUOTA: answers that were held up came all at once and counted in full.
+    def test_leases_that_begin_when_the_grant_comes(self):
+        self.check(held_up, (spending, "_lease_end_ms", lambda state, sent: 1e12))
+
+    # QUOTA: a doubled answer was spent twice.
+    def test_a_grant_that_counts_each_time_it_comes(self):
+        class Kept(dict):
+            def pop(self, number, *default):
+                return self.get(number, *default)
+
+        def take_twice(state, *facts):
+            state.sent = Kept(state.sent)
+            return true_on_grant(state, *facts)
+
+        true_on_grant = spending.on_grant
+        self.check(
+            doubled_grants,
+            (spending, "on_grant", take_twice),
+            (spending, "_no_longer_asked", lambda state, sent: None),
+        )
+
+    # QUOTA: a depot that restarted gave out its bucket again.
+    def test_a_bucket_that_is_full_after_a_restart(self):
+        self.check(restarts, (standing, "_since_ms", lambda *facts: -1e12))
+
+    # QUOTA: a successor granted beside the depot that was removed without knowing.
+    def test_a_newcomer_that_does_not_wait(self):
+        self.check(replaced, (standing, "_since_ms", lambda stands, now_ms, founders: now_ms))
+
+    # QUOTA: a depot that was removed without knowing granted for ever.
+    def test_a_depot_that_grants_without_marks(self):
+        def always(stands, now_ms, mark_age_ms):
+            return true_share(stands, now_ms, 0.0)
+
+        true_share = standing.share
+        self.check(replaced, (standing, "share", always))
+
+    # QUOTA: fewer members took larger parts while one that was removed held its own.
+    def test_a_part_that_grows_as_soon_as_the_group_is_smaller(self):
+        self.check(shrunk, (standing, "_counted", lambda stands, after: len(after)))
+
+    # QUOTA: a limit that was raised filled the bucket.
+    def test_a_raised_limit_that_fills_the_bucket(self):
+        def filled(bucket, now_ms, capacity, rate_per_ms):
+            if capacity == bucket.capacity:
+                return buckets.fill(bucket, now_ms)
+            return buckets.Bucket(capacity, now_ms, capacity, rate_per_ms)
+
+        self.check(raised, (granting.buckets, "resize", filled))
+
+
+def over(world):
+    """By how much the worst window of any tenant is over its bound."""
+    return max(world.worst(name)[0] for name in world.tenants)
+
+
+def flood(rate=100, burst=10, load=400):
+    return {"flood": tenant("flood", rate, burst, load)}
+
+
+def load_that_moves():
+    """Clients go from some nodes to others, each of which keeps a lease; then to all."""
+    world = World(1, {"flood": tenant("flood", 300, 100, 250, (12_000.0, 17_000.0, 3.0))}, 128)
+    names = sorted(world.counters)
+
+    def callers_at(now_ms):
+        group = int((now_ms - 2000) / 625)
+        return names[8 * group : 8 * group + 8] if group < 16 else names
+
+    world.callers_at = callers_at
+    return world.run(17_000)
+
+
+def held_up():
+    world = World(2, flood(), 12)
+    world.held_up = (5000.0, 10_000.0)
+    return world.run(16_000)
+
+
+def doubled_grants():
+    world = World(2, flood(), 12)
+    world.doubled = 0.5
+    return world.run(12_000)
+
+
+def restarts():
+    world = World(3, flood(burst=100), 12)
+    for number, name in enumerate(sorted(world.depots)):
+        for start_ms in range(3000, 12_000, 700):
+            world.at(start_ms + number, world.restart_depot, name)
+    return world.run(12_000)
+
+
+def replaced():
+    """A depot is cut off and goes on granting beside its successor."""
+    world = World(4, flood(load=200), 12, 3)
+    world.asks_all_depots = True
+    world.at(5000.0, world.cut_off_group.add, "d0")
+    world.at(5100.0, world.set_members, "d1", "d2")
+    world.at(5200.0, world.set_members, "d1", "d2", "new")
+    return world.run(20_000)
+
+
+def shrunk():
+    """A depot is cut off and goes on granting beside those that are left."""
+    world = World(5, flood(load=200), 12, 3)
+    world.asks_all_depots = True
+    world.at(5000.0, world.cut_off_group.add, "d0")
+    world.at(5100.0, world.set_members, "d1", "d2")
+    return world.run(14_000)
+
+
+def raised():
+    """A limit that is changed to and fro by a little."""
+    world = World(6, flood(burst=100), 12)
+    for version in range(2, 30):
+        limit = world.tenants["flood"].limits[0][1]
+        changed = type(limit)("flood", version, 100, 100 + version % 2)
+        world.tenants["flood"].limits.append((3000.0 + 400 * version, changed))
+    return world.run(14_000)
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,96 @@
+"""Tenants' limits over many nodes: the exact count of every window against the bound,
+and what is refused against one exact counter."""
+
+import functools
+
+import quota_troubles
+from quota_records import tenant
+from quota_world import World
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+SEEDS = 8
+
+
+@functools.cache
+def calm_day(seed):
+    return quota_troubles.calm_day(seed, counters=40)
+
+
+class PlainCounter:
+    """One exact counter for all nodes: requests as they come, by the limit alone."""
+
+    def __init__(self, limit):
+        self.limit, self.tokens, self.at_ms = limit, float(limit.burst), 0.0
+
+    def lets_in(self, now_ms):
+        filled = self.tokens + (now_ms - self.at_ms) * self.limit.rate_per_s / 1000
+        self.tokens, self.at_ms = min(self.limit.burst, filled), now_ms
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+def wrongly_refused(world, name):
+    """(refused though one exact counter lets them in, all that it lets in)."""
+    counter = PlainCounter(world.tenants[name].limit(0.0))
+    owed = [r for r in world.requests if r.tenant == name and counter.lets_in(r.sent_ms)]
+    return sum(r.outcome != "run" for r in owed), len(owed)
+
+
+class Bound(TestCase):
+    # QUOTA: a tenant got more than its limit.
+    def test_no_window_is_over_the_bound_in_any_trouble(self):
+        for seed in range(SEEDS):
+            self.assertThat(quota_troubles.troubled_day(seed).broken(), Equals({}), seed)
+
+    # QUOTA: a tenant got more than its limit.
+    def test_no_window_is_over_the_bound_in_a_calm(self):
+        for seed in range(2):
+            self.assertThat(calm_day(seed).broken(), Equals({}), seed)
+
+
+class Refusals(TestCase):
+    # SHORT: requests below a tenant's limit were refused.
+    def test_a_lone_tenant_below_its_limit_is_refused_nothing(self):
+        for seed, (load, burst) in enumerate([(0.3, 1), (2, 3), (20, 8), (80, 20)]):
+            world = World(seed, {"lone": tenant("lone", 1.6 * load, burst, load)}, 40)
+            world.run(quota_troubles.DAY_MS)
+            refused, owed = wrongly_refused(world, "lone")
+            self.assertThat(owed, GreaterThan(0))
+            self.assertThat(refused, Equals(0), (load, burst))
+
+    # SHORT: requests below a tenant's limit were refused.
+    def test_tenants_below_their_limit_beside_a_flood(self):
+        refused = owed = 0
+        for seed in range(2):
+            world = calm_day(seed)
+            for name in quota_troubles.CALM:
+                found = wrongly_refused(world, name)
+                refused, owed = refused + found[0], owed + found[1]
+        self.assertThat(refused, LessThan(0.005 * owed))
+
+    # SHORT: a tenant over its limit got less than the limit.
+    def test_a_flooding_tenant_gets_what_its_limit_allows(self):
+        for seed in range(2):
+            world = calm_day(seed)
+            refused, owed = wrongly_refused(world, "hot0")
+            run = sum(r.outcome == "run" for r in world.requests if r.tenant == "hot0")
+            self.assertThat(owed, GreaterThan(0))
+            self.assertThat(run, GreaterThan(0.98 * owed))
+
+    def test_a_refusal_comes_within_a_few_round_trips(self):
+        world = calm_day(1)
+        spans = [r.ended_ms - r.sent_ms for r in world.requests if r.outcome == "refused"]
+        self.assertThat(len(spans), GreaterThan(500))
+        self.assertThat(max(spans), LessThan(3.0 + 2 * 6 * 0.9))
+
+    def test_a_depot_that_is_lost_delays_few_requests_and_refuses_none(self):
+        world = World(3, {"lone": tenant("lone", 40, 8, 20)}, 10)
+        world.at(8000.0, world.stop_depot, "d1")
+        world.run(quota_troubles.DAY_MS)
+        slow = [r for r in world.requests if r.ended_ms - r.sent_ms > 100]
+        self.assertThat(world.share("refused", {"lone"}), Equals(0))
+        self.assertThat(len(slow), LessThan(10 * 3))
+        self.assertThat(max(r.ended_ms - r.sent_ms for r in slow), LessThan(200))
