--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -33,6 +33,7 @@
     "replay",
     "services",
     "models",
+    "tenants",
     "zone_names",
     "VERBS",
 ]
@@ -67,6 +68,17 @@
     return _owned(registry, "models")
 
 
+def tenants(registry):
+    """Every tenant by name, made once for each configuration."""
+    if "tenants" not in registry.memo:
+        registry.memo["tenants"] = {
+            name: facts
+            for _, section in sorted(registry.sections.items())
+            for name, facts in section.get("tenants", {}).items()
+        }
+    return registry.memo["tenants"]
+
+
 def _owned(registry, part):
     """Made once for each layout, since every task and every plan asks for it."""
     if part not in registry.memo:
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -10,11 +10,12 @@
 
 from marshmallow import RAISE, Schema, ValidationError, fields, validate, validates_schema
 from placement import state as dispatching
+from quotas import terms as quota_terms
 from replication.group import Times
 from routing import router
 from transport import failures
 
-__all__ = ["Config", "read", "check", "times", "terms", "routing", "Bounds"]
+__all__ = ["Config", "read", "check", "times", "terms", "routing", "quotas", "Bounds"]
 
 _ADDRESS = validate.Regexp(
     r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$",
@@ -24,6 +25,9 @@
 # How long a depot that is told to stop may wait to be replaced: part of the platform's
 # patience, or as long as a stop takes anyway where none is told.
 _LEAVE, _LEAVE_MS = 0.6, 1000.0
+# How long a depot grants after the last mark of a majority, and how long it may leave an ask
+# for tenants' tokens unanswered, as parts of `serviceBackMs`.
+_TRUST, _SILENT = 2 / 3, 0.008
 _NAME = validate.Regexp(r"^[a-z0-9][a-z0-9._-]{0,62}$", error="not a name")
 
 
@@ -37,6 +41,9 @@
     turnMs: int = 0
     graceMs: int = 0
     answerMs: int = 0
+    quotaWindowMs: int = 5000
+    quotaOverrun: float = 0.1
+    quotaAllowance: float = 20.0
 
 
 @dataclass(frozen=True)
@@ -87,6 +94,9 @@
     turnMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
     graceMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
     answerMs = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
+    quotaWindowMs = fields.Integer(strict=True, load_default=5000, validate=validate.Range(min=100))
+    quotaOverrun = fields.Float(load_default=0.1, validate=validate.Range(min=0, max=10))
+    quotaAllowance = fields.Float(load_default=20.0, validate=validate.Range(min=0))
 
 
 class _ConfigSchema(_Strict):
@@ -227,3 +237,14 @@
         retryWindowMs=config.retryWindowMs or 0.8 * back_ms,
         leg_ms=10 * back_ms,
     )
+
+
+def quotas(config):
+    bounds = config.bounds
+    return quota_terms.Terms(
+        float(bounds.quotaWindowMs),
+        bounds.quotaOverrun,
+        bounds.quotaAllowance,
+        _TRUST * bounds.serviceBackMs,
+        _SILENT * bounds.serviceBackMs,
+    )
--- a/libs/pulleyhitch/src/pulleyhitch/introspection.py
+++ b/libs/pulleyhitch/src/pulleyhitch/introspection.py
@@ -7,6 +7,8 @@
 from replication import depot as depots
 from replication import follower as follows
 
+from pulleyhitch import quota_requests
+
 __all__ = ["all_of", "read", "fleet"]
 
 
@@ -34,6 +36,8 @@
         return {**head, "engines": _engines(node, name)}
     if what == "written":
         return {**head, "document": reg.document}
+    if what == "tenants":
+        return {**head, "tenants": quota_requests.described(node)}
     if what == "why":
         return {**head, "unmet": _unmet(node, name)}
     return {
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -17,7 +17,7 @@
 from transport import messages as m
 from transport.effects import Finished, Send
 
-from pulleyhitch import command_forwarding, operator_requests, shard_ownership
+from pulleyhitch import command_forwarding, operator_requests, quota_requests, shard_ownership
 from pulleyhitch import config as configs
 
 __all__ = ["Node", "make", "handle", "leader_of"]
@@ -55,6 +55,7 @@
     owners: shard_ownership.ShardOwnership
     router: router.Router
     operator: operator_requests.OperatorRequests
+    quotas: quota_requests.Quotas
     depot: object = None
     times: object = None
     terms: object = None
@@ -93,6 +94,7 @@
         shard_ownership.ShardOwnership(config.shards, config.zones, reader, config.provider),
         router.Router(configs.routing(config)),
         operator_requests.OperatorRequests(),
+        quota_requests.make(config, random.Random(seed + 1), group),
         times=times,
         terms=configs.terms(config),
     )
@@ -159,6 +161,7 @@
             lambda name, life: peer_table.lost(node.peers, now_ms, name, life),
         )
     effects += router.tick(node.router, now_ms, node.floor)
+    effects += quota_requests.tick(node, now_ms, operator_requests.crew)
     effects += _wake(node, now_ms)
     return effects + operator_requests.tick(node, now_ms)
 
@@ -240,6 +243,10 @@
         return shard_ownership.on_refused(node.owners, message)
     if isinstance(message, m.ShardChunk):
         return shard_ownership.on_chunk(node.owners, now_ms, sender, message, node.terms)
+    if isinstance(message, m.QuotaAsk):
+        return quota_requests.on_ask(node, now_ms, sender, message)
+    if isinstance(message, m.QuotaGrant):
+        return quota_requests.on_grant(node, now_ms, sender, message, operator_requests.crew)
     if isinstance(message, m.Command):
         return operator_requests.on_command(node, now_ms, message)
     if isinstance(message, m.CommandAnswer):
--- a/libs/pulleyhitch/src/pulleyhitch/operator_commands.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_commands.py
@@ -232,6 +232,15 @@
         return self._get("/operator/read/why?name=" + (self.argument("wish") or ""))
 
 
+class Tenants(_Asking):
+    name = "tenants"
+    description = "Each tenant's limit, and what this node granted, spent and refused."
+    options = [_NODE]
+
+    def handle(self):
+        return self._get("/operator/read/tenants")
+
+
 class Fleet(_Asking):
     name = "fleet"
     description = "Every node, as the log node sees it."
@@ -272,4 +281,4 @@
         )
 
 
-COMMANDS = (Layout, Render, Evacuate, Restore, Engines, Zones, Why, Fleet, Compare)
+COMMANDS = (Layout, Render, Evacuate, Restore, Engines, Zones, Why, Tenants, Fleet, Compare)
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -15,6 +15,8 @@
 from transport.effects import Reply, Send
 from transport.messages import Command
 
+from pulleyhitch import quota_requests
+
 __all__ = ["begin", "ready", "tell_wanted"]
 
 _OPENING = 2
@@ -53,7 +55,7 @@
         rank=task.rank,
         aimMs=task.aimMs,
     )
-    return router.begin(node.router, now_ms, node.floor, age_ms, crew, task)
+    return quota_requests.begin(node, now_ms, age_ms, crew, task)
 
 
 def _task(token, told, route, now_ms):
@@ -78,6 +80,7 @@
         tokens=told["tokens"],
         told=True,
         patience_ms=route.get("patienceMs") or float("inf"),
+        tenant=told.get("tenant", ""),
     )
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -1,6 +1,6 @@
 """The HTTP side of a node: callers (on counters) and operators (everywhere).
 
-    GET  /operator/read/<what>?name=      layout, zones, engines, why, holds
+    GET  /operator/read/<what>?name=      layout, zones, engines, why, holds, tenants
     POST /operator/layout                 {"partner", "section", "partial"?, "expect"?, "change"?}
     POST /operator/zone                   {"zone", "evacuated", ...}
     POST /operator/engines                {"engines": [...], ...}   from the platform
@@ -40,7 +40,7 @@
         Rule("/operator/believes", endpoint="believes", methods=["GET"]),
     ]
 )
-_READS = ("layout", "zones", "engines", "why", "holds")
+_READS = ("layout", "zones", "engines", "why", "holds", "tenants")
 _LAYOUT_BYTES = 8 << 20
 _PLATFORM = "platform"
 _TASKS = ("task", "route", "lookup")
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -24,6 +24,8 @@
     "Done",
     "Stay",
     "begin",
+    "admit",
+    "refuse",
     "ended",
     "wake",
     "tick",
@@ -72,9 +74,22 @@
         unlisted = _unlisted(floor, task)
         if unlisted is not None:
             return _fail(r, task, unlisted)
+    if task.awaiting_quota:
+        return []
+    return _go(r, now_ms, floor, crew, task)
+
+
+def admit(r, now_ms, floor, crew, task):
+    """A task that waited for a token of its tenant's limit has it."""
+    task.awaiting_quota = False
     return _go(r, now_ms, floor, crew, task)
 
 
+def refuse(r, task, failure):
+    """The final answer of a task that got no token."""
+    return _fail(r, task, failure)
+
+
 def _unlisted(floor, task):
     """What to tell a task whose model the configuration doesn't list, or None if it may go
     on.  A platform's caller may have it from a newer configuration, so it comes back later;
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -48,6 +48,8 @@
     told: bool = False
     tokens: tuple = ()
     patience_ms: float = float("inf")
+    tenant: str = ""
+    awaiting_quota: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/routing/src/routing/waiting_line.py
+++ b/libs/routing/src/routing/waiting_line.py
@@ -12,7 +12,15 @@
 
 from routing.tasks import Hold
 
-__all__ = ["dropped", "hold", "in_order", "is_open", "until_it_comes_ms", "wait_for_place"]
+__all__ = [
+    "await_quota",
+    "dropped",
+    "hold",
+    "in_order",
+    "is_open",
+    "until_it_comes_ms",
+    "wait_for_place",
+]
 
 # Parts of a task's time: how long it waits for a place, for its model, and for its model
 # while an engine is loading it.
@@ -26,7 +34,7 @@
 
 def is_open(r, task):
     """Whether one more may wait here; the lowest class is shut out first."""
-    waiting = sum(t.waiting for t in r.tasks.values())
+    waiting = sum(t.waiting or t.awaiting_quota for t in r.tasks.values())
     return waiting < r.terms.waiting_max * (1 - 0.25 * min(task.rank, 3))
 
 
@@ -41,13 +49,24 @@
     task.up, task.give_up_ms = True, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE))
 
 
+def _line_ends_ms(task, now_ms):
+    """When a task that is in line from now on gives up."""
+    if not task.told:
+        return task.end_ms
+    give_up_ms = task.since_ms + _IN_LINE * (task.end_ms - task.since_ms)
+    return max(now_ms, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE)))
+
+
+def await_quota(task, now_ms):
+    """Have a task wait for a token of its tenant's limit."""
+    task.awaiting_quota = True
+    task.give_up_ms = _line_ends_ms(task, now_ms)
+
+
 def hold(floor, task, now_ms):
     """Have a task wait for its model: the Hold for the holder of its service's shard."""
     task.waiting = True
-    task.give_up_ms = task.end_ms
-    if task.told:
-        give_up_ms = task.since_ms + _IN_LINE * (task.end_ms - task.since_ms)
-        task.give_up_ms = max(now_ms, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE)))
+    task.give_up_ms = _line_ends_ms(task, now_ms)
     body = {
         "id": task.id,
         "service": task.service,
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -26,6 +26,7 @@
     "NoRoom",
     "Stale",
     "NoHolder",
+    "QuotaExceeded",
     "OutcomeUnknown",
     "EditionAhead",
     "EngineFailed",
@@ -133,6 +134,14 @@
     cause: str
 
 
+@_kind("quota-exceeded", 429)
+class QuotaExceeded(Failure):
+    """The request is over its tenant's limit; `retryMs`: when the next one may be let in."""
+
+    tenant: str
+    retryMs: int
+
+
 @_kind("stale", 503)
 class Stale(Failure):
     """This node has not heard a confirmed mark lately and gives out no work."""
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -56,6 +56,18 @@
         with open(self.path, "wb") as file:
             file.write(data)
 
+    # QUOTA: a tenant got more than its limit.
+    def test_the_promise_about_limits_is_read_where_it_is_told(self):
+        self.write(TOLD)
+        plain = settings.read("counter").bounds
+        told = (plain.quotaWindowMs, plain.quotaOverrun, plain.quotaAllowance)
+        self.assertThat(told, Equals((5000, 0.1, 20.0)))
+        bounds = {"quotaWindowS": 2.5, "quotaOverrun": 0.2, "quotaAllowance": 30}
+        self.write({**TOLD, "bounds": {**TOLD["bounds"], **bounds}})
+        other = settings.read("counter").bounds
+        told = (other.quotaWindowMs, other.quotaOverrun, other.quotaAllowance)
+        self.assertThat(told, Equals((2500, 0.2, 30.0)))
+
     def test_good_ones(self):
         self.write(TOLD)
         found = settings.read("counter")
