--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -15,6 +15,8 @@
 from transport.effects import Reply, Send
 from transport.messages import Command
 
+from pulleyhitch import quota_requests
+
 __all__ = ["begin", "ready", "tell_wanted"]
 
 _OPENING = 2
@@ -60,7 +62,7 @@
         rank=task.rank,
         aimMs=task.aimMs,
     )
-    return router.begin(node.router, now_ms, node.floor, age_ms, crew, task)
+    return quota_requests.begin(node, now_ms, age_ms, crew, task)
 
 
 def _credential(told, route):
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -25,6 +25,8 @@
     "Done",
     "Stay",
     "begin",
+    "admit",
+    "refuse",
     "ended",
     "wake",
     "tick",
@@ -52,9 +54,22 @@
         failure = unlisted(floor, task)
         if failure is not None:
             return fail(r, task, failure)
+    if task.awaiting_quota:
+        return []
+    return _go(r, now_ms, floor, crew, task)
+
+
+def admit(r, now_ms, floor, crew, task):
+    """A task that waited for a token of its tenant's limit has it."""
+    task.awaiting_quota = False
     return _go(r, now_ms, floor, crew, task)
 
 
+def refuse(r, task, failure):
+    """The final answer of a task that got no token."""
+    return fail(r, task, failure)
+
+
 def _go(r, now_ms, floor, crew, task):
     """Give the task a leg, or a place in line, or its final answer."""
     unauthorized = tenants.judge(floor.registry, task)
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -55,6 +55,7 @@
     patience_ms: float = float("inf")
     credential: Credential | None = None
     tenant: str | None = None
+    awaiting_quota: bool = False
 
 
 @dataclass(frozen=True)
