--- a/tests/test_register_machine.py
+++ b/tests/test_register_machine.py
@@ -78,6 +78,14 @@
             "PATCH", {"edition": base + step, "upsert": {"services": [service]}, "remove": {}}, base
         )
 
+    @rule(seed=SEEDS, step=st.integers(1, 3), name=st.sampled_from(["a", "b", "c"]))
+    def tenants(self, seed, step, name):
+        """Operators who give tenants new keys, on a base that may name no tenants."""
+        base = self.operators.newest()
+        tenant = made.tenant(random.Random(seed), name)
+        told = {"edition": base + step, "upsert": {"senders": [tenant]}, "remove": {}}
+        self.send("PATCH", told, base)
+
     @rule(seed=SEEDS)
     def two_in_a_row(self, seed):
         """The second builds on the first, which isn't answered yet."""
