--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -12,7 +12,7 @@
 from placement import floor as floors
 from replication import depot as depots
 from replication import follower as follows
-from routing import engine_lives, router
+from routing import engine_lives, refusal_notes, router
 from transport import events as e
 from transport import messages as m
 from transport.effects import Finished, Send
@@ -160,6 +160,7 @@
         )
     effects += router.tick(node.router, now_ms, node.floor)
     effects += _wake(node, now_ms)
+    effects += refusal_notes.drain(node.router)
     return effects + operator_requests.tick(node, now_ms)
 
 
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -13,7 +13,14 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, engine_lives, engine_outcomes, retry_budget, waiting_line
+from routing import (
+    choice,
+    engine_lives,
+    engine_outcomes,
+    refusal_notes,
+    retry_budget,
+    waiting_line,
+)
 from routing.tasks import Done, Hold, Leg, Router, Stay, Task, Terms
 
 __all__ = [
@@ -94,6 +101,7 @@
     if now_ms >= task.end_ms:
         return _fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
     if task.sent >= task.tries:
+        refusal_notes.refused(r, now_ms, floor, task, "spent", crew)
         return _fail(r, task, _spent(task))
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
@@ -123,7 +131,9 @@
             task.give_up_ms = min(task.end_ms, now_ms + ready_ms + 2 * r.terms.pauseMs)
             return []
         retryMs = int(max(ready_ms, 1000 * (1 + task.rank)))
-        return _fail(r, task, failures.Overloaded(retryMs, "all-busy" if found else "no-engine"))
+        cause = "all-busy" if found else "no-engine"
+        refusal_notes.refused(r, now_ms, floor, task, cause, crew)
+        return _fail(r, task, failures.Overloaded(retryMs, cause))
     return _line_up(r, now_ms, floor, task)
 
 
@@ -212,6 +222,7 @@
             for_a_place = task.short or task.up
             if not for_a_place and now_ms < waiting_line.until_it_comes_ms(floor, task):
                 continue
+            refusal_notes.refused(r, now_ms, floor, task, "waited for a place or a model")
             effects += _fail(
                 r,
                 task,
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -102,3 +102,6 @@
     noticed_changes: int = -1
     outcomes: dict = field(default_factory=dict)
     untold_ends: dict = field(default_factory=dict)
+    refusal_notes: list = field(default_factory=list)
+    refusal_noted_ms: float = -1e12
+    refusals_unnoted: int = 0
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,7 @@
 from simulation import platform_made as made
 from simulation.platform_engine import Sizes, Store
 from simulation.platform_fleet import PlatformFleet
+from simulation.platform_logs import lines_of
 from simulation.platform_operator import Operator
 from simulation.platform_serving import now_ms
 from testtools import TestCase
@@ -109,13 +110,16 @@
         )
         for request, tries in zip(requests, found):
             self.sent |= {t.id for t in tries}
-            self.assertThat(
-                callers.wrong(request, tries[-1]),
-                Equals(""),
-                f"{request.kind} {[(t.status, t.body[:80]) for t in tries]}",
-            )
+            wrong = callers.wrong(request, tries[-1])
+            told = self.why_refused(request, tries) if wrong else ""
+            self.assertThat(wrong, Equals(""), told)
         return found
 
+    def why_refused(self, request, tries):
+        """What a request met at each try, and what the nodes noted of refusals."""
+        lines = [f"{request.kind} {request.headers}", *(f"{t.status} {t.body[:80]}" for t in tries)]
+        return "\n".join([*lines, *lines_of(self.fleet.folder, "refused")])
+
     def mixed(self, count):
         return [self.request(n % len(self.whole["routes"])) for n in range(count)]
 
--- /dev/null
+++ b/tests/test_refusal_notes.py
@@ -0,0 +1,141 @@
+"""A refusal for want of an engine leaves a line that tells what was known of each engine."""
+
+import random
+
+from adapter import configuration
+from configuration import registry as registries
+from placement import floor, ledger, world
+from routing import choice, refusal_notes, router
+from simulation import platform_made as made
+from simulation.placing import SHARDS, engine_facts
+from testtools import TestCase
+from testtools.matchers import ContainsDict, Equals
+from transport import failures
+
+TERMS = router.Terms(
+    staleMs=1e12,
+    ramp_ms=1000.0,
+    pauseMs=480.0,
+    retryRatio=1.0,
+    retryWindowMs=10000.0,
+    leg_ms=20000.0,
+    retryAllowance=50.0,
+)
+CREW = choice.Crew("c0", ("c0", "c1", "c2"), "z")
+DEADLINE_MS = 20000.0
+
+
+class Scene(TestCase):
+    """A counter, and two engines of which `e0` holds the model."""
+
+    def setUp(self):
+        super().setUp()
+        whole = made.configuration(random.Random(2), 1)
+        service = whole["services"][0]
+        self.service, self.model = service["name"], service["engine"]["parcels"][0]["name"]
+        self.floor = floor.Floor(SHARDS, reader=configuration.READER)
+        self.floor.registry.reader = configuration.READER
+        record, _, _ = registries.decide(
+            self.floor.registry, "written", {"expect": 0, "written": whole, "partial": False}
+        )
+        registries.apply(self.floor.registry, record)
+        for name in ("e0", "e1"):
+            self.floor.registry.engines[name] = engine_facts(name, self.service)
+        self.ledger = floor.ledger_of(self.floor, world.shard_of(self.service, SHARDS))
+        self.holds("e0")
+        self.router, self.now_ms, self.count = router.Router(TERMS), 1000.0, 0
+
+    def holds(self, engine):
+        """A report has shown the model on an engine."""
+        facts = {"state": "loaded", "mb": 1.0, "places": 0}
+        record = ledger.found_record(engine, "i0", {self.model: facts}, self.service)
+        ledger.apply(self.ledger, record)
+
+    def begin(self, tries=2):
+        self.count += 1
+        token = f"t{self.count}"
+        task = router.Task(
+            token,
+            token,
+            self.service,
+            self.model,
+            "",
+            "rank0",
+            "",
+            False,
+            True,
+            self.now_ms + DEADLINE_MS,
+            told=True,
+            tries=tries,
+            patience_ms=4800.0,
+        )
+        effects = router.begin(self.router, self.now_ms, self.floor, 0.0, CREW, task)
+        return token, [effect.outcome for effect in effects if hasattr(effect, "outcome")]
+
+    def ended(self, token, proof):
+        effects = router.ended(self.router, self.now_ms, self.floor, 0.0, CREW, token, proof)
+        return [effect.outcome for effect in effects if hasattr(effect, "outcome")]
+
+    def wait(self, span_ms, step_ms=40.0):
+        """Ticks as a node has them; the outcomes that they bring."""
+        outcomes, end_ms = [], self.now_ms + span_ms
+        while self.now_ms < end_ms:
+            self.now_ms += step_ms
+            effects = router.tick(self.router, self.now_ms, self.floor)
+            effects += router.wake(self.router, self.now_ms, self.floor, 0.0, CREW)
+            outcomes += [(e.token, e.outcome) for e in effects if hasattr(e, "outcome")]
+        return outcomes
+
+    def noted(self):
+        return [note.facts for note in refusal_notes.drain(self.router)]
+
+
+class Refused(Scene):
+    def engine(self, name):
+        (facts,) = self.noted()
+        return next(e for e in facts["engines"] if e["engine"] == name)
+
+    def test_all_places_taken(self):
+        while self.begin()[1]:
+            pass
+        ((_, refusal),) = self.wait(2000.0)
+        self.assertThat(refusal, Equals(failures.Overloaded(1000, "all-busy")))
+        engine = self.engine("e0")
+        self.assertThat(engine, ContainsDict({"has": Equals(True), "coldMs": Equals(0)}))
+        self.assertThat(engine["busy"], Equals(self.router.busy["e0"]))
+
+    def test_an_engine_that_broke(self):
+        """And another that holds the model as well, and has just refused."""
+        self.holds("e1")
+        tokens = {leg.engine: token for token, (leg,) in (self.begin() for _ in range(4))}
+        self.ended(tokens["e0"], "unknown")
+        self.now_ms += 40.0
+        (refusal,) = self.ended(tokens["e1"], "not-run")
+        self.assertThat(refusal.cause, Equals("all-busy"))
+        (facts,) = self.noted()
+        broke, refused = facts["engines"]
+        self.assertThat(broke, ContainsDict({"brokeMs": Equals(40), "limit": Equals(0)}))
+        self.assertThat(refused, ContainsDict({"avoidedMs": Equals(100)}))
+
+    def test_an_engine_that_refuses(self):
+        token, _ = self.begin(tries=1)
+        self.ended(token, "not-run")
+        (facts,) = self.noted()
+        self.assertThat(facts, ContainsDict({"cause": Equals("spent"), "legs": Equals(["e0"])}))
+
+    def test_what_the_others_are(self):
+        self.ledger.suspects["e1"] = True
+        token, _ = self.begin(tries=1)
+        self.ended(token, "not-run")
+        self.assertThat(
+            self.engine("e1"), ContainsDict({"suspect": Equals(True), "has": Equals(False)})
+        )
+
+    def test_one_line_in_a_while(self):
+        for expected, span_ms in ((1, 0.0), (0, 500.0), (1, 600.0)):
+            self.now_ms += span_ms
+            token, _ = self.begin(tries=1)
+            self.ended(token, "not-run")
+            notes = self.noted()
+            self.assertThat(len(notes), Equals(expected))
+        self.assertThat(notes[0]["unnoted"], Equals(1))
