--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -9,6 +9,7 @@
 import secrets
 import threading
 
+from routing import answers
 from routing.relaying import Relaying
 from transport import failures
 from transport.ends import hung_up
@@ -106,7 +107,7 @@
             response = Response(body, status, headers)
         else:
             response = self._relaying.serve(token, told, step, environ)
-        return response(environ, start_response)
+        return answers.given(response, environ, start_response)
 
 
 class OperatorGateway:
--- a/libs/routing/src/routing/answers.py
+++ b/libs/routing/src/routing/answers.py
@@ -3,7 +3,7 @@
 
 from werkzeug.wrappers import Response
 
-__all__ = ["CutOff", "Passing", "response", "streamed"]
+__all__ = ["CutOff", "Passing", "given", "response", "streamed"]
 
 _HOP = frozenset(
     (
@@ -72,3 +72,13 @@
         if isinstance(body, list):
             headers.append(("Content-Length", str(sum(map(len, body)))))
     return _Answer(body, f"{head.code} {head.reason}", headers, direct_passthrough=True)
+
+
+def given(made, environ, start_response):
+    """The parts of a response on their way to a caller.  One that can't be given, as one
+    whose head holds what no head may, is closed: its task is over."""
+    try:
+        return made(environ, start_response)
+    except BaseException:
+        made.close()
+        raise
--- a/tests/test_task_ends.py
+++ b/tests/test_task_ends.py
@@ -14,7 +14,7 @@
 from placement import floor
 from process_harness import lone_counter
 from pulleyhitch import config, server
-from routing import choice, passing, router
+from routing import answers, choice, passing, router
 from routing.legs import Ended
 from routing.passing import Head
 from routing.relaying import Relaying
@@ -89,6 +89,21 @@
         response.close()
         self.assertThat(self.ends, Equals(["gone"]))
 
+    # An engine's head that can't be passed on kept a place at that engine for ever.
+    def test_a_stream_that_cannot_be_given_ends(self):
+        for location in ("http://[", "http://h:99999999/"):
+            head = Head(200, "", (*OWN, ("Location", location)))
+            response = self.relay([("head", head), ("data", b"x")])
+            environ = EnvironBuilder().get_environ()
+            self.assertRaises(ValueError, answers.given, response, environ, lambda *told: None)
+            self.assertThat((self.ends, self.closed), Equals((["gone"], [True])))
+
+    def test_a_stream_that_is_given_goes_on(self):
+        response = self.relay([("head", Head(200, "", OWN)), ("data", b"x")])
+        parts = answers.given(response, EnvironBuilder().get_environ(), lambda *told: None)
+        self.assertThat((next(iter(parts)), self.ends), Equals((b"x", [])))
+        parts.close()
+
     def test_answers_without_a_body(self):
         """Neither a HEAD nor a 204 is a stream, whatever the route's kind."""
         for method, code in (("HEAD", 200), ("POST", 204), ("POST", 304)):
