--- a/libs/simulation/src/simulation/platform_engine.py
+++ b/libs/simulation/src/simulation/platform_engine.py
@@ -7,6 +7,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from simulation import platform_history as history
+
 __all__ = [
     "Sizes",
     "Store",
@@ -20,7 +22,6 @@
     "event_ms",
     "order",
     "report",
-    "parcels",
     "warm_left",
 ]
 
@@ -118,6 +119,7 @@
 
 def admit(e, now_ms, asked):
     """0 and a place in the queue, or a status that says that it has not run."""
+    history.begin(e)
     _advance(e, now_ms)
     if asked.engine not in ("", e.id) or e.state == "gone":
         return 421
@@ -132,6 +134,7 @@
         return 503
     e.waiting.append(asked)
     e.waiting.sort(key=lambda a: a.rank)
+    history.changed(e, now_ms)
     return 0
 
 
@@ -147,6 +150,7 @@
 
 def start(e, now_ms, asked):
     """It runs from now on; how many tokens of its prompt must be read."""
+    _advance(e, now_ms)
     e.waiting.remove(asked)
     e.running[id(asked)] = asked
     e.ran.append((now_ms, asked))
@@ -158,6 +162,7 @@
         e.kept.pop(key, None)
         e.kept[key] = tokens
     _give_way(e)
+    history.changed(e, now_ms)
     return missing
 
 
@@ -167,10 +172,13 @@
         del e.kept[next(iter(e.kept))]
 
 
-def finish(e, asked):
+def finish(e, now_ms, asked):
+    """It has ended, or waits no more."""
+    _advance(e, now_ms)
     if asked in e.waiting:
         e.waiting.remove(asked)
     e.running.pop(id(asked), None)
+    history.changed(e, now_ms)
 
 
 def read_ms(e, missing):
@@ -200,10 +208,12 @@
     else:
         e.items.pop(model, None)
         e.kept = {k: t for k, t in e.kept.items() if k[0] != model}
+    history.changed(e, e.done_ms if verb == "load" else now_ms)
 
 
 def order(e, now_ms, told, engine):
     """An order's status."""
+    history.begin(e)
     _advance(e, now_ms)
     verb, model, adapter = told.get("order"), told.get("parcel"), told.get("insert", "")
     if engine not in ("", e.id) or e.state == "gone":
@@ -228,6 +238,7 @@
         return 200
     e.callSeq += 1
     e.order, e.done_ms = (verb, model, adapter), now_ms + _took_ms(e, now_ms, verb, model, adapter)
+    history.changed(e, now_ms)
     return 202
 
 
@@ -258,31 +269,9 @@
     return took_ms
 
 
-def parcels(e):
-    return [
-        {"name": m, "edition": 1, "inserts": sorted(a)} for m, a in sorted(dict(e.items).items())
-    ]
-
-
 def report(e, now_ms):
-    """How things stood `lagMs` ago."""
+    """How things stood `lagMs` ago, however long nobody has asked."""
+    history.begin(e)
     _advance(e, now_ms)
-    e.reports.append(
-        (
-            now_ms,
-            {
-                "leg": "both",
-                "parcels": parcels(e),
-                "busy": bool(e.order),
-                "callSeq": e.callSeq,
-                "queued": len(e.waiting),
-                "inTransit": len(e.running),
-                "cacheUsed": sum(a.tokens for a in e.running.values()),
-                "cacheCapacity": e.sizes.cacheTokens,
-                "handles": 0,
-            },
-        )
-    )
-    old = [r for r in e.reports if r[0] <= now_ms - e.sizes.lagMs]
-    e.reports = old[-1:] + [r for r in e.reports if r[0] > now_ms - e.sizes.lagMs]
+    history.changed(e, now_ms)
     return e.reports[0][1]
--- a/libs/simulation/src/simulation/platform_serving.py
+++ b/libs/simulation/src/simulation/platform_serving.py
@@ -140,7 +140,7 @@
             return self._run(handler, asked, body, stamp, missing)
         finally:
             with self._changed:
-                core.finish(self.engine, asked)
+                core.finish(self.engine, now_ms(), asked)
                 self._changed.notify_all()
 
     def _begin(self, asked):
--- a/libs/simulation/src/simulation/platform_standin.py
+++ b/libs/simulation/src/simulation/platform_standin.py
@@ -6,6 +6,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from simulation import platform_engine as core
+from simulation.platform_history import parcels
 from simulation.platform_serving import Answering, EngineDoor, now_ms, reply
 
 __all__ = ["Platform"]
@@ -93,5 +94,5 @@
         "state": state,
         "warmupLeftMs": int(core.warm_left(engine, now_ms)),
         "leg": "both",
-        "parcels": core.parcels(engine),
+        "parcels": parcels(engine),
     }
