--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -103,9 +103,9 @@
 
 def _pause(p, engine, service, terms):
     """How long to wait between reports; where orders tell their own end, reports are
-    only for what was left in doubt."""
+    only for what was left in doubt, or for what the last one lacked."""
     view = engine_view.view_of(p, engine["name"])
-    if not service.get("byDemand") or not engine_view.count_known(view):
+    if not service.get("byDemand") or not engine_view.count_known(view) or view.missing_ms:
         return terms.report_ms
     if any(
         e["state"] == "unknown"
