--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -101,7 +101,7 @@
     if now_ms >= task.end_ms:
         return _fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
     if task.sent >= task.tries:
-        refusal_notes.refused(r, now_ms, floor, task, "spent", crew)
+        refusal_notes.refused(r, now_ms, floor, task, "engines-refused", crew)
         return _fail(r, task, _spent(task))
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
@@ -139,11 +139,12 @@
 
 
 def _spent(task):
-    """What is told of a task whose legs have all ended without an answer."""
+    """What is told of a task whose legs have all ended without an answer.  If none may have
+    run, each was refused by its engine, which needn't be busy: it may hold something else."""
     return (
         failures.OutcomeUnknown("leg-broken")
         if task.may_have_run
-        else (failures.Overloaded(1000, "all-busy"))
+        else (failures.Overloaded(1000, "engines-refused"))
     )
 
 
--- a/tests/test_refusal_notes.py
+++ b/tests/test_refusal_notes.py
@@ -117,11 +117,14 @@
         self.assertThat(broke, ContainsDict({"brokeMs": Equals(40), "limit": Equals(0)}))
         self.assertThat(refused, ContainsDict({"avoidedMs": Equals(100)}))
 
+    # It was told as "all-busy", which sent the search for the cause the wrong way.
     def test_an_engine_that_refuses(self):
         token, _ = self.begin(tries=1)
-        self.ended(token, "not-run")
+        (refusal,) = self.ended(token, "not-run")
+        self.assertThat(refusal, Equals(failures.Overloaded(1000, "engines-refused")))
         (facts,) = self.noted()
-        self.assertThat(facts, ContainsDict({"cause": Equals("spent"), "legs": Equals(["e0"])}))
+        self.assertThat(facts, ContainsDict({"cause": Equals(refusal.cause)}))
+        self.assertThat(facts["legs"], Equals(["e0"]))
 
     def test_what_the_others_are(self):
         self.ledger.suspects["e1"] = True
