--- a/libs/pulleyhitch/src/pulleyhitch/quota_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/quota_requests.py
@@ -12,7 +12,7 @@
 from quotas import standing as standings
 from quotas.terms import Limit
 from replication import follower as follows
-from routing import router, waiting_line
+from routing import final_answers, router, waiting_line
 from transport import failures
 from transport.effects import Note, Send
 from transport.messages import QuotaGrant
@@ -65,7 +65,7 @@
         if not waiting_line.is_open(node.router, task):
             spending.forget(node.quotas.spending, task.token)
             full = failures.Overloaded(_LINE_FULL_RETRY_MS, "line-full")
-            return effects + router.refuse(node.router, task, full)
+            return effects + final_answers.fail(node.router, task, full)
         waiting_line.await_quota(task, now_ms)
     else:
         effects += _decided(node, now_ms, crew, task, outcome)
@@ -114,7 +114,7 @@
     untold = node.quotas.untold
     untold[task.tenant] = untold.get(task.tenant, 0) + 1
     failure = failures.QuotaExceeded(task.tenant, int(outcome.retry_ms))
-    return router.refuse(node.router, task, failure)
+    return final_answers.fail(node.router, task, failure)
 
 
 def on_ask(node, now_ms, sender, message):
@@ -154,7 +154,7 @@
         if task is not None and now_ms >= task.give_up_ms:
             spending.forget(node.quotas.spending, token)
             unanswered = failures.Overloaded(_UNANSWERED_RETRY_MS, "no-quota-answer")
-            effects += router.refuse(node.router, task, unanswered)
+            effects += final_answers.fail(node.router, task, unanswered)
     return effects
 
 
--- a/tests/test_quota_wiring.py
+++ b/tests/test_quota_wiring.py
@@ -33,17 +33,25 @@
             "rank": 0,
             "split": [{"service": "plain", "weight": 1}],
             "tries": 3,
+            "public": True,
         }
     },
     "services": {"plain": {"kind": "plain"}},
     "models": {},
     "tenants": {
-        LIMITED: {"keys": [], "ratePerS": RATE, "burst": BURST, "rank": None},
-        UNLIMITED: {"keys": [], "ratePerS": 0, "burst": 0, "rank": None},
+        LIMITED: {"keys": [LIMITED], "ratePerS": RATE, "burst": BURST, "rank": None},
+        UNLIMITED: {"keys": [UNLIMITED], "ratePerS": 0, "burst": 0, "rank": None},
     },
 }
 
 
+def facts_of(token, tenant):
+    """A request as the platform's adapter tells it; each tenant's key is its name."""
+    found = {"id": token, "host": "h", "path": "/x", "deadlineMs": 30_000}
+    found |= {"model": "", "adapter": "", "opening": (), "tokens": ()}
+    return {**found, "key": tenant.encode()}
+
+
 class Wiring(TestCase):
     def setUp(self):
         super().setUp()
@@ -68,7 +76,13 @@
         """A caller's request comes in at a counter; its first answer is kept."""
         self.count += 1
         token, host = f"t{self.count}", self.world.hosts[counter]
-        told = {"id": token, "host": "h", "path": "/x", "deadlineMs": 30_000, "tenant": tenant}
+        told = {
+            "id": token,
+            "host": "h",
+            "path": "/x",
+            "deadlineMs": 30_000,
+            "key": tenant.encode(),
+        }
         told |= {"model": "", "adapter": "", "opening": (), "tokens": ()}
         request = Request(tenant, self.world.now_ms, counter)
         self.requests.append(request)
@@ -79,7 +93,7 @@
             self.outcomes[token] = outcome
 
         self.world.replies[(counter, host.life, token)] = answered
-        worlds.post(self.world, host, e.Asked(token, "passage", told))
+        worlds.post(self.world, host, e.Asked(token, "passage", facts_of(token, tenant)))
         return token
 
     def load(self, per_s, span_ms, seed=1):
@@ -119,10 +133,8 @@
 
     def test_an_ask_is_sent_in_the_turn_in_which_its_request_came(self):
         node = self.node("c0")
-        told = {"id": "x", "host": "h", "path": "/x", "deadlineMs": 30_000, "tenant": LIMITED}
-        told |= {"model": "", "adapter": "", "opening": (), "tokens": ()}
         now_ms = worlds.local(self.world, self.world.hosts["c0"])
-        effects = worlds.nodes.handle(node, now_ms, e.Asked("x", "passage", told))
+        effects = worlds.nodes.handle(node, now_ms, e.Asked("x", "passage", facts_of("x", LIMITED)))
         asks = [x for x in effects if isinstance(x, Send) and isinstance(x.message, QuotaAsk)]
         self.assertThat(len(asks), Equals(1))
 
