--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -13,7 +13,15 @@
 from transport import failures
 from transport.effects import Reply
 
-from routing import choice, engine_lives, engine_outcomes, retry_budget, tenants, waiting_line
+from routing import (
+    choice,
+    engine_lives,
+    engine_outcomes,
+    refusal_notes,
+    retry_budget,
+    tenants,
+    waiting_line,
+)
 from routing.final_answers import fail, leave_line, spent, unlisted
 from routing.tasks import Done, Leg, Router, Stay, Task, Terms
 
@@ -26,6 +34,7 @@
     "Stay",
     "begin",
     "admit",
+    "refuse",
     "ended",
     "wake",
     "tick",
@@ -59,11 +68,16 @@
 
 
 def admit(r, now_ms, floor, crew, task):
-    """A task that was held back has its token of its tenant's limit."""
+    """A task that waited for a token of its tenant's limit has it."""
     task.awaiting_quota = False
     return _go(r, now_ms, floor, crew, task)
 
 
+def refuse(r, task, failure):
+    """The final answer of a task that got no token."""
+    return fail(r, task, failure)
+
+
 def _go(r, now_ms, floor, crew, task):
     """Give the task a leg, or a place in line, or its final answer."""
     unauthorized = tenants.judge(floor.registry, task)
@@ -72,6 +86,7 @@
     if now_ms >= task.end_ms:
         return fail(r, task, failures.DeadlinePassed(1000, bool(task.legs)))
     if task.sent >= task.tries:
+        refusal_notes.refused(r, now_ms, floor, task, "engines-refused", crew)
         return fail(r, task, spent(task))
     item = item_name(task.model, task.adapter) if task.model else ""
     found = floors.engines_with(floor, task.service, item)
@@ -80,7 +95,8 @@
     best = choice.choose(r, now_ms, found, crew, task, task.rank, service)
     if best is not None:
         r.busy[best["name"]] = r.busy.get(best["name"], 0) + 1
-        task.legs.append(best["name"])
+        task.out = best["name"]
+        task.legs.append(task.out)
         task.sent += 1
         timeout_ms = min(r.terms.leg_ms, task.end_ms - now_ms)
         again = task.sent > 1
@@ -102,7 +118,9 @@
             task.give_up_ms = min(task.end_ms, now_ms + ready_ms + 2 * r.terms.pauseMs)
             return []
         retryMs = int(max(ready_ms, 1000 * (1 + task.rank)))
-        return fail(r, task, failures.Overloaded(retryMs, "all-busy" if found else "no-engine"))
+        cause = "all-busy" if found else "no-engine"
+        refusal_notes.refused(r, now_ms, floor, task, cause, crew)
+        return fail(r, task, failures.Overloaded(retryMs, cause))
     return _line_up(r, now_ms, floor, task)
 
 
@@ -183,6 +201,7 @@
             for_a_place = task.short or task.up
             if not for_a_place and now_ms < waiting_line.until_it_comes_ms(floor, task):
                 continue
+            refusal_notes.refused(r, now_ms, floor, task, "waited for a place or a model")
             effects += fail(
                 r,
                 task,
@@ -202,8 +221,8 @@
     task = r.tasks.get(token)
     if task is None:
         return [Reply(token, Done())]
-    if task.legs:
-        engine = task.legs[-1]
+    engine, task.out = task.out, ""
+    if engine:
         r.busy[engine] = max(0, r.busy.get(engine, 0) - 1)
         if not slow:
             engine_outcomes.note(r, now_ms, engine, proof)
@@ -218,8 +237,8 @@
         r.served += proof == "done"
         return [Reply(token, Done())] + leave_line(r, task, proof)
     task.may_have_run = task.may_have_run or proof == "unknown"
-    if task.legs:
-        task.avoid[task.legs[-1]] = now_ms + (_AVOID_MS.get(proof, 1e12) if task.told else 1e12)
+    if engine:
+        task.avoid[engine] = now_ms + (_AVOID_MS.get(proof, 1e12) if task.told else 1e12)
         if proof == "no-pipe" and task.told:
             task.sent -= 1
             return _go(r, now_ms, floor, crew, task)
--- a/tests/test_quota_wiring.py
+++ b/tests/test_quota_wiring.py
@@ -22,20 +22,18 @@
 LIMITED, UNLIMITED = "limited", "unlimited"
 RATE, BURST = 40.0, 8.0
 HELD_MS = 4000.0
+ROUTE = {
+    "host": "h",
+    "prefix": "/",
+    "kind": "safe",
+    "holdMs": HELD_MS,
+    "aimMs": 500.0,
+    "rank": 0,
+    "split": [{"service": "plain", "weight": 1}],
+    "tries": 3,
+}
 SECTION = {
-    "routes": {
-        "r": {
-            "host": "h",
-            "prefix": "/",
-            "kind": "safe",
-            "holdMs": HELD_MS,
-            "aimMs": 500.0,
-            "rank": 0,
-            "split": [{"service": "plain", "weight": 1}],
-            "tries": 3,
-            "public": True,
-        }
-    },
+    "routes": {"r": ROUTE, "open": {**ROUTE, "prefix": "/open/", "public": True}},
     "services": {"plain": {"kind": "plain"}},
     "models": {},
     "tenants": {
@@ -45,13 +43,6 @@
 }
 
 
-def facts_of(token, tenant):
-    """A request as the platform's adapter tells it; each tenant's key is its name."""
-    found = {"id": token, "host": "h", "path": "/x", "deadlineMs": 30_000}
-    found |= {"model": "", "adapter": "", "opening": (), "tokens": ()}
-    return {**found, "key": tenant.encode()}
-
-
 class Wiring(TestCase):
     def setUp(self):
         super().setUp()
@@ -72,17 +63,12 @@
     def node(self, name):
         return self.world.hosts[name].node
 
-    def ask(self, counter, tenant=LIMITED):
+    def ask(self, counter, tenant=LIMITED, path="/x"):
         """A caller's request comes in at a counter; its first answer is kept."""
         self.count += 1
         token, host = f"t{self.count}", self.world.hosts[counter]
-        told = {
-            "id": token,
-            "host": "h",
-            "path": "/x",
-            "deadlineMs": 30_000,
-            "key": tenant.encode(),
-        }
+        told = {"id": token, "host": "h", "path": path, "deadlineMs": 30_000}
+        told["key"] = tenant.encode()
         told |= {"model": "", "adapter": "", "opening": (), "tokens": ()}
         request = Request(tenant, self.world.now_ms, counter)
         self.requests.append(request)
@@ -93,7 +79,7 @@
             self.outcomes[token] = outcome
 
         self.world.replies[(counter, host.life, token)] = answered
-        worlds.post(self.world, host, e.Asked(token, "passage", facts_of(token, tenant)))
+        worlds.post(self.world, host, e.Asked(token, "passage", told))
         return token
 
     def load(self, per_s, span_ms, seed=1):
@@ -133,14 +119,16 @@
 
     def test_an_ask_is_sent_in_the_turn_in_which_its_request_came(self):
         node = self.node("c0")
+        told = {"id": "x", "host": "h", "path": "/x", "deadlineMs": 30_000, "key": LIMITED.encode()}
+        told |= {"model": "", "adapter": "", "opening": (), "tokens": ()}
         now_ms = worlds.local(self.world, self.world.hosts["c0"])
-        effects = worlds.nodes.handle(node, now_ms, e.Asked("x", "passage", facts_of("x", LIMITED)))
+        effects = worlds.nodes.handle(node, now_ms, e.Asked("x", "passage", told))
         asks = [x for x in effects if isinstance(x, Send) and isinstance(x.message, QuotaAsk)]
         self.assertThat(len(asks), Equals(1))
 
     def test_what_has_no_limit_asks_nobody(self):
-        for tenant in (UNLIMITED, "", "nobody"):
-            token = self.ask("c0", tenant)
+        for tenant, path in ((UNLIMITED, "/x"), ("", "/open/x"), ("nobody", "/open/x")):
+            token = self.ask("c0", tenant, path)
             self.assertIsInstance(self.outcomes[token], router.Leg)
         self.assertThat(self.node("c0").quotas.spending.sent, Equals({}))
 
