--- a/libs/pulleyhitch/src/pulleyhitch/introspection.py
+++ b/libs/pulleyhitch/src/pulleyhitch/introspection.py
@@ -127,7 +127,7 @@
         "router": {
             "busy": dict(sorted(node.router.busy.items())),
             "tasks": len(node.router.tasks),
-            "waiting": sum(t.waiting for t in node.router.tasks.values()),
+            "waiting": sum(t.waiting or t.awaiting_quota for t in node.router.tasks.values()),
             "served": node.router.served,
             "refused": node.router.refused,
             "retried": node.router.retried,
