--- a/libs/pulleyhitch/src/pulleyhitch/quota_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/quota_requests.py
@@ -105,7 +105,7 @@
 
 def _in_line(node):
     spends = node.quotas.spending
-    return [token for name in sorted(spends.lined) for token in spends.tenants[name].line]
+    return [one.token for name in sorted(spends.lined) for one in spends.tenants[name].line]
 
 
 def _decided(node, now_ms, crew, task, outcome):
--- a/libs/quotas/src/quotas/spending.py
+++ b/libs/quotas/src/quotas/spending.py
@@ -3,9 +3,12 @@
 A request takes a token that is leased here already, or waits in its tenant's line while a
 depot is asked.  It is refused once every depot that grants is known to have none.  A
 lease ends on this node's own clock, counted from before its ask was sent, so neither a
-late answer nor a node that was frozen makes it longer.
+late answer nor a node that was frozen makes it longer.  Only a request that had come in
+before the ask was sent may have its tokens later: they were given while it waited.
 """
 
+from collections import deque
+
 from transport.quota_messages import QuotaAsk, QuotaWant
 
 from quotas import demand as demands
@@ -21,6 +24,7 @@
     SentAsk,
     Spending,
     TenantLine,
+    Waiting,
 )
 
 __all__ = ["Asking", "Decision", "Granted", "Pending", "Refused", "Spending", "TenantLine"]
@@ -34,11 +38,11 @@
     """A request of a limited tenant has come in: Granted, Refused or Pending."""
     tenant = _tenant(state, limit)
     tenant.demand = demands.count(tenant.demand, now_ms)
-    if not tenant.line and _spend(tenant, now_ms):
+    if not tenant.line and _spend(tenant, now_ms, now_ms):
         return Granted()
     if not tenant.line and _exhausted(state, tenant, now_ms):
         return _refuse(state, tenant, now_ms)
-    tenant.line.append(token)
+    tenant.line.append(Waiting(token, now_ms))
     state.lined.add(limit.tenant)
     return Pending()
 
@@ -46,10 +50,10 @@
 def forget(state, token):
     """A request that waited is over: no token is spent on it."""
     for name in list(state.lined):
-        line = state.tenants[name].line
-        if token in line:
-            line.remove(token)
-        if not line:
+        tenant = state.tenants[name]
+        if any(waiting.token == token for waiting in tenant.line):
+            tenant.line = deque(w for w in tenant.line if w.token != token)
+        if not tenant.line:
             state.lined.discard(name)
 
 
@@ -68,7 +72,8 @@
         tenant.told[sent.to] = depot_choice.Told(now_ms, given.left, empty_until_ms)
         tenant.granted += given.given
         if given.given > 0:
-            tenant.leases.append(Lease(given.given, _lease_end_ms(state, sent)))
+            end_ms = _lease_end_ms(state, sent)
+            tenant.leases.append(Lease(given.given, end_ms, sent.sent_ms))
 
 
 def _lease_end_ms(state, sent):
@@ -92,12 +97,14 @@
     return tenant
 
 
-def _spend(tenant, now_ms):
-    """Spend a token of the lease that ends first, if there is one."""
-    tenant.leases = [x for x in tenant.leases if x.tokens > 0 and _lasts(x, now_ms)]
-    if not tenant.leases:
+def _spend(tenant, now_ms, came_ms):
+    """Spend a token of the lease that ends first on a request that came in at `came_ms`, if
+    there is one for it."""
+    tenant.leases = [x for x in tenant.leases if x.tokens > 0 and _is_of_use(tenant, x, now_ms)]
+    found = [x for x in tenant.leases if _lasts(x, now_ms) or came_ms <= x.asked_ms]
+    if not found:
         return False
-    min(tenant.leases, key=lambda lease: lease.end_ms).tokens -= 1
+    min(found, key=lambda lease: lease.end_ms).tokens -= 1
     tenant.spent += 1
     return True
 
@@ -106,6 +113,15 @@
     return now_ms < lease.end_ms
 
 
+def _is_of_use(tenant, lease, now_ms):
+    return _lasts(lease, now_ms) or _waits_since(tenant, lease.asked_ms)
+
+
+def _waits_since(tenant, asked_ms):
+    """Whether a request is in line that had come in when an ask was sent at `asked_ms`."""
+    return bool(tenant.line) and tenant.line[0].came_ms <= asked_ms
+
+
 def _exhausted(state, tenant, now_ms):
     """Whether there are depots that grant, and all of them said that they have no token."""
     if tenant.asked or depot_choice.is_away(state.depots):
@@ -126,10 +142,17 @@
             sent.given_up = True
             _take_back(state, sent)
             depot_choice.set_away(state.depots, sent.to, now_ms)
-        if sent.given_up and now_ms >= _lease_end_ms(state, sent):
+        if sent.given_up and _is_too_late(state, sent, now_ms):
             del state.sent[number]
 
 
+def _is_too_late(state, sent, now_ms):
+    """Whether nothing can be spent any more of what an ask may still bring."""
+    if now_ms < _lease_end_ms(state, sent):
+        return False
+    return not any(_waits_since(state.tenants[w.tenant], sent.sent_ms) for w in sent.wants)
+
+
 def _no_longer_asked(state, sent):
     if not sent.given_up:
         _take_back(state, sent)
@@ -144,12 +167,12 @@
     decisions = []
     for name in sorted(state.lined):
         tenant = state.tenants[name]
-        while tenant.line and _spend(tenant, now_ms):
-            decisions.append(Decision(tenant.line.popleft(), Granted()))
+        while tenant.line and _spend(tenant, now_ms, tenant.line[0].came_ms):
+            decisions.append(Decision(tenant.line.popleft().token, Granted()))
         if tenant.line and _exhausted(state, tenant, now_ms):
             while tenant.line:
                 refused = _refuse(state, tenant, now_ms)
-                decisions.append(Decision(tenant.line.popleft(), refused))
+                decisions.append(Decision(tenant.line.popleft().token, refused))
         if not tenant.line:
             state.lined.discard(name)
     return decisions
--- a/libs/quotas/src/quotas/spending_state.py
+++ b/libs/quotas/src/quotas/spending_state.py
@@ -10,7 +10,7 @@
 from quotas import terms as quota_terms
 
 __all__ = ["Asking", "Decision", "Granted", "Lease", "Pending", "Refused", "SentAsk"]
-__all__ += ["Spending", "TenantLine"]
+__all__ += ["Spending", "TenantLine", "Waiting"]
 
 
 @dataclass(frozen=True)
@@ -48,15 +48,26 @@
 
 @dataclass
 class Lease:
-    """Tokens that may be spent until `end_ms`."""
+    """Tokens that may be spent until `end_ms`, or by requests that had come in at
+    `asked_ms`, when they were asked for."""
 
     tokens: int
     end_ms: float
+    asked_ms: float
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A request in line, which came in at `came_ms`."""
+
+    token: str
+    came_ms: float
 
 
 @dataclass
 class SentAsk:
-    """An ask under way; one that is given up may still be answered within its lease."""
+    """An ask under way; one that is given up may still be answered within its lease, or
+    while a request waits that it was sent for."""
 
     to: str
     sent_ms: float
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -94,3 +94,27 @@
         self.assertThat(world.share("refused", {"lone"}), Equals(0))
         self.assertThat(len(slow), LessThan(10 * 3))
         self.assertThat(max(r.ended_ms - r.sent_ms for r in slow), LessThan(200))
+
+    # SHORT: answers that came later than a lease lasts served nobody, and used the limit up.
+    def test_requests_that_waited_are_let_in_by_late_answers(self):
+        for seed in range(3):
+            world = World(seed, {"lone": tenant("lone", 100, 50, 20)}, 5)
+            world.late, world.late_ms = 1.0, 400.0
+            world.run(10_000)
+            self.assertThat(world.share("run", {"lone"}), GreaterThan(0.98))
+            self.assertThat(world.broken(), Equals({}))
+
+    # SHORT: a node whose answers came late used up the limit that others were refused by.
+    def test_a_node_that_hears_late_leaves_the_others_their_tokens(self):
+        world = World(1, {"lone": tenant("lone", 32, 8, 20)}, 8)
+        true_deliver = world._deliver
+
+        def deliver(sender, to, message):
+            if to == "c0":
+                return world.after(300.0, true_deliver, sender, to, message)
+            true_deliver(sender, to, message)
+
+        world._deliver = deliver
+        world.run(quota_troubles.DAY_MS)
+        self.assertThat(world.share("refused", {"lone"}), LessThan(0.01))
+        self.assertThat(world.share("run", {"lone"}), GreaterThan(0.98))
