--- a/libs/quotas/src/quotas/spending.py
+++ b/libs/quotas/src/quotas/spending.py
@@ -69,7 +69,8 @@
         tenant = state.tenants[want.tenant]
         short = given.given < want.needed
         empty_until_ms = now_ms + given.wait_ms if short else 0.0
-        tenant.told[sent.to] = depot_choice.Told(now_ms, given.left, empty_until_ms)
+        if _is_like(tenant.limit, want.ratePerS, want.burst):
+            tenant.told[sent.to] = depot_choice.Told(now_ms, given.left, empty_until_ms)
         tenant.granted += given.given
         if given.given > 0:
             end_ms = _lease_end_ms(state, sent)
@@ -93,10 +94,21 @@
         turn = depot_choice.start(state.node, limit.tenant, len(state.depots.addresses))
         tenant = state.tenants[limit.tenant] = TenantLine(limit, turn)
     if limit.version >= tenant.limit.version:
-        tenant.limit = limit
+        _follow(tenant, limit)
     return tenant
 
 
+def _follow(tenant, limit):
+    """What depots said of another rate or burst tells nothing of when tokens come now."""
+    if not _is_like(tenant.limit, limit.rate_per_s, limit.burst):
+        tenant.told.clear()
+    tenant.limit = limit
+
+
+def _is_like(limit, rate_per_s, burst):
+    return (limit.rate_per_s, limit.burst) == (rate_per_s, burst)
+
+
 def _spend(tenant, now_ms, came_ms):
     """Spend a token of the lease that ends first on a request that came in at `came_ms`, if
     there is one for it."""
--- a/tests/test_quota_cores.py
+++ b/tests/test_quota_cores.py
@@ -9,8 +9,12 @@
 from quota_world import World
 from quotas import bucket as buckets
 from quotas import depot_choice, granting, spending, standing
+from quotas.terms import Limit
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
+from transport.quota_messages import QuotaGiven, QuotaGrant
+
+EMPTY_FOR_20_S = QuotaGiven(0, 0.0, 20_000.0)
 
 
 class Cores(TestCase):
@@ -65,6 +69,21 @@
         self.assertThat(state.tenants["a"].spent, Equals(0))
         self.assertThat(state.lined, Equals(set()))
 
+    # SHORT: a tenant whose limit was raised was refused for what depots had said before.
+    def test_what_depots_said_of_another_limit_counts_no_more(self):
+        state = spending.Spending("n", TERMS)
+        depot_choice.update(state.depots, ["only"])
+        spending.take(state, 0.0, tenant("a", 0.05, 1, 1).limit(0.0), "first")
+        _, asks = spending.advance(state, 0.0)
+        none_left = QuotaGrant(asks[0].ask.number, True, (EMPTY_FOR_20_S,))
+        spending.on_grant(state, 1.0, "only", none_left)
+        spending.advance(state, 1.0)
+        same = Limit("a", 2, 0.05, 1.0)
+        self.assertIsInstance(spending.take(state, 2.0, same, "same"), spending.Refused)
+        raised = Limit("a", 3, 100.0, 50.0)
+        self.assertThat(spending.take(state, 3.0, raised, "next"), Equals(spending.Pending()))
+        self.assertThat(len(spending.advance(state, 3.0)[1]), Equals(1))
+
     def test_full_buckets_are_dropped_when_there_are_too_many(self):
         self.patch(granting, "_MOST_BUCKETS", 10)
         state, share = granting.Granting(TERMS), standing.Share(1, -1e12)
