--- a/libs/quotas/src/quotas/granting.py
+++ b/libs/quotas/src/quotas/granting.py
@@ -14,7 +14,10 @@
 
 __all__ = ["Granting", "TenantBucket", "on_ask"]
 
-_MOST_BUCKETS = 4096
+# Half a kilobyte each.
+_MOST_BUCKETS = 1 << 14
+# How often buckets are looked through for some to drop.
+_LOOK_EVERY_MS = 1000.0
 # Tokens are leased ahead only out of what lies above this part of a bucket.
 _KEPT_FOR_WAITING = 0.5
 # How far asks that find nothing are spread over the tokens to come.
@@ -35,11 +38,13 @@
 
 @dataclass
 class Granting:
-    """`share`: the part of every budget that the buckets are made for."""
+    """`share`: the part of every budget that the buckets are made for; `looked_ms`: when
+    buckets to drop were last looked for."""
 
     terms: quota_terms.Terms
     share: standing.Share | None = None
     tenants: dict = field(default_factory=dict)
+    looked_ms: float = -1e12
 
 
 def on_ask(state, now_ms, ask, share):
@@ -92,7 +97,7 @@
     told = quota_terms.Limit(want.tenant, want.version, want.ratePerS, want.burst)
     held = state.tenants.get(want.tenant)
     if held is None:
-        if len(state.tenants) >= _MOST_BUCKETS and not _drop_full(state, now_ms):
+        if len(state.tenants) >= _MOST_BUCKETS and not _make_room(state, now_ms):
             return None
         held = state.tenants[want.tenant] = _first(state, now_ms, told, share)
     if told.version > held.limit.version:
@@ -113,6 +118,14 @@
     return capacity, limit.rate_per_s / 1000 / share.parts
 
 
+def _make_room(state, now_ms):
+    """Drop what may be dropped, unless that was done just before; say whether there was any."""
+    if now_ms - state.looked_ms < _LOOK_EVERY_MS:
+        return False
+    state.looked_ms = now_ms
+    return _drop_full(state, now_ms)
+
+
 def _drop_full(state, now_ms):
     """Drop the full buckets, which are the same when made anew; say whether there were any."""
     full = [name for name, held in state.tenants.items() if _is_full(held, now_ms)]
--- a/tests/test_quota_cores.py
+++ b/tests/test_quota_cores.py
@@ -12,7 +12,7 @@
 from quotas.terms import Limit
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
-from transport.quota_messages import QuotaGiven, QuotaGrant
+from transport.quota_messages import QuotaAsk, QuotaGiven, QuotaGrant, QuotaWant
 
 EMPTY_FOR_20_S = QuotaGiven(0, 0.0, 20_000.0)
 
@@ -69,6 +69,24 @@
         self.assertThat(state.tenants["a"].spent, Equals(0))
         self.assertThat(state.lined, Equals(set()))
 
+    # SHORT: with thousands of tenants, new ones were refused and each ask took a long look.
+    def test_thousands_of_tenants_are_granted_their_first_requests(self):
+        state, share = granting.Granting(TERMS), standing.Share(5, -1e12)
+        for number in range(6000):
+            want = QuotaWant(f"t{number}", 1, 0.01, 1.0, 1, 0)
+            grant = granting.on_ask(state, float(number), QuotaAsk(1, (want,)), share)
+            self.assertThat(grant.given[0].given, Equals(1))
+
+    def test_a_depot_without_room_looks_for_some_once_a_second(self):
+        self.patch(granting, "_MOST_BUCKETS", 10)
+        looks, true_drop = [], granting._drop_full
+        self.patch(granting, "_drop_full", lambda *facts: looks.append(1) or true_drop(*facts))
+        state, share = granting.Granting(TERMS), standing.Share(5, -1e12)
+        for number in range(300):
+            want = QuotaWant(f"t{number}", 1, 0.01, 1.0, 1, 0)
+            granting.on_ask(state, 10.0 * number, QuotaAsk(1, (want,)), share)
+        self.assertThat(len(looks), LessThan(4))
+
     # SHORT: a tenant whose limit was raised was refused for what depots had said before.
     def test_what_depots_said_of_another_limit_counts_no_more(self):
         state = spending.Spending("n", TERMS)
