--- a/libs/quotas/src/quotas/standing.py
+++ b/libs/quotas/src/quotas/standing.py
@@ -5,8 +5,9 @@
 - A depot grants while it is a member, by what it follows, and a majority's mark reached it
   within `trust`.  One that was removed without knowing stops in that time.
 - A newcomer grants nothing for `trust` after it first saw itself among the members, in
-  each of its lives.  A founder waits for nothing: nobody's place was given to it.  In the
-  life in which it founded the group its buckets are full: nothing was ever given out.
+  each of its lives.  A founder waits for nothing, as nobody's place was given to it, unless
+  it saw a membership without itself before.  In the life in which it founded the group its
+  buckets are full: nothing was ever given out.
 - Fewer members mean a larger part, which one that was removed may still hold a piece of:
   for `trust`, the largest membership seen counts.  One that has just started takes it that
   the membership was larger by one before.
@@ -38,13 +39,13 @@
 @dataclass
 class Standing:
     """`restarted`: this depot began its life with a group on its disk.  `depots`: how many
-    members there should be."""
+    members there should be.  `removed`: it has seen a membership without itself in this life."""
 
     identity: str
     trust_ms: float
     depots: int
     restarted: bool = False
-    joined: bool = False
+    removed: bool = False
     members: frozenset = frozenset()
     since_ms: float | None = None
     earlier: list = field(default_factory=list)
@@ -60,14 +61,13 @@
         _count(standing, now_ms, _counted(standing, members))
         standing.members = members
     if standing.identity not in members:
-        standing.since_ms = None
+        standing.since_ms, standing.removed = None, True
     elif standing.since_ms is None:
         standing.since_ms = _since_ms(standing, now_ms, founders)
-        standing.joined = True
 
 
 def _since_ms(standing, now_ms, founders):
-    if standing.joined or standing.identity not in founders:
+    if standing.removed or standing.identity not in founders:
         return now_ms + standing.trust_ms
     return now_ms if standing.restarted else _ALWAYS_MS
 
--- a/tests/test_quota_cores.py
+++ b/tests/test_quota_cores.py
@@ -128,6 +128,15 @@
         self.assertThat(ask(2.0, 2, 10.0, 100.0).capacity, Equals(5.0))
         self.assertThat(ask(3.0, 4, 10.0, 100.0).tokens, LessThan(3.0))
 
+    # QUOTA: a founder that was removed, restarted and was taken back granted at once.
+    def test_a_founder_that_is_taken_back_waits_as_a_newcomer_does(self):
+        founders = {f"d{number}" for number in range(5)}
+        stands = standing.Standing("d0", 1000.0, 5, restarted=True)
+        standing.observe(stands, 0.0, founders - {"d0"}, founders)
+        standing.observe(stands, 10.0, founders, founders)
+        self.assertThat(standing.share(stands, 1009.0, 0.0), Equals(None))
+        self.assertThat(standing.share(stands, 1010.0, 0.0), Equals(standing.Share(5, 1010.0)))
+
     def test_parts_never_make_up_more_than_the_whole(self):
         """Any order in which depots hear of any one-by-one changes, against a plain sum."""
         for seed in range(300):
