--- a/libs/quotas/src/quotas/depot_choice.py
+++ b/libs/quotas/src/quotas/depot_choice.py
@@ -9,11 +9,14 @@
 from dataclasses import dataclass, field
 
 __all__ = ["Depots", "Told", "answered", "candidates", "is_away", "next_ms", "pick"]
-__all__ += ["probes_due", "set_away", "start", "update"]
+__all__ += ["note_delay", "probes_due", "set_away", "silent_ms", "start", "update"]
 
 _PROBE_MS = 1000.0
 # For how long it counts what a depot said to have left.
 _REMEMBERED_MS = 1000.0
+# An ask may be unanswered for so many times as long as its depot's last answer took.
+_DELAYS = 1.5
+_LONGEST_SILENT_MS = 750.0
 
 
 @dataclass(frozen=True)
@@ -27,10 +30,12 @@
 
 @dataclass
 class Depots:
-    """`away`: when to probe each depot that is passed over."""
+    """`away`: when to probe each depot that is passed over; `delays_ms`: how long the last
+    answer of each took."""
 
     addresses: tuple = ()
     away: dict = field(default_factory=dict)
+    delays_ms: dict = field(default_factory=dict)
 
 
 def update(depots, addresses):
@@ -40,6 +45,7 @@
         return
     depots.addresses = found
     depots.away = {a: at_ms for a, at_ms in depots.away.items() if a in found}
+    depots.delays_ms = {a: ms for a, ms in depots.delays_ms.items() if a in found}
 
 
 def start(node, tenant, number):
@@ -55,6 +61,17 @@
         set_away(depots, address, now_ms)
 
 
+def note_delay(depots, address, delay_ms):
+    """A depot's answer has taken so long."""
+    depots.delays_ms[address] = delay_ms
+
+
+def silent_ms(depots, address, usual_ms):
+    """How long an ask may be unanswered until its depot counts as silent: longer for one
+    whose last answer came late, since asking others meanwhile draws more tokens."""
+    return max(usual_ms, min(_LONGEST_SILENT_MS, _DELAYS * depots.delays_ms.get(address, 0.0)))
+
+
 def set_away(depots, address, now_ms):
     """Pass a depot over until it answers a probe."""
     depots.away.setdefault(address, now_ms + _PROBE_MS)
--- a/libs/quotas/src/quotas/spending.py
+++ b/libs/quotas/src/quotas/spending.py
@@ -64,6 +64,7 @@
     sent = state.sent.pop(grant.number, None)
     if sent is None:
         return
+    depot_choice.note_delay(state.depots, sender, now_ms - sent.sent_ms)
     _no_longer_asked(state, sent)
     for want, given in zip(sent.wants, grant.given):
         tenant = state.tenants[want.tenant]
@@ -150,7 +151,8 @@
 def _give_up(state, now_ms):
     """Asks that are unanswered for too long: their depots are passed over."""
     for number, sent in list(state.sent.items()):
-        if not sent.given_up and now_ms - sent.sent_ms >= state.terms.silent_ms:
+        silent_ms = depot_choice.silent_ms(state.depots, sent.to, state.terms.silent_ms)
+        if not sent.given_up and now_ms - sent.sent_ms >= silent_ms:
             sent.given_up = True
             _take_back(state, sent)
             depot_choice.set_away(state.depots, sent.to, now_ms)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -118,3 +118,23 @@
         world.run(quota_troubles.DAY_MS)
         self.assertThat(world.share("refused", {"lone"}), LessThan(0.01))
         self.assertThat(world.share("run", {"lone"}), GreaterThan(0.98))
+
+    # SHORT: while answers were late, several depots were asked for each request, which used
+    # up the tenant's tokens.
+    def test_late_answers_do_not_use_the_limit_up(self):
+        world = World(1, {"lone": tenant("lone", 32, 32, 20)}, 12)
+        true_deliver = world._deliver
+
+        def deliver(sender, to, message):
+            if to in world.counters:
+                return world.after(350.0, true_deliver, sender, to, message)
+            true_deliver(sender, to, message)
+
+        world._deliver = deliver
+        world.run(20_000)
+        self.assertThat(world.share("run", {"lone"}), GreaterThan(0.99))
+        counters = [c.spending.tenants["lone"] for c in world.counters.values()]
+        drawn = sum(
+            held.given for d in world.depots.values() for held in d.granting.tenants.values()
+        )
+        self.assertThat(drawn, LessThan(1.5 * sum(line.spent for line in counters)))
