--- a/libs/placement/src/placement/floor.py
+++ b/libs/placement/src/placement/floor.py
@@ -12,12 +12,22 @@
 from placement import ledger as ledgers
 from placement import world
 
-__all__ = ["Floor", "on_news", "ledger_of", "engines_with", "incarnation", "servable"]
+__all__ = ["Floor", "LedgerNews", "on_news", "ledger_of", "engines_with", "incarnation", "servable"]
+
+
+@dataclass(frozen=True)
+class LedgerNews:
+    """News of ledgers only: its number among the floor's `changes`, and the engines that
+    its records are about.  All else on the floor is as it was before."""
+
+    number: int
+    engines: frozenset
 
 
 @dataclass
 class Floor:
-    """`changes` counts the news that changed anything here."""
+    """`changes` counts the news that changed anything here.  `ledger_news` is the latest,
+    or None if it was not of ledgers only."""
 
     shards: int
     zones: tuple = ()
@@ -25,22 +35,26 @@
     registry: registries.Registry = field(default_factory=registries.Registry)
     ledgers: dict = field(default_factory=dict)
     changes: int = 0
+    ledger_news: LedgerNews | None = None
 
 
 def on_news(floor, book, news):
     """Apply a follower's news; True if anything that routing looks at changed."""
     floor.changes += news.rebuilt or bool(news.sections)
+    floor.ledger_news = None
     if news.rebuilt:
         _rebuild(floor, book)
         return True
-    changes = []
+    changes, engines = [], set()
     for section in news.sections:
         if section.kind != state_machine.RECORDS:
             continue
         if section.shard == 0:
             changes += section.records
         for record in section.records if section.shard else ():
-            ledgers.apply(ledger_of(floor, section.shard), record)
+            engines.add(ledgers.apply(ledger_of(floor, section.shard), record))
+    if not changes:
+        floor.ledger_news = LedgerNews(floor.changes, frozenset(engines - {None}))
     registries.replay(floor.registry, changes)
     return bool(news.sections)
 
@@ -78,11 +92,12 @@
     return sound if sound or item else found
 
 
-def servable(floor):
+def servable(floor, names=None):
     """Engines that could serve something by now: plain ones that were reported,
-    others with something loaded."""
-    found = []
-    for engine in floor.registry.engines.values():
+    others with something loaded.  Of those named, or of all."""
+    engines, found = floor.registry.engines, []
+    for name in engines if names is None else names & engines.keys():
+        engine = engines[name]
         ledger = ledger_of(floor, world.shard_of(engine["service"], floor.shards))
         held = ledger.engines.get(engine["name"], {}).values()
         if engine["name"] in ledger.incarnations and (
--- a/libs/placement/src/placement/ledger.py
+++ b/libs/placement/src/placement/ledger.py
@@ -98,12 +98,13 @@
 
 
 def apply(ledger, record):
-    """What can't be read, or is of a later version's kind, changes nothing."""
+    """What can't be read, or is of a later version's kind, changes nothing.  Returns the
+    engine that the record is about, or None if it is about none."""
     try:
         told = json.loads(record)
         kind = told["k"]
     except (ValueError, KeyError, TypeError):
-        return
+        return None
     if kind == "order":
         ledger.orderCount += 1
         ledger.engines.setdefault(told["engine"], {})[told["item"]] = {
@@ -139,6 +140,7 @@
         ledger.suspects[told["engine"]] = True
     elif kind == "cleared":
         ledger.suspects.pop(told["engine"], None)
+    return told.get("engine")
 
 
 def _state(ledger, told):
--- a/libs/routing/src/routing/engine_lives.py
+++ b/libs/routing/src/routing/engine_lives.py
@@ -2,7 +2,8 @@
 
 All of this follows from the floor alone, so engines are looked through only when
 the floor has changed: whoever could serve by then is known already, and what is
-forgotten of an engine that broke a leg is not what is noticed here.
+forgotten of an engine that broke a leg is not what is noticed here.  After news of
+ledgers alone only the engines that it is about are looked at, and nobody has become cold.
 """
 
 from configuration import registry as registries
@@ -18,9 +19,12 @@
     """Keep up with the engines' lives; nothing to do while the floor is as it was."""
     if r.noticed_changes == floor.changes:
         return
+    names = _touched(r, floor)
     r.noticed_changes = floor.changes
-    for engine in floors.servable(floor):
+    for engine in floors.servable(floor, names):
         choice.notice(r, now_ms, engine["name"], floors.incarnation(floor, engine))
+    if names is not None:
+        return
     cold.notice(
         r,
         now_ms,
@@ -28,3 +32,11 @@
         registries.services(floor.registry),
         lambda engine: world.usable(floor.registry, engine),
     )
+
+
+def _touched(r, floor):
+    """The engines that have changed since the last look, or None if any may have."""
+    news = floor.ledger_news
+    if news is None or news.number != floor.changes or r.noticed_changes != news.number - 1:
+        return None
+    return news.engines
--- a/tests/test_engines_noticed.py
+++ b/tests/test_engines_noticed.py
@@ -1,6 +1,7 @@
 """Engines are looked through again only when the floor has changed, and the router
 then knows what it would have known by looking each time."""
 
+import dataclasses
 import json
 
 from configuration import registry as registries
@@ -63,6 +64,16 @@
     ),
     st.builds(gone_record, names, services),
 )
+ledger_records = st.one_of(
+    st.builds(
+        found_record,
+        names,
+        st.just("models"),
+        st.sampled_from(("a", "b")),
+        st.sets(st.sampled_from(ITEMS), min_size=1),
+    ),
+    st.builds(gone_record, names, st.just("models")),
+)
 steps = st.one_of(
     st.tuples(st.just("news"), st.lists(records, min_size=1, max_size=3)),
     st.tuples(st.just("broke"), names),
@@ -106,3 +117,21 @@
         router.wake(sparing, now_ms, floor, 0.0, crew)
         router.wake(looking, now_ms, floor, 0.0, crew)
         assert known(sparing) == known(looking)
+
+
+# What the first of two pieces of news told was lost if the router looked after both only.
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(ledger_records, st.booleans()), max_size=25))
+def test_a_look_after_several_pieces_of_news_misses_none(taken):
+    floor, crew = new_floor(), Crew("c", ("c",))
+    sparing, looking = router.Router(TERMS), router.Router(TERMS)
+    announced = tuple(_Section(*engine_record(name, "join", "models", 0)) for name in NAMES)
+    floors.on_news(floor, None, News(announced))
+    for number, (told, looks) in enumerate([(gone_record("e0", "models"), True), *taken]):
+        floors.on_news(floor, None, News((_Section(*told),)))
+        if looks:
+            looking.noticed_changes = -1
+            router.wake(sparing, 250.0 * number, floor, 0.0, crew)
+            untold = dataclasses.replace(floor, ledger_news=None)
+            router.wake(looking, 250.0 * number, untold, 0.0, crew)
+            assert known(sparing) == known(looking)
