--- a/libs/placement/src/placement/floor.py
+++ b/libs/placement/src/placement/floor.py
@@ -83,11 +83,12 @@
     """Engines that may be given new work for an item (any, for a plain service): none that
     is suspect, unless that leaves a plain service without any."""
     ledger = ledger_of(floor, world.shard_of(service, floor.shards))
-    found = [
-        e
-        for e in world.engines_of(floor.registry, service)
-        if world.usable(floor.registry, e) and (not item or ledgers.loaded(ledger, e["name"], item))
-    ]
+    engines = floor.registry.engines
+    named = [name for name, e in engines.items() if e["service"] == service]
+    if item:
+        held = ledger.engines
+        named = [n for n in named if item in held.get(n, ()) and ledgers.loaded(ledger, n, item)]
+    found = [engines[name] for name in sorted(named) if world.usable(floor.registry, engines[name])]
     sound = [e for e in found if e["name"] not in ledger.suspects]
     return sound if sound or item else found
 
--- a/libs/placement/src/placement/world.py
+++ b/libs/placement/src/placement/world.py
@@ -42,7 +42,9 @@
 
 
 def engines_of(registry, service):
-    return [e for _, e in sorted(registry.engines.items()) if e["service"] == service]
+    """A service's engines in the order of their names."""
+    found = [(name, e) for name, e in registry.engines.items() if e["service"] == service]
+    return [engine for _, engine in sorted(found)]
 
 
 def size_of(registry, item):
