--- a/libs/transport/src/transport/codec.py
+++ b/libs/transport/src/transport/codec.py
@@ -20,6 +20,10 @@
 __all__ = ["to_bytes", "from_bytes", "BadBody"]
 
 _FIXED = {int: "q", float: "d", bool: "?"}
+_ONE_BYTE_LENGTH = 0x7F
+"""The longest length that is spelt in one byte."""
+_KEPT_RECORDS = 1024
+"""How many records' bytes are kept at most."""
 _LONGEST_LENGTH = 10
 """Bytes of a length that we read at most; 64 bits fit."""
 
@@ -98,14 +102,27 @@
 
 
 class _Text(_Bytes):
+    """As the bytes of its encoding.  Most of what is read and written are short texts, so
+    a length of one byte is dealt with here."""
+
     def write(self, out, value):
         encoded = self.get(value).encode()
-        _write_length(out, len(encoded))
+        size = len(encoded)
+        if size <= _ONE_BYTE_LENGTH:
+            out.append(size)
+        else:
+            _write_length(out, size)
         out += encoded
 
     def read(self, data, at, values):
-        end = super().read(data, at, values)
-        values[-1] = values[-1].decode()
+        size = data[at]
+        at += 1
+        if size > _ONE_BYTE_LENGTH:
+            size, at = _read_length(data, at - 1)
+        end = at + size
+        if end > len(data):
+            raise ValueError("cut off")
+        values.append(data[at:end].decode())
         return end
 
 
@@ -152,6 +169,19 @@
         return at
 
 
+class _KeptRecord(_Record):
+    """A record of texts and truth values inside another, as the cards of nodes are: the
+    same few are written again and again, so their bytes are kept."""
+
+    def write(self, out, value):
+        out += _kept_bytes(self.get(value))
+
+
+@functools.lru_cache(_KEPT_RECORDS)
+def _kept_bytes(value):
+    return to_bytes(value)
+
+
 def _itself(value):
     return value
 
@@ -183,4 +213,7 @@
         return _fixed_run(get, (kind,))
     if typing.get_origin(kind) is tuple:
         return _Many(get, _field(_itself, typing.get_args(kind)[0]))
-    return _record(kind, get)
+    inner = _record(kind, get)
+    if set(typing.get_type_hints(kind).values()) <= {str, bool}:
+        return _KeptRecord(inner.get, inner.kind, inner.fields)
+    return inner
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -20,6 +20,7 @@
     str: c.PascalString(c.VarInt, "utf8"),
     bytes: c.Prefixed(c.VarInt, c.GreedyBytes),
 }
+NO_GROUP = messages.GroupCard("", 0, 0, "", ())
 VALUES = {
     int: st.integers(-(2**63), 2**63 - 1),
     float: st.floats(allow_nan=False),
@@ -126,3 +127,19 @@
     assert told.crc == segment_format.zlib.crc32(body)
     assert told.headCrc == segment_format.zlib.crc32(data[:36])
     assert segment_format.scan(data).entries == (messages.Entry(index, term, body),)
+
+
+# Cards' bytes are kept: one that differs in a single field must not get another's.
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.builds(messages.Card, *[st.sampled_from(("", "a", "å", "a" * 127, "a" * 128))] * 7)
+        | st.builds(messages.Card, *[st.sampled_from(("", "a"))] * 7, st.booleans()),
+        max_size=12,
+    )
+)
+def test_records_that_are_written_again_keep_their_own_bytes(cards):
+    greet = functools.partial(messages.Greet, messages.Card(*[""] * 6), False, group=NO_GROUP)
+    for _ in range(2):
+        value = greet(cards=tuple(cards))
+        assert codec.to_bytes(value) == layout(messages.Greet).build(as_construct(value))
