--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -28,7 +28,7 @@
 )
 from configuration.answers import Answers
 from configuration.checked_document import CheckedDocument
-from configuration.views import has_tenants, models, services, tenants, zone_names
+from configuration.views import asks_for_keys, models, services, tenants, zone_names
 
 __all__ = [
     "Registry",
@@ -40,7 +40,7 @@
     "services",
     "models",
     "tenants",
-    "has_tenants",
+    "asks_for_keys",
     "zone_names",
     "VERBS",
 ]
--- a/libs/configuration/src/configuration/views.py
+++ b/libs/configuration/src/configuration/views.py
@@ -1,6 +1,6 @@
 """What the configuration in force says, by name, of all partners together."""
 
-__all__ = ["services", "models", "tenants", "has_tenants", "zone_names"]
+__all__ = ["services", "models", "tenants", "asks_for_keys", "zone_names"]
 
 
 def services(registry):
@@ -24,9 +24,13 @@
     return registry.memo["tenants"]
 
 
-def has_tenants(registry):
-    """Whether the configuration in force names tenants, and so asks for their keys."""
-    return bool(tenants(registry))
+def asks_for_keys(registry):
+    """Whether requests need a tenant's key: where the configuration in force lists tenants,
+    though the list may be empty by now."""
+    if tenants(registry):
+        return True
+    reader = registry.reader
+    return reader is not None and reader.tenants in registry.document["parts"]
 
 
 def _owned(registry, part):
