--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -43,15 +43,13 @@
         return [Reply(token, failures.Stale(int(2 * node.times.elect_ms), 0))]
     found = routes.match(node.floor.registry, told["host"], told["path"])
     age_ms = follows.age(node.follow, now_ms)
-    if found is None and age_ms > node.router.terms.staleMs:
-        return [Reply(token, failures.Stale(int(node.router.terms.staleMs), int(age_ms)))]
     if found is None:
-        return [Reply(token, failures.NotFound("route"))]
+        return [Reply(token, _if_sure(node, age_ms, failures.NotFound("route")))]
     name, route = found
     credential = _credential(told, route)
     tenant = tenants.identify(node.floor.registry, credential)
     if isinstance(tenant, failures.Failure):
-        return [Reply(token, _unknown_key(node, age_ms, tenant))]
+        return [Reply(token, _if_sure(node, age_ms, tenant))]
     task = _task(token, told, route, now_ms, credential, tenant)
     told.update(
         route=name,
@@ -71,13 +69,13 @@
     return tenants.Credential(tenants.digest(key), route.get("public", False))
 
 
-def _unknown_key(node, age_ms, unauthorized):
-    """Only a node that is sure of the configuration says that a key is nobody's: another
-    may know a newer one that holds it."""
-    bound_ms = node.config.bounds.layoutMs
+def _if_sure(node, age_ms, failure):
+    """Only a node that is sure of the configuration says that there is no such route, or that
+    a key is nobody's: another may know a newer one that has it."""
+    bound_ms = min(node.router.terms.staleMs, node.config.bounds.layoutMs)
     if age_ms > bound_ms:
         return failures.Stale(int(bound_ms), int(age_ms))
-    return unauthorized
+    return failure
 
 
 def _task(token, told, route, now_ms, credential, tenant):
--- a/tests/test_stale_route.py
+++ b/tests/test_stale_route.py
@@ -23,6 +23,7 @@
     terms = router.Terms(STALE_MS, 1000.0, 100.0, 0.1, 10_000.0, 1000.0)
     return SimpleNamespace(
         closing=False,
+        config=SimpleNamespace(bounds=SimpleNamespace(layoutMs=10 * STALE_MS)),
         follow=follower.Follow(current_ms=NOW_MS - age_ms),
         floor=floors.Floor(4, registry=registry),
         router=router.Router(terms),
--- a/tests/test_tenant_keys.py
+++ b/tests/test_tenant_keys.py
@@ -74,6 +74,15 @@
             self.assertIsInstance(node.send("t", b"k2")["t"], kind)
             self.assertThat(of(node.send("t", b"k1")), Equals(("leg", "a")))
 
+    # Guards against DENIED: a route that was added lately is refused for good by who can't know.
+    def test_a_node_that_may_not_know_a_route_says_when_to_come_back(self):
+        for age_ms, kind in (
+            (0.9 * BOUND_MS, failures.NotFound),
+            (1.1 * BOUND_MS, failures.Stale),
+        ):
+            node = TenantNode(age_ms=age_ms)
+            self.assertIsInstance(node.send("t", b"", "/added-lately/")["t"], kind)
+
 
 class Classes(TestCase):
     def test_the_tenants_class_goes_before_the_routes(self):
