--- a/libs/routing/src/routing/waiting_line.py
+++ b/libs/routing/src/routing/waiting_line.py
@@ -44,10 +44,11 @@
 def hold(floor, task, now_ms):
     """Have a task wait for its model: the Hold for the holder of its service's shard."""
     task.waiting = True
-    task.give_up_ms = task.end_ms
+    task.give_up_ms = coming_ms = task.end_ms
     if task.told:
         give_up_ms = task.since_ms + _IN_LINE * (task.end_ms - task.since_ms)
         task.give_up_ms = max(now_ms, min(give_up_ms, _leaves_ms(task, _IN_PATIENCE)))
+        coming_ms = max(task.give_up_ms, _while_coming_ms(task))
     body = {
         "id": task.id,
         "service": task.service,
@@ -55,6 +56,7 @@
         "adapter": task.adapter,
         "class": task.cls,
         "waitMs": int(task.give_up_ms - now_ms),
+        "comingMs": int(coming_ms - now_ms),
     }
     return Hold("hold", world.shard_of(task.service, floor.shards), body)
 
@@ -82,5 +84,9 @@
     item = item_name(task.model, task.adapter)
     if not task.told or not ledgers.coming(ledger, {task.model, item}):
         return task.give_up_ms
+    return _while_coming_ms(task)
+
+
+def _while_coming_ms(task):
     coming_ms = task.since_ms + _WHILE_COMING * (task.end_ms - task.since_ms)
     return min(coming_ms, _leaves_ms(task, _IN_PATIENCE_WHILE_COMING))
