--- a/libs/placement/src/placement/demand_view.py
+++ b/libs/placement/src/placement/demand_view.py
@@ -2,16 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from configuration import registry as registries
 from configuration.schema import rank_of
 
-from placement import engine_view, line
+from placement import engine_view
 from placement import ledger as ledgers
 from placement.demand import owed, rate
 from placement.placement import item_name
 
 __all__ = [
-    "Caller",
     "View",
     "adapter_rates",
     "claim",
@@ -35,20 +33,10 @@
 _FORGOTTEN = 0.001
 
 
-@dataclass(frozen=True)
-class Caller:
-    """One who waits for an item in line: since when, how much it counts by its class, and
-    until when it waits if the item is on its way."""
-
-    since_ms: float
-    weight: float
-    leaves_ms: float
-
-
 @dataclass
 class View:
     """`engines`: name -> Engine; `copies`: item -> how many hold or load it; `waiting`: item
-    -> the Callers in line for it; `wished`: items that are waited for, or
+    -> (since when, weight) of each caller in line; `wished`: items that are waited for, or
     owed to callers who have left; `rates`: item -> askings a second;
     `adapters`: model -> askings a second for its adapters; `idle`: names of the engines that
     may be given an order now; `hosts`: model -> names of the engines where it is up."""
@@ -85,13 +73,12 @@
 
 
 def waiting_of(placer, now_ms, name):
-    """item -> the Callers that wait for it in line."""
+    """item -> (since when, weight by class) of each that waits for it in line."""
     found: dict = {}
     for id_, hold in placer.ledger.holds.items():
         if hold["service"] == name:
             since_ms = placer.line.since_ms.get(id_, now_ms)
-            weight = 1 / (1 + _LESS_URGENT * rank_of(hold["class"]))
-            caller = Caller(since_ms, weight, since_ms + line.stays_ms(hold))
+            caller = since_ms, 1 / (1 + _LESS_URGENT * rank_of(hold["class"]))
             for item in {hold["model"], item_name(hold["model"], hold["adapter"])}:
                 found.setdefault(item, []).append(caller)
     return found
@@ -122,33 +109,18 @@
 def claim(view, item):
     """How much may be lost, in askings a second, for an item that is waited for: the
     more so the more wait for it, the longer they have, the more urgent they are and the
-    more have waited in vain before them.  Whoever leaves before a load that begins now is
-    done counts as one who has waited in vain.  While nobody waits, only what is asked for
-    less often gives way for those to come."""
+    more have waited in vain before them.  While nobody waits, only what is asked for less
+    often gives way for those to come."""
     callers = view.waiting.get(item, ())
     if not callers:
         return view.rates.get(item, 0.0)
-    up_ms = view.now_ms + _load_ms(view, item)
-    in_time = [caller for caller in callers if caller.leaves_ms >= up_ms]
-    waiting = 0.0
-    if in_time:
-        oldest_ms = min(caller.since_ms for caller in in_time)
-        waited_s = (view.now_ms - oldest_ms) / 1000
-        waiting = sum(caller.weight for caller in in_time) * (1 + waited_s)
+    oldest_ms = min(since_ms for since_ms, _ in callers)
+    waited_s = (view.now_ms - oldest_ms) / 1000
+    waiting = sum(weight for _, weight in callers) * (1 + waited_s)
     in_vain = _IN_VAIN * owed(view.placer.demand, view.now_ms, item)
     return _LEAST + _EACH * (waiting + in_vain)
 
 
-def _load_ms(view, item):
-    """How long an item takes to come up: nothing to speak of beside a model that is up, else
-    as long as loads of the service have been taking."""
-    model = item.partition("/")[0]
-    if model in view.hosts:
-        return 0.0
-    told_ms = registries.models(view.registry).get(model, {}).get("loadMs", 0.0)
-    return view.placer.plan.load_ms.get(view.name, told_ms)
-
-
 def hosts_of(placer, engines):
     """model -> names of the engines where it is up."""
     found: dict = {}
--- a/libs/placement/src/placement/waiting_summary.py
+++ b/libs/placement/src/placement/waiting_summary.py
@@ -11,7 +11,7 @@
 def of(view):
     """Facts for the log: callers and models that are waited for, the longest wait in ms,
     and for those that are neither up nor on their way what holds them up at most engines."""
-    callers = [caller.since_ms for found in view.waiting.values() for caller in found]
+    callers = [since_ms for found in view.waiting.values() for since_ms, _ in found]
     models = [item for item in view.waiting if "/" not in item]
     missing = [model for model in models if not view.copies.get(model)]
     return {
