--- a/libs/placement/src/placement/line.py
+++ b/libs/placement/src/placement/line.py
@@ -14,31 +14,9 @@
 from placement import ledger as ledgers
 from placement.state import log
 
-__all__ = [
-    "queue",
-    "estimate",
-    "give_up",
-    "hold_of",
-    "learn",
-    "drop_lost",
-    "stays_ms",
-    "store_rate",
-    "waited_for",
-]
+__all__ = ["queue", "estimate", "give_up", "learn", "drop_lost", "store_rate", "waited_for"]
 
 _STEP_MS = 10000.0
-_HOLD = ("id", "service", "model", "adapter", "class", "waitMs", "node", "life")
-
-
-def hold_of(body):
-    """What is kept of a caller that gets a place in line."""
-    return {**{key: body[key] for key in _HOLD}, "comingMs": body.get("comingMs", body["waitMs"])}
-
-
-def stays_ms(hold):
-    """How long a caller stays in line at most: its router takes it out at `waitMs` if nothing
-    that it waits for is on its way by then, and else at `comingMs`."""
-    return hold.get("comingMs", hold["waitMs"])
 
 
 def store_rate(loads):
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -131,7 +131,7 @@
 
 def _expire_holds(p, now_ms):
     for id_, hold in list(p.ledger.holds.items()):
-        if now_ms - p.line.since_ms.setdefault(id_, now_ms) > line.stays_ms(hold):
+        if now_ms - p.line.since_ms.setdefault(id_, now_ms) > hold["waitMs"]:
             log(p, ledgers.unhold_record(id_, "expired"))
             p.line.since_ms.pop(id_, None)
 
@@ -248,7 +248,12 @@
     p.line.since_ms[id_] = now_ms
     log(
         p,
-        ledgers.hold_record(line.hold_of(body)),
+        ledgers.hold_record(
+            {
+                k: body[k]
+                for k in ("id", "service", "model", "adapter", "class", "waitMs", "node", "life")
+            }
+        ),
         ("reply", token, {"id": id_, "turn": p.ledger.holdCount + 1}),
     )
     return _soon(p, now_ms, terms)
--- a/libs/routing/src/routing/waiting_line.py
+++ b/libs/routing/src/routing/waiting_line.py
@@ -67,7 +67,6 @@
     """Have a task wait for its model: the Hold for the holder of its service's shard."""
     task.waiting = True
     task.give_up_ms = _line_ends_ms(task, now_ms)
-    coming_ms = max(task.give_up_ms, _while_coming_ms(task)) if task.told else task.end_ms
     body = {
         "id": task.id,
         "service": task.service,
@@ -75,7 +74,6 @@
         "adapter": task.adapter,
         "class": task.cls,
         "waitMs": int(task.give_up_ms - now_ms),
-        "comingMs": int(coming_ms - now_ms),
     }
     return Hold("hold", world.shard_of(task.service, floor.shards), body)
 
@@ -103,9 +101,5 @@
     item = item_name(task.model, task.adapter)
     if not task.told or not ledgers.coming(ledger, {task.model, item}):
         return task.give_up_ms
-    return _while_coming_ms(task)
-
-
-def _while_coming_ms(task):
     coming_ms = task.since_ms + _WHILE_COMING * (task.end_ms - task.since_ms)
     return min(coming_ms, _leaves_ms(task, _IN_PATIENCE_WHILE_COMING))
