Orderly stop: requests that wait at a counter are answered before it ends

Cause: the drain only waited. A request may wait for 0.45 to 0.8 of its own time, which is more than the grace period on routes with long timeouts, and nothing ended those waits when the drain was over: Process.close released leases, and os._exit followed. Nothing else that waits on a future of the core was answered either: operators' changes and reads, tasks at the product's own listener (which wasn't drained at all), and decisions about attempts.

The router drains (routing.draining): from 0.3 of the grace period on new requests are refused, and those that wait for a model that no engine has or is loading; all other waits end at 0.7. Each is told 503 closing with Retry-After, which holds: it has not run. A request whose engine has refused it after that time isn't sent to another. A counter without leases no longer waits a second for nothing. A process whose core has failed answers and ends the same way, without the five seconds for leaving its group.

--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -19,6 +19,7 @@
 from pulleyhitch.command_forwarding import CommandResult
 from pulleyhitch.http_handler import RequestHandler, ServerContext
 from pulleyhitch.listener import Listener
+from pulleyhitch.listening_server import ListeningServer
 
 __all__ = ["Gateway", "OperatorGateway", "StatusEndpoint"]
 
@@ -41,13 +42,15 @@
     )
 
 
-class Gateway:
-    """Proxies callers' requests; `run` serves until `stop` is called."""
+class Gateway(ListeningServer):
+    """Proxies callers' requests."""
 
     def __init__(self, process):
         config = process.config
         self._process, self._dialect = process, process.dialect
-        self._relaying = RequestRelay(process.request, process.pool, process.dialect, 500)
+        self._relaying = RequestRelay(
+            process.request, process.pool, process.dialect, 500, process.ends_attempts
+        )
         self._server_context = _make_server_context(process, config.doors["callers"], self._app)
         service_back_s = config.bounds.serviceBackMs / 1000
         self._listener = Listener(
@@ -59,17 +62,6 @@
             1.5 * service_back_s,
         )
 
-    def run(self):
-        self._listener.run()
-
-    def stop(self):
-        """Accept no more connections."""
-        self._listener.stop()
-
-    def empty(self):
-        """Whether the gateway has stopped accepting and no request is pending."""
-        return self._listener.empty()
-
     def _begin(self, caller):
         """Start a request: respond to it, or return its future and callbacks if it has to wait.
         A request whose caller has disconnected is dropped: after a pause of this process many
@@ -112,8 +104,8 @@
         return responses.start(response, environ, start_response)
 
 
-class OperatorGateway:
-    """Serves operators' changes and reads; `run` serves until the process stops."""
+class OperatorGateway(ListeningServer):
+    """Serves operators' changes and reads."""
 
     def __init__(self, process):
         config = process.config
@@ -128,9 +120,6 @@
             0.4 * service_back_s,
         )
 
-    def run(self):
-        self._listener.run()
-
     def _begin(self, caller):
         """Start a request: respond to it, or return its future and callbacks if it has to wait.
         A request whose operator has disconnected is dropped: the operator may have sent it to
--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -1,8 +1,6 @@
 """Lifecycle of a process: start, serve, orderly stop.
 
-An orderly stop has these steps: the readiness probe fails, while new requests are still served;
-the listener stops accepting, and accepted requests are answered; leases and leadership are
-released; the process exits.
+`orderly_stop` has the steps between the signal to stop and the end of the process.
 """
 
 import gc
@@ -11,21 +9,17 @@
 import signal
 import sys
 import threading
-import time
 
 from transport import failures
 
+from pulleyhitch import orderly_stop
 from pulleyhitch.gateway import Gateway, OperatorGateway, StatusEndpoint
+from pulleyhitch.listening_server import ListeningServer
 from pulleyhitch.process import CannotStart, Process
 from pulleyhitch.server import Server
 
 __all__ = ["run", "report_failure"]
 
-# Parts of the grace period, from its start: until then new connections are accepted, and until
-# then the process waits for the responses to accepted requests.
-_ACCEPT_SHARE = 0.3
-_DRAIN_SHARE = 0.85
-
 
 def report_failure(failure):
     """Print a failure to stderr as one line of JSON."""
@@ -77,9 +71,11 @@
     if not config.tokens and dialect is None:
         report_failure(failures.NoTokens("operators are not authenticated; see [tokens]"))
     code = _wait(process, stop_requested, reload_requested, changed_seeds)
+    listening = {name: s for name, s in servers if isinstance(s, ListeningServer)}
     if code == 0:
-        _drain(process, dict(servers))
-    process.close()
+        orderly_stop.stop(process, listening)
+    else:
+        orderly_stop.stop_failed(process, listening)
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(code)
@@ -105,16 +101,3 @@
             if seeds:
                 process.notify("", "seeds", {"seeds": seeds})
     return 0
-
-
-def _drain(process, servers):
-    """Drain callers' requests within the grace period, if there are a gateway and such a period."""
-    gateway, grace_s = servers.get("callers"), process.config.bounds.graceMs / 1000
-    if gateway is None or not grace_s:
-        return
-    start_s = time.monotonic()
-    process.notify("", "leave", {})
-    time.sleep(_ACCEPT_SHARE * grace_s)
-    gateway.stop()
-    while time.monotonic() - start_s < _DRAIN_SHARE * grace_s and not gateway.empty():
-        time.sleep(0.02)
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -25,10 +25,13 @@
 
 _BUFFER_LIMIT_BYTES = 64 << 20
 _CONNECTIONS_PER_THREAD = 20
+# Connections accepted at a time, so that those accepted before get their turn.
+_ACCEPTS_PER_EVENT = 64
 
 
 class Listener:
-    """Accepts connections in `run` until `stop` is called.
+    """Serves connections in `run` until `stop` is called; after `stop_accepting`, only those that
+    it has accepted.
 
     `begin(caller)` runs on a thread of the request's share.  It returns None if the request
     is answered, or (future, finish, on_disconnect) if it has to wait: `finish(result)` gets a
@@ -67,17 +70,23 @@
         self._selector = selectors.DefaultSelector()
         self._selector.register(self._server_socket, selectors.EVENT_READ)
         self._selector.register(self._wakeup_receiver, selectors.EVENT_READ)
-        self._stopping, self._accepting = False, True
+        self._stopping = self._refusing_connections = False
+        self._accepting = True
+
+    def stop_accepting(self):
+        """Accept no more connections.  Requests on connections accepted before are still served."""
+        self._refusing_connections = True
+        self._run_on_loop(lambda: None)
 
     def stop(self):
         """Stop accepting; `run` returns once every accepted request is answered."""
         self._stopping = True
-        self._run_on_loop(lambda: None)
+        self.stop_accepting()
 
     def run(self):
         """Run the event loop until `stop` has been called and no request is pending."""
         while not (self._stopping and self.empty()):
-            if self._stopping and self._accepting:
+            if self._refusing_connections and self._accepting:
                 self._stop_accepting()
             for key, _ in self._selector.select(0.1 if self._thread_queue else 0.5):
                 if key.fileobj is self._server_socket:
@@ -91,16 +100,20 @@
             self._enforce_timeouts(time.monotonic())
 
     def empty(self):
-        """Whether the listener has stopped accepting and no request is pending."""
-        return (
-            self._stopping
-            and not self._accepting
-            and not any(c.request_class or c.data for c in list(self._connections.values()))
+        """Whether the listener has stopped accepting and no request is pending, not even one whose
+        first bytes have arrived."""
+        return not self._accepting and not any(
+            c.request_class or c.data for c in list(self._connections.values())
         )
 
+    def has_unanswered_requests(self):
+        """Whether a request has been read whole and its answer hasn't been sent whole."""
+        return any(c.request_class for c in list(self._connections.values()))
+
     def _stop_accepting(self):
         """Accept the connections of the backlog, then close the server socket."""
-        self._accept()
+        while self._accept():
+            pass
         self._accepting = False
         self._selector.unregister(self._server_socket)
         self._server_socket.close()
@@ -114,11 +127,12 @@
             pass
 
     def _accept(self):
-        for _ in range(64):
+        """Accept some of the pending connections; returns whether there may be more."""
+        for _ in range(_ACCEPTS_PER_EVENT):
             try:
                 sock, address = self._server_socket.accept()
             except OSError:
-                return
+                return False
             if len(self._connections) >= self._connection_limit and not self._close_oldest_idle():
                 sock.close()
                 continue
@@ -127,6 +141,7 @@
             caller = CallerConnection(sock, address, time.monotonic())
             self._connections[sock] = caller
             self._register(caller)
+        return True
 
     def _close_oldest_idle(self):
         """Make room for a connection by closing the one that has been idle longest."""
--- a/libs/pulleyhitch/src/pulleyhitch/node.py
+++ b/libs/pulleyhitch/src/pulleyhitch/node.py
@@ -144,7 +144,7 @@
     if node.depot is not None and not isinstance(event, (events.LocalRequest, events.CallEnded)):
         effects += _handle_depot(node, now_ms, event)
     if node.closing:
-        effects = _delay_finished(node, now_ms, effects)
+        effects = _delay_finished(node, now_ms, effects + _counter_finished(node))
     effects += shard_ownership.flush(node.ownership, now_ms, node.card, leader_address(node))
     return command_forwarding.translate(node, now_ms, effects)
 
@@ -304,6 +304,11 @@
     return []
 
 
+def _counter_finished(node):
+    """A counter may stop as soon as it has released its leases; a depot leaves its group first."""
+    return [Finished()] if node.depot is None else []
+
+
 def _delay_finished(node, now_ms, effects):
     """Drop `Finished` while responses are pending, for a bounded time; a later event repeats it."""
     timed_out = now_ms - node.closing_ms > _PENDING_ANSWERS_MS
--- a/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
+++ b/libs/pulleyhitch/src/pulleyhitch/operator_requests.py
@@ -12,7 +12,7 @@
 from configuration.schema import RANK
 from membership import peer_table
 from replication import follower as follows
-from routing import choice, resuming, router
+from routing import choice, draining, resuming, router
 from transport import failures
 from transport.effects import Reply
 
@@ -119,7 +119,9 @@
 
 
 def _leave(node, now_ms, token, body):
+    """The process is to stop: requests are answered by the times in the body, ms from now."""
     node.leaving = True
+    node.router.drain = draining.Drain(now_ms + body["acceptMs"], now_ms + body["waitMs"])
     return []
 
 
@@ -150,8 +152,8 @@
 
 
 def _task(node, now_ms, token, facts):
-    if node.closing:
-        return [Reply(token, failures.Overloaded(1000, "closing"))]
+    if node.closing or draining.refuses_new_requests(node.router, now_ms):
+        return [Reply(token, draining.CLOSING)]
     task = router.Task(
         token,
         facts["id"],
--- a/libs/pulleyhitch/src/pulleyhitch/passages.py
+++ b/libs/pulleyhitch/src/pulleyhitch/passages.py
@@ -9,7 +9,7 @@
 from configuration import registry as registries
 from placement import registry_view
 from replication import follower as follows
-from routing import engine_outcomes, router, routes, tenants
+from routing import draining, engine_outcomes, router, routes, tenants
 from transport import failures
 from transport.effects import Reply, Send
 from transport.messages import ShardCommand
@@ -37,8 +37,8 @@
 
 def begin(node, now_ms, token, facts, peers):
     """Start a caller's request; its first outcome comes as a Reply effect, now or later."""
-    if node.closing and not facts.get("accepted"):
-        return [Reply(token, failures.Overloaded(200, "closing"))]
+    if node.closing or draining.refuses_new_requests(node.router, now_ms):
+        return [Reply(token, draining.CLOSING)]
     if node.follower.current_ms <= -1e11 or not registries.services(node.cluster.registry):
         return [Reply(token, failures.Stale(int(2 * node.times.election_ms), 0))]
     found = routes.match(node.cluster.registry, facts["host"], facts["path"])
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -17,6 +17,7 @@
 from replication import group as groups
 from routing import engine_api, engine_calls, proxying
 from routing.connection_pool import ConnectionPool
+from routing.draining import CLOSING
 from transport import events, failures
 from transport.connections import Connections
 from transport.effects import (
@@ -43,9 +44,10 @@
 # Part of the election timeout, before jitter, after which a depot that has just started may
 # start an election.
 _FIRST_ELECTION_RATIO = 0.3
-# How long an orderly stop waits for the last messages and responses to be sent.
+# How long an orderly stop waits for the last messages to be sent.
 _FINAL_MESSAGES_S = 0.15
 _COUNTER_STOP_S = 1.0
+_STOP_POLL_S = 0.05
 # Interval between sweeps of idle connections to engines.
 _SWEEP_INTERVAL_MS = 5000.0
 
@@ -70,10 +72,12 @@
         self._queue = queue.SimpleQueue()
         self._futures = {}
         self._lock = threading.Lock()
+        self._answers_nothing = False
         self._wake_ms = float("inf")
         self._sweep_ms = 0.0
         self._stopped = threading.Event()
         self._finished = threading.Event()
+        self._attempts_ended = threading.Event()
         self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
         self._disk, group = self._open_disk(config)
@@ -123,28 +127,56 @@
         return self
 
     def close(self):
-        """Stop in order: release leases, leadership and membership, then stop the owner thread.
+        """Stop the owner thread, in order unless it has failed: release leases, leadership and
+        membership first.  Then refuse all requests that still wait for an outcome, and all later
+        ones; their responses can still be sent."""
+        if not self._stopped.is_set():
+            self._leave()
+        self._stopped.set()
+        self._queue.put(events.Tick())
+        self._refuse_pending()
 
-        Responses that are ready by then are still sent.
-        """
+    def _leave(self):
+        """Release leases, leadership and membership, and wait until that is done."""
         self._queue.put(events.Shutdown())
         if self._node.depot is not None:
             wait_s = configs.times(self.config).leave_ms / 1000 + _FINAL_MESSAGES_S
         else:
             wait_s = _COUNTER_STOP_S
-        if self._finished.wait(wait_s):
-            self._stopped.wait(_FINAL_MESSAGES_S)
-        self._stopped.set()
-        self._queue.put(events.Tick())
+        end_s = time.monotonic() + wait_s
+        while not self._finished.wait(_STOP_POLL_S) and time.monotonic() < end_s:
+            if self._stopped.is_set():
+                return
+        self._stopped.wait(_FINAL_MESSAGES_S)
+
+    def _refuse_pending(self):
+        """Refuse the requests that wait for an outcome of the core, which decides nothing more."""
+        with self._lock:
+            self._answers_nothing = True
+            pending, self._futures = list(self._futures.values()), {}
+        for future in pending:
+            future.set_result(CLOSING)
+
+    def end_attempts(self):
+        """Have the requests that still wait for an engine's response answered without it."""
+        self._attempts_ended.set()
+
+    def ends_attempts(self):
+        """Whether `end_attempts` has been called."""
+        return self._attempts_ended.is_set()
 
     def stopped(self):
         """Whether the owner has stopped, by `close` or after a failure."""
         return self._stopped.is_set()
 
     def submit(self, token, verb, body):
-        """Pass a request to the core; returns the future of its outcome."""
+        """Pass a request to the core; returns the future of its outcome.  Once the core has
+        stopped, the request is refused at once."""
         future = Future()
         with self._lock:
+            if self._answers_nothing:
+                future.set_result(CLOSING)
+                return future
             self._futures[token] = future
         self._queue.put(events.LocalRequest(token, verb, body))
         return future
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -26,6 +26,7 @@
 from pulleyhitch.command_forwarding import CommandResult
 from pulleyhitch.http_handler import RequestHandler, ServerContext
 from pulleyhitch.listener import Listener
+from pulleyhitch.listening_server import ListeningServer
 
 __all__ = ["Server"]
 
@@ -46,8 +47,8 @@
 _TASK_ENDPOINTS = ("task", "route", "lookup")
 
 
-class Server:
-    """Serves the product's own interface; `run` serves until the process stops.
+class Server(ListeningServer):
+    """Serves the product's own interface.
 
     Handlers are looked up by endpoint: `_task`, `_read`, `_fleet` and so on respond to a
     request, `_read_task`, `_read_route` and `_read_lookup` parse callers' requests."""
@@ -55,7 +56,7 @@
     def __init__(self, process):
         self._process = process
         self._config = process.config
-        self._serving = serving.TaskHandler(process.request, 500)
+        self._serving = serving.TaskHandler(process.request, 500, process.ends_attempts)
         self._route_classes = {}
         host, _, port = self._config.http.rpartition(":")
         self._server_context = ServerContext(
@@ -76,13 +77,6 @@
         except OSError as error:
             raise OSError(self._config.http) from error
 
-    def run(self):
-        self._listener.run()
-
-    def stop(self):
-        """Accept no more connections."""
-        self._listener.stop()
-
     def _rank_of(self, route):
         return RANK.get(self._route_classes.get(route), 1)
 
--- a/libs/routing/src/routing/attempts.py
+++ b/libs/routing/src/routing/attempts.py
@@ -7,10 +7,20 @@
 import time
 from dataclasses import replace
 
+from transport import failures
+
 from routing.connect_timeout import TIMED_OUT
 
-__all__ = ["broken_stream_proof", "with_time_left", "departed_caller_proof", "failed_attempt_proof"]
+__all__ = [
+    "ABANDONED",
+    "broken_stream_proof",
+    "with_time_left",
+    "departed_caller_proof",
+    "failed_attempt_proof",
+]
 
+# The outcome of an attempt that is abandoned because this process ends: it may have run.
+ABANDONED = failures.OutcomeUnknown("closing")
 # Engines time out by their own clocks, up to this long before the attempt's end here.
 _CLOCK_TOLERANCE_MS = 100.0
 
--- a/libs/routing/src/routing/engine_calls.py
+++ b/libs/routing/src/routing/engine_calls.py
@@ -8,10 +8,12 @@
 
 from routing.connect_timeout import TIMED_OUT, ConnectTimeout, has_sent_request
 
-__all__ = ["AttemptEnd", "call", "stream"]
+__all__ = ["ABANDONED", "AttemptEnd", "call", "stream"]
 
 _MAX_POLL_S = 0.25
 _MAX_RESPONSE_BYTES = 8 << 20
+# The cause of an attempt whose response is no longer awaited.
+ABANDONED = "abandoned"
 
 
 @dataclass(frozen=True)
@@ -44,8 +46,16 @@
     return curl
 
 
-def call(request, timeout_ms, connect_ms=500, not_after_ms=None, headers=()):
-    """Make a request and read its response whole.  It isn't sent after `not_after_ms`."""
+def call(
+    request,
+    timeout_ms,
+    connect_ms=500,
+    not_after_ms=None,
+    headers=(),
+    is_abandoned=lambda: False,
+):
+    """Make a request and read its response whole.  It isn't sent after `not_after_ms`, and its
+    response isn't awaited any more once `is_abandoned()`."""
     chunks, size = [], 0
 
     def keep(data):
@@ -59,10 +69,21 @@
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         curl.close()
         return AttemptEnd(0, b"", False, "late")
-    *_, ended = _transfer(curl, connect_ms)
+    ended = _end_of_transfer(_transfer(curl, connect_ms), is_abandoned)
     return replace(ended, data=b"".join(chunks) if ended.code else b"")
 
 
+def _end_of_transfer(transfer, is_abandoned):
+    """The AttemptEnd of a transfer; it is broken off once `is_abandoned()`."""
+    for ended in transfer:
+        if ended is not None:
+            return ended
+        if is_abandoned():
+            transfer.close()
+            break
+    return AttemptEnd(0, b"", True, ABANDONED)
+
+
 def _transfer(curl, connect_ms):
     """Carry out a transfer: yields None after each poll of the socket, then the AttemptEnd."""
     multi = pycurl.CurlMulti()
--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -29,11 +29,15 @@
 
 
 class RequestRelay:
-    """Relays requests of callers on a platform; `serve` is the only public method."""
+    """Relays requests of callers on a platform; `serve` is the only public method.
 
-    def __init__(self, ask, pool, dialect, connect_ms):
+    `ends_attempts()`: whether the process is about to end, so that no response of an engine can be
+    awaited any more."""
+
+    def __init__(self, ask, pool, dialect, connect_ms, ends_attempts=lambda: False):
         self._ask, self._pool = ask, pool
         self._dialect, self._connect_ms = dialect, connect_ms
+        self._ends_attempts = ends_attempts
 
     def serve(self, token, request, step, environ):
         """The response for a caller; `step` is the event loop's first decision.  If this fails with
@@ -136,6 +140,8 @@
                 if responses.is_streamed(request, value):
                     return value, b"", "unknown"
                 return self._read_whole(value, source, has_left)
+            if kind == "idle" and self._ends_attempts():
+                return None, b"", attempts.ABANDONED
             if kind == "idle" and has_left():
                 return None, b"", attempts.departed_caller_proof(request, started_s)
             if kind == "end":
@@ -149,6 +155,8 @@
             if kind == "data":
                 data.append(value)
                 size += len(value)
+            elif kind == "idle" and self._ends_attempts():
+                return None, b"", attempts.ABANDONED
             elif kind == "idle" and has_left():
                 return None, b"", "gone"
             elif kind == "end":
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -14,6 +14,7 @@
 
 from routing import (
     choice,
+    draining,
     engine_outcomes,
     engine_tracking,
     refusal_log,
@@ -87,6 +88,8 @@
     unauthorized = tenants.authorize(cluster.registry, task)
     if unauthorized is not None:
         return fail(router, task, unauthorized)
+    if draining.refuses_new_attempts(router, now_ms, task):
+        return fail(router, task, draining.CLOSING)
     if now_ms >= task.end_ms:
         return fail(router, task, failures.DeadlinePassed(1000, bool(task.attempted)))
     if task.attempts_sent >= task.max_attempts:
@@ -211,9 +214,9 @@
 
 
 def tick(router, now_ms, cluster):
-    """End the tasks that have waited for too long.  Those whose model is being loaded may wait
-    longer."""
-    effects = []
+    """End the tasks that have waited for too long, or whose wait ends because the process stops.
+    Those whose model is being loaded may wait longer."""
+    effects = draining.answer_due(router, now_ms, cluster)
     for task in list(router.tasks.values()):
         if task.waiting and now_ms >= task.give_up_ms:
             awaits_place = task.awaits_place or task.model_loaded
--- a/libs/routing/src/routing/serving.py
+++ b/libs/routing/src/routing/serving.py
@@ -19,11 +19,13 @@
 
 class TaskHandler:
     """Handles tasks; `serve` is the only public method.  `ask(token, verb, body)` posts an event
-    to the node's event loop and waits for its decision."""
+    to the node's event loop and waits for its decision.  `ends_attempts()`: whether the process is
+    about to end, so that no response of an engine can be awaited any more."""
 
-    def __init__(self, ask, connect_ms):
+    def __init__(self, ask, connect_ms, ends_attempts=lambda: False):
         self._ask = ask
         self._connect_ms = connect_ms
+        self._ends_attempts = ends_attempts
 
     def serve(self, token, request, step, environ):
         """The response for a caller; `step` is the event loop's first decision.  If this fails with
@@ -50,7 +52,10 @@
     def _call_engine(self, request, attempt):
         """Make an attempt whose response is read whole: (response or None, proof)."""
         ended = engine_calls.call(
-            engine_api.task_request(attempt.url, request), attempt.timeout_ms, self._connect_ms
+            engine_api.task_request(attempt.url, request),
+            attempt.timeout_ms,
+            self._connect_ms,
+            is_abandoned=self._ends_attempts,
         )
         if ended.code == 200:
             body = engine_api.read_task_response(request, ended.data)
@@ -75,7 +80,7 @@
                 engine_api.task_request(attempt.url, request), attempt.timeout_ms, self._connect_ms
             )
             run = pieces.Run(request["id"])
-            incoming = _pieces(source, run, has_left)
+            incoming = self._pieces(source, run, has_left)
             forward, proof = next(incoming)
             if forward is not None:
                 chunks = self._pass_on(token, run, forward, incoming, source, has_left)
@@ -103,7 +108,7 @@
                     source = self._resume_run(token, run)
                     if source is None:
                         break
-                    incoming = _pieces(source, run, has_left)
+                    incoming = self._pieces(source, run, has_left)
                     forward, proof = next(incoming)
                 if forward is None:
                     break
@@ -125,6 +130,32 @@
             engine_api.resume_request(attempt.url, run), attempt.timeout_ms, self._connect_ms
         )
 
+    def _pieces(self, source, run, has_left):
+        """Yield (Forward, "") for each valid piece, then one (None, proof)."""
+        buffer, refusal, code = bytearray(), bytearray(), 0
+        for kind, value in source:
+            if kind == "head":
+                code = value
+            elif kind == "data" and code == 200:
+                for piece in engine_api.read_pieces(buffer, value):
+                    checked = pieces.check_piece(run, piece)
+                    if isinstance(checked, pieces.Forward):
+                        yield checked, ""
+                    elif isinstance(checked, pieces.Cut):
+                        yield None, "unknown"
+                        return
+            elif kind == "data":
+                refusal += value
+            elif kind == "idle" and self._ends_attempts():
+                yield None, "unknown"
+                return
+            elif kind == "idle" and has_left():
+                yield None, "gone"
+                return
+            elif kind == "end":
+                yield None, _stream_end_proof(value, bytes(refusal))
+                return
+
 
 def _failure_response(step, may_have_run):
     """The router's own final response.  It promises that the task has not run only if no attempt
@@ -139,30 +170,6 @@
     doesn't look complete."""
 
 
-def _pieces(source, run, has_left):
-    """Yield (Forward, "") for each valid piece, then one (None, proof)."""
-    buffer, refusal, code = bytearray(), bytearray(), 0
-    for kind, value in source:
-        if kind == "head":
-            code = value
-        elif kind == "data" and code == 200:
-            for piece in engine_api.read_pieces(buffer, value):
-                checked = pieces.check_piece(run, piece)
-                if isinstance(checked, pieces.Forward):
-                    yield checked, ""
-                elif isinstance(checked, pieces.Cut):
-                    yield None, "unknown"
-                    return
-        elif kind == "data":
-            refusal += value
-        elif kind == "idle" and has_left():
-            yield None, "gone"
-            return
-        elif kind == "end":
-            yield None, _stream_end_proof(value, bytes(refusal))
-            return
-
-
 def _stream_end_proof(ended, refusal):
     """The proof of a stream's end; "broken" if only the connection failed."""
     if ended.code == 0:
--- a/libs/routing/src/routing/tasks.py
+++ b/libs/routing/src/routing/tasks.py
@@ -122,7 +122,7 @@
     `unreported_failures`: (failed, late) attempts by engine, not yet reported.  `cold_until_ms`:
     until when an engine is cold.  `cold_tokens`: (tokens, time) of the bucket for a cold engine.
     `seen_changes`: the `changes` of the cluster state at the last update.  `pending_notes`: log
-    lines not yet taken.
+    lines not yet taken.  `drain`: the Drain of a node that is being stopped, else None.
     """
 
     settings: RoutingSettings
@@ -146,3 +146,4 @@
     pending_notes: list = field(default_factory=list)
     last_refusal_note_ms: float = -1e12
     unlogged_refusals: int = 0
+    drain: object = None
