Placement by demand: plans only for items that the configuration lists

Cause: the rates of requests outlive the item. _add_copies went through all rates and asked for the size of each model with fewer copies than its rate calls for; the size of a model that no layout lists is None, and None[0] raised TypeError in the placer's tick. _place_missing alone looked first.

Ruled out: the new model (it is loaded by the same path without harm), the copy that is still on the engine (charged by its ledger entry, which keeps the size), reports of an unlisted item (they charge the whole room).

Change: the view from which one pass of planning works holds only listed items, both request rates and wanted items, so no later step can meet one without a size. The check in _place_missing goes.

--- a/libs/placement/src/placement/demand_planner.py
+++ b/libs/placement/src/placement/demand_planner.py
@@ -62,7 +62,7 @@
     view.wanted = demand_view.wanted_items(view)
     if not placer.demand.seeded:
         _seed_rates(view)
-    view.rates = demand_view.request_rates(placer.demand, now_ms)
+    view.rates = demand_view.request_rates(placer.demand, now_ms, registry)
     view.adapter_rates = demand_view.adapter_rates(view.rates)
     view.hosts = demand_view.hosts_of(placer, engines)
     running = [placer.engines[name].report.running for name in engines]
@@ -75,11 +75,7 @@
 def _place_missing(view):
     """Load adapters first: they load fast but would wait behind any model.  Then load copies that
     the demand needs, missing models by priority, and spare copies."""
-    missing = [
-        item
-        for item in view.wanted
-        if not view.copies.get(item) and registry_view.item_size(view.registry, item) is not None
-    ]
+    missing = [item for item in view.wanted if not view.copies.get(item)]
     priorities = {item: demand_view.priority(view, item) for item in missing}
     by_priority = sorted(priorities, key=lambda i: (-priorities[i], i))
     _place_items(view, [i for i in by_priority if "/" in i], priorities)
--- a/libs/placement/src/placement/demand_view.py
+++ b/libs/placement/src/placement/demand_view.py
@@ -4,7 +4,7 @@
 
 from configuration.schema import rank_of
 
-from placement import engine_view
+from placement import engine_view, registry_view
 from placement import ledger as ledgers
 from placement.demand import request_rate, unserved
 from placement.placement import item_name
@@ -58,11 +58,13 @@
     hosts: dict = field(default_factory=dict)
 
 
-def request_rates(demand, now_ms):
-    """item -> requests per second, of items with recent requests."""
+def request_rates(demand, now_ms, registry):
+    """item -> requests per second, of items with recent requests that the configuration lists."""
     rates = {item: request_rate(demand, now_ms, item) for item in demand.rates}
     return {
-        item: requests_per_s for item, requests_per_s in rates.items() if requests_per_s > _MIN_RATE
+        item: requests_per_s
+        for item, requests_per_s in rates.items()
+        if requests_per_s > _MIN_RATE and registry_view.is_listed(registry, item)
     }
 
 
@@ -89,15 +91,19 @@
 
 
 def wanted_items(view):
-    """Items with waiting requests or recent unserved demand.  The latter gets an item loaded for
-    later requests even if a load takes longer than any request waits."""
+    """Listed items with waiting requests or recent unserved demand.  The latter gets an item loaded
+    for later requests even if a load takes longer than any request waits."""
     demand = view.placer.demand
     unserved_items = {
         item
         for item, known in demand.unserved.items()
         if known.service == view.name and unserved(demand, view.now_ms, item) > _MIN_UNSERVED
     }
-    return unserved_items | view.waiting.keys()
+    return {
+        item
+        for item in unserved_items | view.waiting.keys()
+        if registry_view.is_listed(view.registry, item)
+    }
 
 
 def copies_of(placer, engines):
--- a/libs/placement/src/placement/registry_view.py
+++ b/libs/placement/src/placement/registry_view.py
@@ -17,6 +17,7 @@
     "usable",
     "wishes_of",
     "shares_of",
+    "is_listed",
     "item_size",
     "entry_charge",
     "charged",
@@ -63,6 +64,11 @@
     return facts.get("roomMb", 0), facts["places"], found["partner"]
 
 
+def is_listed(registry, item):
+    """Whether a layout defines an item."""
+    return item_size(registry, item) is not None
+
+
 def entry_charge(registry, item, entry):
     """(room, adapter places) to charge for a ledger entry: the larger of its size when it was
     ordered and its size in the current layout."""
