--- a/tests/test_request_integrity.py
+++ b/tests/test_request_integrity.py
@@ -46,6 +46,9 @@
             httpThreads=32,
         )
 
+    def ends_attempts(self):
+        return False
+
     def _attempt(self, tenant):
         engine = self._rng.choice(self._engines)
         return Attempt("i-1", engine.url, 3000.0, 0, tenant=tenant)
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -102,7 +102,7 @@
     def close(self):
         self.gateway.stop()
         self.process._stopped.set()
-        self.process.notify("", "leave", {})
+        self.process.notify("", "leave", {"acceptMs": 0.0, "waitMs": 0.0})
         self.process._connections.close()
         for server in self.engine_servers.values():
             server.close()
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -303,6 +303,9 @@
                 bodies.append(body)
                 return Done()
 
+            def ends_attempts(self):
+                return False
+
         request = Request(
             EnvironBuilder(method="POST", json={"id": "mine", "change": "c"}).get_environ()
         )
