Placement: a request to wait for a service that is gone doesn't break the lease holder

The service was looked up by index.

Change: a hold for a service, model or adapter that isn't listed gets 503 unlisted, with a time to come again; the counter may know a newer configuration. Before, an unlisted model was answered 404 by the placer, and an adapter that is no longer listed was held until its wait ended. Commands to placers have the protection that commands to shard 0 had: one that raises an exception is answered core-broke, logged and dumped, and isn't resent to the next holder. An exception in a placer's tick still ends the process: it isn't caused by a message that would follow the lease, and the state may be half changed.

Evidence: tests/changing_layouts.py plays random orders of configurations that add, resize and drop models, adapters, services and engines, with demand, holds and takeovers between. The two tests of UnlistedCommands cover the commands one by one.

--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -6,13 +6,9 @@
 could outlast its own lease.
 """
 
-from configuration import registry as registries
-from replication import shard_log
-from transport import failures
-from transport.effects import Reply, Wake
+from transport.effects import Reply
 
 from placement import (
-    demand,
     demand_planner,
     engine_calls,
     engine_reports,
@@ -20,21 +16,19 @@
     load_queue,
     order_notes,
     orders,
-    placement,
     registry_view,
     suspects,
 )
 from placement import ledger as ledgers
 from placement.engine_view import Poll
+from placement.replanning import replan_soon
 from placement.state import append_record
 
-__all__ = ["on_taken_over", "tick", "on_called", "on_durable", "on_command", "new_poll"]
+__all__ = ["on_taken_over", "tick", "on_called", "on_durable", "new_poll"]
 
 # Share of the call timeout for which a new lease holder gives no orders if it was also the
 # previous one.
 _SELF_TAKEOVER_FACTOR = 0.25
-# Least time between two plans triggered by responses, as a share of the call timeout.
-_MIN_PLAN_INTERVAL = 0.01
 
 
 def on_taken_over(placer, now_ms, settings):
@@ -195,89 +189,4 @@
             )
         return order_notes.drain(placer)
     engine_calls.on_order_response(placer, now_ms, id_, called, pending, settings)
-    return _replan_soon(placer, now_ms, settings) + order_notes.drain(placer)
-
-
-def _replan_soon(placer, now_ms, settings):
-    """The effects that trigger another plan soon, one for many responses that arrive together."""
-    return (
-        [Wake(max(now_ms, placer.plan.planned_ms + _MIN_PLAN_INTERVAL * settings.call_timeout_ms))]
-        if settings.turnMs
-        else []
-    )
-
-
-def on_command(placer, now_ms, token, verb, body, registry, settings):
-    """Handle a command of a counter (a node that routes requests).  It reports demand, or starts or
-    ends the wait of a request; the latter two are answered once their record is committed."""
-    if verb == "wanted":
-        for item, count in body["items"].items():
-            demand.record_requests(placer.demand, now_ms, item, count)
-            _mark_served(placer, item)
-        suspects.record_outcomes(
-            placer.outcome_history, now_ms, body.get("outcomes", {}), settings.unreachable_ms
-        )
-        return []
-    if verb == "hold":
-        return _on_hold(placer, now_ms, token, body, registry, settings)
-    id_ = str(body.get("id"))
-    if id_ not in placer.ledger.holds:
-        return [Reply(token, {"id": id_, "gone": True})]
-    hold = placer.ledger.holds[id_]
-    for item in {hold["model"], placement.item_name(hold["model"], hold["adapter"])}:
-        _mark_served(placer, item)
-    placer.wait_queue.since_ms.pop(id_, None)
-    append_record(
-        placer,
-        ledgers.unhold_record(id_, str(body.get("why", "")) or "done"),
-        ("reply", token, {"id": id_, "gone": True}),
-    )
-    return []
-
-
-def _mark_served(placer, item):
-    """Clear the unserved demand of an item that is loaded and so can serve its requests."""
-    if item in placer.demand.unserved and any(
-        ledgers.is_loaded(placer.ledger, engine, item) for engine in placer.ledger.engines
-    ):
-        demand.clear_unserved(placer.demand, item)
-
-
-def _on_hold(placer, now_ms, token, body, registry, settings):
-    id_ = body["id"]
-    if id_ in placer.ledger.holds:
-        answer = {"id": id_, "turn": placer.ledger.holds[id_]["turn"]}
-        durable = shard_log.barrier(placer.held, ("reply", token, answer))
-        return [Reply(token, answer)] if durable else []
-    if body["model"] not in registries.models(registry):
-        return [Reply(token, failures.UnknownModel(body["service"], body["model"]))]
-    item = placement.item_name(body["model"], body["adapter"])
-    for requested_item in {body["model"], item}:
-        demand.record_requests(placer.demand, now_ms, requested_item, 1)
-        demand.record_unserved(placer.demand, now_ms, body["service"], requested_item)
-    same_model = sum(1 for h in placer.ledger.holds.values() if h["model"] == body["model"])
-    if len(placer.ledger.holds) >= settings.max_holds or same_model >= settings.max_holds_per_model:
-        return [Reply(token, failures.Overloaded(int(10 * settings.call_timeout_ms), "waitlist"))]
-    loads = registries.services(registry)[body["service"]]["loads"]
-    if not loads["atOnce"] or not loads["perMinute"]:
-        return [
-            Reply(
-                token,
-                failures.NoRoom(int(30 * settings.call_timeout_ms), body["model"], "no-loads"),
-            )
-        ]
-    wait_ms = load_queue.estimate_wait(placer, now_ms, body["service"], loads, item, settings)
-    if wait_ms is not None and wait_ms > body["waitMs"]:
-        return [Reply(token, failures.NoRoom(int(wait_ms), body["model"], "loads-queue"))]
-    placer.wait_queue.since_ms[id_] = now_ms
-    append_record(
-        placer,
-        ledgers.hold_record(
-            {
-                k: body[k]
-                for k in ("id", "service", "model", "adapter", "class", "waitMs", "node", "life")
-            }
-        ),
-        ("reply", token, {"id": id_, "turn": placer.ledger.holdCount + 1}),
-    )
-    return _replan_soon(placer, now_ms, settings)
+    return replan_soon(placer, now_ms, settings) + order_notes.drain(placer)
--- a/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
+++ b/libs/pulleyhitch/src/pulleyhitch/shard_ownership.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from configuration import registry as registries
-from placement import engine_list_polling, placer
+from placement import counter_commands, engine_list_polling, placer
 from placement import ledger as ledgers
 from placement.state import Placer
 from replication import shard_log, state_machine
@@ -237,9 +237,11 @@
         or (now_ms >= lease_end(follower, times))
     ):
         return [Reply(token, failures.NoHolder(1000, shard))]
-    if shard != 0:
-        return placer.on_command(owner, now_ms, token, verb, body, cluster.registry, settings)
     try:
+        if shard != 0:
+            return counter_commands.on_command(
+                owner, now_ms, token, verb, body, cluster.registry, settings
+            )
         record, answer, failure = registries.decide(owner.registry, verb, body)
     except Exception as error:
         return _report_defect(token, verb, error)
@@ -253,8 +255,9 @@
 
 
 def _report_defect(token, verb, error):
-    """Report an exception raised by a command, which has changed nothing.  The node keeps
-    running: if it stopped, the command would be resent to the next holder and crash it too."""
+    """Report an exception raised by a command.  It was raised while the command was checked, so
+    no record was appended.  The node keeps running: if it stopped, the command would be resent to
+    the next holder and crash it too."""
     failure = failures.CoreBroke(verb, repr(error))
     return [
         Reply(token, failure),
--- a/libs/simulation/src/simulation/judge/broken_node.py
+++ b/libs/simulation/src/simulation/judge/broken_node.py
@@ -8,7 +8,7 @@
 import time
 from dataclasses import replace
 
-from placement import demand, placer
+from placement import demand
 from pulleyhitch import shard_ownership
 from routing import choice, connection_pool, proxying
 from routing.engine_api import EngineRequest
@@ -117,10 +117,10 @@
 def _forgotten_demand():
     """Nobody remembers what is asked for, and nobody may wait for it."""
     demand.record_requests = lambda *asked: None
-    from placement import demand_planner
+    from placement import counter_commands, demand_planner
 
     demand_planner.record_requests = lambda *told: None
-    placer._on_hold = lambda p, now_ms, token, body, registry, terms: [
+    counter_commands._on_hold = lambda p, now_ms, token, body, registry, terms: [
         Reply(token, failures.NoRoom(1000, body["model"], "forgotten"))
     ]
 
--- a/libs/simulation/src/simulation/placing.py
+++ b/libs/simulation/src/simulation/placing.py
@@ -5,7 +5,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from placement import placer, registry_view, state
+from placement import counter_commands, placer, registry_view, state
 from replication.shard_log import ShardLog
 from transport.effects import EngineCall, Reply
 from transport.events import CallEnded
@@ -161,7 +161,9 @@
         self.durable()
 
     def command(self, verb, body):
-        self._do(placer.on_command(self.p, self.now_ms, "t", verb, body, self.registry, TERMS))
+        self._do(
+            counter_commands.on_command(self.p, self.now_ms, "t", verb, body, self.registry, TERMS)
+        )
         self.durable()
 
     def durable(self):
--- a/tests/test_dropped_items.py
+++ b/tests/test_dropped_items.py
@@ -4,10 +4,35 @@
 the process that held the shard's lease ended by itself; the next holder met the same state.
 """
 
+from types import SimpleNamespace
+
+from changing_layouts import ChangingLayouts
 from configuration import registry as registries
+from placement import state
+from placement.cluster_state import ClusterState
+from pulleyhitch import shard_ownership
+from replication.follower import FeedFollower
+from replication.shard_log import ShardLog
+from simulation.placing import SHARDS, TERMS
 from test_demand_placement import DemandScenario
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Not
+from transport.effects import DumpLog
+
+SEEDS = 40
+STEPS = 150
+NOTHING = set(), set(), set()
+
+
+class AnyOrderOfChanges(TestCase):
+    def test_a_placer_goes_on(self):
+        for seed in range(SEEDS):
+            layouts = ChangingLayouts(seed)
+            for number in range(STEPS):
+                try:
+                    layouts.step()
+                except Exception as error:
+                    raise AssertionError(f"seed {seed}, step {number}") from error
 
 
 class DroppedModel(TestCase):
@@ -35,3 +60,37 @@
             scenario.step()
         loads = [item for e in scenario.scene.engines.values() for _, verb, item in e.orders]
         self.assertThat(loads, Not(Contains(model)))
+
+
+class UnlistedCommands(TestCase):
+    """Commands of a counter whose configuration differs from the lease holder's."""
+
+    def hold(self, **fields):
+        """The answer to a request that is to wait, by a placer that knows one service."""
+        layouts = ChangingLayouts(1)
+        service = layouts.names[0]
+        facts = {"id": "h1", "service": service, "model": layouts.models_of[service][0]}
+        facts |= {"adapter": "", "class": "rank1", "waitMs": 5000, "node": "c0", "life": "l"}
+        layouts.scene.command("hold", {**facts, **fields})
+        (reply,) = layouts.scene.told
+        return reply.outcome
+
+    # Guards against a depot that ended when it was asked to hold for a service that had just gone.
+    def test_a_request_for_what_is_not_listed_is_told_to_come_again(self):
+        self.assertThat(self.hold(), Equals({"id": "h1", "turn": 1}))
+        for fields in ({"service": "gone"}, {"model": "gone"}, {"adapter": "gone"}):
+            outcome = self.hold(**fields)
+            self.assertThat((outcome.status, outcome.cause), Equals((503, "unlisted")))
+
+    # Guards against a command that ends one holder of the lease after the other.
+    def test_a_command_that_breaks_the_placer_is_refused(self):
+        ownership = shard_ownership.ShardOwnership(SHARDS, ())
+        ownership.owners[1] = state.Placer(1, 1, ShardLog(1, 1, ready=True))
+        follower = FeedFollower(direct_ms=1e12)
+        times = SimpleNamespace(revoke_ms=1000.0)
+        cluster = ClusterState(SHARDS)
+        effects = shard_ownership.command(
+            ownership, 0.0, "t", 1, "hold", {"id": "h1"}, follower, cluster, times, TERMS
+        )
+        self.assertThat(effects[0].outcome.tag, Equals("core-broke"))
+        self.assertThat(type(effects[-1]), Equals(DumpLog))
