Placement: what the configuration drops is forgotten, and charged by its largest size

Change: placement.dropped_items, run when the registry's stamp has changed. Sizes that have grown are logged (record kind grown; nodes of before ignore it); holds for what isn't listed are rejected with 503 unlisted; the rest is dropped from memory. The buckets of the weight store's limits are kept, since a service that comes back must not get a full one. An engine whose service is gone is asked for a new report before it is given orders again.

--- a/libs/placement/src/placement/engine_calls.py
+++ b/libs/placement/src/placement/engine_calls.py
@@ -52,7 +52,7 @@
     )
 
 
-def on_order_response(placer, now_ms, id_, called, pending, settings):
+def on_order_response(placer, now_ms, id_, called, pending, registry, settings):
     """Log the state that the response to an order proves."""
     engine, item, order = pending.engine, pending.item, pending.order
     first = id_ == order
@@ -69,7 +69,9 @@
     if not first and state in ("refused", "unknown", "taken"):
         return
     if state in ("loaded", "unloaded"):
-        _on_order_done(placer, now_ms, engine, item, entry, state)
+        engine_view.entry_settled(view, now_ms, item, order)
+        if state == "loaded" and registry_view.is_listed(registry, item):
+            _record_load(placer.demand, now_ms, engine, item)
         if state == "loaded" and not first and "/" not in item:
             load_queue.learn_load_time(placer, now_ms, engine, entry)
     if state == "refused":
@@ -87,12 +89,10 @@
         engine_view.invalidate_count(view, now_ms)
 
 
-def _on_order_done(placer, now_ms, engine, item, entry, state):
-    """The engine confirmed that an order is done."""
-    engine_view.entry_settled(placer.engines[engine], now_ms, item, entry["order"])
-    if state == "loaded":
-        placer.demand.loaded_at_ms[engine, item] = now_ms
-        placer.demand.loaded_before.setdefault(engine, set()).add(item)
+def _record_load(demand, now_ms, engine, item):
+    """The engine confirmed that it has loaded an item."""
+    demand.loaded_at_ms[engine, item] = now_ms
+    demand.loaded_before.setdefault(engine, set()).add(item)
 
 
 def _proven_state(called, verb, first):
--- a/libs/placement/src/placement/ledger.py
+++ b/libs/placement/src/placement/ledger.py
@@ -27,6 +27,7 @@
     "dropped_record",
     "lingered_record",
     "suspect_record",
+    "grown_record",
     "cleared_record",
 ]
 
@@ -141,6 +142,8 @@
             if is_open_load(entry):
                 ledger.lingering[entry["order"]] = entry["service"]
         ledger.incarnations.pop(data["engine"], None)
+    elif kind == "grown":
+        _apply_grown(ledger, data)
     elif kind == "lingered":
         ledger.lingering.pop(data["order"], None)
     elif kind == "suspect":
@@ -183,6 +186,12 @@
         }
 
 
+def _apply_grown(ledger, data):
+    entry = ledger.engines.get(data["engine"], {}).get(data["item"])
+    if entry is not None:
+        entry["mb"], entry["places"] = data["mb"], data["places"]
+
+
 def charged(ledger, engine):
     """(room, adapter places) of an engine's entries, by their sizes when ordered."""
     items = ledger.engines.get(engine, {}).values()
@@ -240,6 +249,11 @@
     return _encode({"k": "dropped", "engine": engine})
 
 
+def grown_record(engine, item, mb, places):
+    """The configuration gave an item on an engine a larger size."""
+    return _encode({"k": "grown", "engine": engine, "item": item, "mb": mb, "places": places})
+
+
 def suspect_record(engine):
     """Too many attempts at an engine failed: it gets no work for a while."""
     return _encode({"k": "suspect", "engine": engine})
--- a/libs/placement/src/placement/load_queue.py
+++ b/libs/placement/src/placement/load_queue.py
@@ -16,6 +16,7 @@
 __all__ = [
     "ordered_loads",
     "estimate_wait",
+    "reject",
     "reject_unservable",
     "learn_load_time",
     "drop_lost_counters",
@@ -142,7 +143,7 @@
             continue
         item = placement.item_name(hold["model"], hold["adapter"])
         if item not in planned_items:
-            _reject(placer, id_, "no-room", 10 * settings.call_timeout_ms)
+            reject(placer, id_, "no-room", 10 * settings.call_timeout_ms)
             continue
         wait_ms = estimate_wait(placer, now_ms, service, loads, item, settings)
         deadline_ms = placer.wait_queue.since_ms.get(id_, now_ms) + hold["waitMs"]
@@ -151,10 +152,11 @@
         estimated_ms = placer.wait_queue.estimated_ms.setdefault(id_, now_ms + wait_ms)
         overdue = now_ms > estimated_ms + wait_ms and not _is_placed(placer, item)
         if overdue or now_ms + 0.9 * wait_ms > deadline_ms:
-            _reject(placer, id_, "loads-queue", wait_ms)
+            reject(placer, id_, "loads-queue", wait_ms)
 
 
-def _reject(placer, id_, why, retry_ms):
+def reject(placer, id_, why, retry_ms):
+    """Reject a waiting request for the reason `why`; it may be sent again after `retry_ms`."""
     placer.wait_queue.since_ms.pop(id_, None)
     append_record(placer, ledgers.unhold_record(id_, why, int(max(1000, retry_ms))))
 
@@ -164,4 +166,4 @@
     `lost(name, life)` says whether one is."""
     for id_, hold in list(placer.ledger.holds.items()):
         if lost(hold.get("node", ""), hold.get("life", "")):
-            _reject(placer, id_, "counter-lost", 1000)
+            reject(placer, id_, "counter-lost", 1000)
--- a/libs/placement/src/placement/placer.py
+++ b/libs/placement/src/placement/placer.py
@@ -10,6 +10,7 @@
 
 from placement import (
     demand_planner,
+    dropped_items,
     engine_calls,
     engine_reports,
     engine_view,
@@ -54,7 +55,8 @@
     if not placer.held.ready or placer.held.lost or now_ms >= lease_end_ms:
         return []
     effects = _poll_engines(placer, now_ms, registry, shards, settings)
-    _drop_gone_engines(placer, now_ms, registry, settings)
+    dropped_items.drop_gone_engines(placer, now_ms, registry, settings)
+    dropped_items.forget_dropped(placer, registry, shards)
     _expire_holds(placer, now_ms)
     load_queue.drop_lost_counters(placer, lost)
     suspects.update_suspects(placer, now_ms, registry, shards, settings)
@@ -120,19 +122,6 @@
     return 5 * settings.report_interval_ms
 
 
-def _drop_gone_engines(placer, now_ms, registry, settings):
-    """Drop removed engines.  Their open loads still count against the weight store's limit until
-    they can no longer be reading from it; a new lease holder restarts that time."""
-    for engine in [e for e in placer.ledger.incarnations if e not in registry.engines]:
-        append_record(placer, ledgers.dropped_record(engine))
-        placer.engines.pop(engine, None)
-    for order, service in list(placer.ledger.lingering.items()):
-        linger_ms = max(settings.unreachable_ms, 2 * placer.plan.load_ms.get(service, 0.0))
-        if now_ms - placer.plan.lingering_ms.setdefault(order, now_ms) >= linger_ms:
-            del placer.plan.lingering_ms[order]
-            append_record(placer, ledgers.lingered_record(order))
-
-
 def _expire_holds(placer, now_ms):
     for id_, hold in list(placer.ledger.holds.items()):
         if now_ms - placer.wait_queue.since_ms.setdefault(id_, now_ms) > hold["waitMs"]:
@@ -188,5 +177,5 @@
                 engine_view.view_of(placer, engine), now_ms, settings.unreachable_ms
             )
         return order_notes.drain(placer)
-    engine_calls.on_order_response(placer, now_ms, id_, called, pending, settings)
+    engine_calls.on_order_response(placer, now_ms, id_, called, pending, registry, settings)
     return replan_soon(placer, now_ms, settings) + order_notes.drain(placer)
--- a/libs/placement/src/placement/state.py
+++ b/libs/placement/src/placement/state.py
@@ -88,7 +88,8 @@
     `not_before_ms`: no orders are given before this time; `engines`: name -> EngineView, what is
     known of each engine beyond the ledger's entries; `calls`: id -> PendingCall; `report_count`:
     number of polls so far; `notes`: log lines not yet emitted; `summary_ms`: when the last summary
-    of waiting requests was logged."""
+    of waiting requests was logged; `seen_stamp`: the registry's stamp when what it had dropped was
+    last forgotten."""
 
     shard: int
     epoch: int
@@ -107,6 +108,7 @@
     )
     notes: list = field(default_factory=list)
     summary_ms: float = float("-inf")
+    seen_stamp: int = -1
 
 
 def append_record(placer, record, then=None):
--- a/tests/test_dropped_items.py
+++ b/tests/test_dropped_items.py
@@ -8,8 +8,9 @@
 
 from changing_layouts import ChangingLayouts
 from configuration import registry as registries
-from placement import state
+from placement import registry_view, state
 from placement.cluster_state import ClusterState
+from placement.placement import item_name
 from pulleyhitch import shard_ownership
 from replication.follower import FeedFollower
 from replication.shard_log import ShardLog
@@ -94,3 +95,46 @@
         )
         self.assertThat(effects[0].outcome.tag, Equals("core-broke"))
         self.assertThat(type(effects[-1]), Equals(DumpLog))
+
+
+class Forgotten(TestCase):
+    """What a placer keeps in memory, after any order of changes."""
+
+    def assert_configured(self, layouts, where):
+        placer, registry = layouts.scene.p, layouts.registry
+        services = registry_view.services_of(registry, placer.shard, SHARDS)
+        engines = {n for n, engine in registry.engines.items() if engine["service"] in services}
+        demand, plan = placer.demand, placer.plan
+        items = set(demand.unserved) | set(demand.reserved)
+        items |= {item for items in demand.loaded_before.values() for item in items}
+        items |= {item for _, item in (*demand.loaded_at_ms, *plan.refused_ms)}
+        for hold in placer.ledger.holds.values():
+            items |= {hold["model"], item_name(hold["model"], hold["adapter"])}
+        unlisted = {item for item in items if not registry_view.is_listed(registry, item)}
+        named = set(demand.pauseMs) | set(demand.loaded_before) | set(placer.engines)
+        named |= {engine for engine, _ in (*demand.loaded_at_ms, *plan.refused_ms)}
+        judged = set(placer.outcome_history.outcomes) | set(placer.ledger.suspects)
+        named |= judged - registry.engines.keys()
+        held_for = {hold["service"] for hold in placer.ledger.holds.values()}
+        kept = {*plan.plans, *plan.queues, *plan.load_ms, *held_for}
+        kept |= {known.service for known in demand.unserved.values()}
+        self.assertThat((unlisted, named - engines, kept - set(services)), Equals(NOTHING), where)
+
+    # Guards against requests that wait for what nobody loads any more, and against memory that
+    # grows with each change of the configuration.
+    def test_nothing_is_kept_of_what_is_not_configured(self):
+        for seed in range(SEEDS):
+            layouts = ChangingLayouts(seed)
+            for number in range(STEPS):
+                layouts.step()
+                layouts.scene.step()
+                self.assert_configured(layouts, f"seed {seed}, step {number}")
+
+    # Guards against LIMIT: a model grew, was dropped, and was charged by its size from before.
+    def test_engines_are_never_loaded_beyond_their_room(self):
+        for seed in range(2 * SEEDS):
+            layouts = ChangingLayouts(seed)
+            for _ in range(STEPS):
+                layouts.step()
+            broken = [b for engine in layouts.scene.engines.values() for b in engine.broken]
+            self.assertThat(broken, Equals([]), f"seed {seed}")
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from configuration import registry
-from placement import engine_reports, engine_view, ledger, orders, placer, state
+from placement import dropped_items, engine_reports, engine_view, ledger, orders, state
 from replication import shard_log
 from simulation import deployments
 from simulation.sim import floor, run
@@ -127,12 +127,12 @@
         state.append_record(p, ledger.order_record("e0", "m", "load", "1.1.1", 5, 0, "g"))
         loads = {"atOnce": 1, "perMinute": 60}
         self.assertFalse(orders.store_allows(p, 0.0, "g", loads))
-        placer._drop_gone_engines(p, 0.0, registry.Registry(), terms)
+        dropped_items.drop_gone_engines(p, 0.0, registry.Registry(), terms)
         self.assertThat(p.ledger.engines, Equals({}))
         self.assertFalse(orders.store_allows(p, 2900.0, "g", loads))
         again = state.Placer(
             1, 2, shard_log.ShardLog(1, 2, ready=True), ledger=ledger.load(ledger.dump(p.ledger))
         )
         self.assertFalse(orders.store_allows(again, 9e6, "g", loads), "a takeover counts it")
-        placer._drop_gone_engines(p, 3100.0, registry.Registry(), terms)
+        dropped_items.drop_gone_engines(p, 3100.0, registry.Registry(), terms)
         self.assertTrue(orders.store_allows(p, 3100.0, "g", loads))
