Router: a request that waits for what the configuration drops is told at once

Change: the check of a new request (listed service and model) also holds for one that waits for its model: 503 unlisted, with a time to come again. A request that waits for a place on an engine that still has the model goes on waiting, since it may still be served. A request whose route names a service that isn't listed gets the same on a platform, in place of 404: its caller may know a newer configuration.

--- a/libs/routing/src/routing/final_responses.py
+++ b/libs/routing/src/routing/final_responses.py
@@ -1,5 +1,6 @@
 """Final responses of the router itself, for tasks that get no further attempt."""
 
+from configuration import registry as registries
 from placement import registry_view
 from placement.placement import item_name
 from transport import failures
@@ -7,9 +8,9 @@
 
 from routing.tasks import Hold
 
-__all__ = ["fail", "leave_queue", "attempts_exhausted", "unlisted_model"]
+__all__ = ["fail", "leave_queue", "attempts_exhausted", "unlisted_item"]
 
-# Retry-After for a model that the configuration known here doesn't list.
+# Retry-After for a service or model that the configuration known here doesn't list.
 _UNLISTED_RETRY_MS = 1000
 
 
@@ -33,17 +34,22 @@
     return [Hold("unhold", -1, {"service": task.service, "id": task.id, "why": why})]
 
 
-def unlisted_model(cluster, task):
-    """The failure for a task whose model the configuration doesn't list, or None if the task may
-    go on.  On a platform the caller may know a newer configuration, so it is told to retry; a
-    request without a model may go to any engine of the service."""
+def unlisted_item(cluster, task):
+    """The failure for a task whose service or model the configuration doesn't list, or None if the
+    task may go on.  On a platform the caller may know a newer configuration, so it is told to
+    retry; a request without a model may go to any engine of the service."""
     item = item_name(task.model, task.adapter)
-    if task.from_platform and not item:
-        return None
-    if registry_view.item_size(cluster.registry, item):
+    service = registries.services(cluster.registry).get(task.service)
+    if service is not None and (
+        service["kind"] != "models"
+        or (task.from_platform and not item)
+        or registry_view.is_listed(cluster.registry, item)
+    ):
         return None
     if task.from_platform:
         return failures.NoRoom(_UNLISTED_RETRY_MS, item, "unlisted")
+    if service is None:
+        return failures.UnknownService(task.service)
     return failures.UnknownModel(task.service, item)
 
 
--- a/libs/routing/src/routing/router.py
+++ b/libs/routing/src/routing/router.py
@@ -22,7 +22,7 @@
     tenants,
     wait_queue,
 )
-from routing.final_responses import attempts_exhausted, fail, leave_queue, unlisted_model
+from routing.final_responses import attempts_exhausted, fail, leave_queue, unlisted_item
 from routing.tasks import Attempt, Done, KeepWaiting, Router, RoutingSettings, Task
 
 __all__ = [
@@ -59,14 +59,10 @@
         return fail(
             router, task, failures.Stale(int(router.settings.staleMs), int(min(age_ms, 1e9)))
         )
-    service = registries.services(cluster.registry).get(task.service)
-    if service is None:
-        return fail(router, task, failures.UnknownService(task.service))
+    failure = unlisted_item(cluster, task)
+    if failure is not None:
+        return fail(router, task, failure)
     retry_budget.count_request(router, now_ms, task.service)
-    if service["kind"] == "models":
-        failure = unlisted_model(cluster, task)
-        if failure is not None:
-            return fail(router, task, failure)
     if task.awaiting_quota:
         return []
     return _dispatch(router, now_ms, cluster, nodes, task)
@@ -138,7 +134,11 @@
 
 
 def _enqueue(router, now_ms, cluster, task):
-    """Queue the task for its model at the lease holder of its service's shard."""
+    """Queue the task for its model at the lease holder of its service's shard, unless the
+    configuration has dropped the model or the service."""
+    failure = unlisted_item(cluster, task)
+    if failure is not None:
+        return fail(router, task, failure)
     if task.waiting:
         return []
     if not wait_queue.has_room(router, task):
