Readiness probe: a connection without a request doesn't hold up other probes

A prober that is cut off between its handshake and its request leaves such a connection for good.

Cause: werkzeug's single-threaded server, without a timeout on its connections.

Change: the probe runs on the Listener of the other servers, with a time by which a request must have arrived; it takes a thread only for a whole request, and none while the core decides. One make_server_context and split_address in place of three copies of each.

--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -2,26 +2,22 @@
 
 `Gateway` proxies callers' requests to engines; `OperatorGateway` serves operators' requests.
 Both use the same listener as the product's own interface (`server`), which runs beside them.
-`StatusEndpoint` serves the readiness probe.
 """
 
 import secrets
-import threading
 
 from routing import responses
 from routing.relaying import RequestRelay
 from transport import failures
 from transport.socket_state import closed_by_peer
-from werkzeug.serving import WSGIRequestHandler, make_server
 from werkzeug.wrappers import Request, Response
 
 from pulleyhitch import admission
-from pulleyhitch.command_forwarding import CommandResult
-from pulleyhitch.http_handler import RequestHandler, ServerContext
+from pulleyhitch.http_handler import RequestHandler, make_server_context, split_address
 from pulleyhitch.listener import Listener
 from pulleyhitch.listening_server import ListeningServer
 
-__all__ = ["Gateway", "OperatorGateway", "StatusEndpoint"]
+__all__ = ["Gateway", "OperatorGateway"]
 
 # WSGI environment key of the outcome that the application turns into a response.
 _OUTCOME_KEY = "pulleyhitch.step"
@@ -29,19 +25,6 @@
 _FIRST_WAIT_S = 0.005
 
 
-def _split(address):
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def _make_server_context(process, address, app):
-    return ServerContext(
-        _split(address),
-        app,
-        lambda *what: process.ring.log("http", {"what": str(what)[:2000]}, dump_reason="http"),
-    )
-
-
 class Gateway(ListeningServer):
     """Proxies callers' requests."""
 
@@ -51,10 +34,10 @@
         self._relaying = RequestRelay(
             process.request, process.pool, process.dialect, 500, process.ends_attempts
         )
-        self._server_context = _make_server_context(process, config.doors["callers"], self._app)
+        self._server_context = make_server_context(process, config.doors["callers"], self._app)
         service_back_s = config.bounds.serviceBackMs / 1000
         self._listener = Listener(
-            *_split(config.doors["callers"]),
+            *split_address(config.doors["callers"]),
             config.httpThreads,
             self._begin,
             lambda data: "rank0",
@@ -110,10 +93,10 @@
     def __init__(self, process):
         config = process.config
         self._process, self._dialect = process, process.dialect
-        self._server_context = _make_server_context(process, config.doors["operators"], self._app)
+        self._server_context = make_server_context(process, config.doors["operators"], self._app)
         service_back_s = config.bounds.serviceBackMs / 1000
         self._listener = Listener(
-            *_split(config.doors["operators"]),
+            *split_address(config.doors["operators"]),
             config.httpThreads,
             self._begin,
             lambda data: "operator",
@@ -158,31 +141,3 @@
         verb, outcome = environ[_OUTCOME_KEY]
         status, headers, body = self._dialect.operator_response(verb, outcome)
         return Response(body, status, headers)(environ, start_response)
-
-
-class StatusEndpoint:
-    """Readiness probe: 200 while the node is ready for requests, 503 otherwise; `run` serves
-    until the process stops."""
-
-    def __init__(self, process):
-        self._process = process
-        host, port = _split(process.config.doors["status"])
-        self._http = make_server(
-            host, port, self._app, threaded=False, request_handler=_SilentRequestHandler
-        )
-
-    def run(self):
-        threading.current_thread().name = "status"
-        self._http.serve_forever(poll_interval=1.0)
-
-    def _app(self, environ, start_response):
-        result = self._process.request(secrets.token_hex(8), "ready", {}, 0.5)
-        code = result.status if isinstance(result, CommandResult) else 503
-        return Response(b"", code)(environ, start_response)
-
-
-class _SilentRequestHandler(WSGIRequestHandler):
-    """A request handler without an access log."""
-
-    def log(self, type, message, *args):
-        """Log nothing."""
--- a/libs/pulleyhitch/src/pulleyhitch/http_handler.py
+++ b/libs/pulleyhitch/src/pulleyhitch/http_handler.py
@@ -9,13 +9,20 @@
 
 from werkzeug.serving import WSGIRequestHandler
 
-__all__ = ["RequestHandler", "ServerContext", "REPEATED_FIELDS"]
+__all__ = [
+    "REPEATED_FIELDS",
+    "RequestHandler",
+    "ServerContext",
+    "make_server_context",
+    "split_address",
+]
 
 # WSGI environment key of the lower-case names of the header fields that occur more than once.
 # WSGI joins their values with commas, so that they look like one field.
 REPEATED_FIELDS = "pulleyhitch.repeated-fields"
 
 _LAST_CHUNK = b"0\r\n\r\n"
+_MAX_LOGGED_CHARS = 2000
 
 
 class _SocketWriter(io.RawIOBase):
@@ -91,3 +98,18 @@
 
     def __init__(self, address, app, log):
         self.server_address, self.app, self.log = address, app, log
+
+
+def split_address(address):
+    """(host, port) of an address such as 10.0.0.5:7400 or [::1]:7400."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def make_server_context(process, address, app):
+    """The ServerContext of a process's server; its errors dump the log ring."""
+
+    def log(*what):
+        process.ring.log("http", {"what": str(what)[:_MAX_LOGGED_CHARS]}, dump_reason="http")
+
+    return ServerContext(split_address(address), app, log)
--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -13,10 +13,10 @@
 from transport import failures
 
 from pulleyhitch import orderly_stop
-from pulleyhitch.gateway import Gateway, OperatorGateway, StatusEndpoint
-from pulleyhitch.listening_server import ListeningServer
+from pulleyhitch.gateway import Gateway, OperatorGateway
 from pulleyhitch.process import CannotStart, Process
 from pulleyhitch.server import Server
+from pulleyhitch.status_endpoint import StatusEndpoint
 
 __all__ = ["run", "report_failure"]
 
@@ -71,11 +71,10 @@
     if not config.tokens and dialect is None:
         report_failure(failures.NoTokens("operators are not authenticated; see [tokens]"))
     code = _wait(process, stop_requested, reload_requested, changed_seeds)
-    listening = {name: s for name, s in servers if isinstance(s, ListeningServer)}
     if code == 0:
-        orderly_stop.stop(process, listening)
+        orderly_stop.stop(process, dict(servers))
     else:
-        orderly_stop.stop_failed(process, listening)
+        orderly_stop.stop_failed(process, dict(servers))
     sys.stdout.flush()
     sys.stderr.flush()
     os._exit(code)
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -24,7 +24,7 @@
 
 from pulleyhitch import admission
 from pulleyhitch.command_forwarding import CommandResult
-from pulleyhitch.http_handler import RequestHandler, ServerContext
+from pulleyhitch.http_handler import RequestHandler, make_server_context, split_address
 from pulleyhitch.listener import Listener
 from pulleyhitch.listening_server import ListeningServer
 
@@ -58,16 +58,10 @@
         self._config = process.config
         self._serving = serving.TaskHandler(process.request, 500, process.ends_attempts)
         self._route_classes = {}
-        host, _, port = self._config.http.rpartition(":")
-        self._server_context = ServerContext(
-            (host, int(port)),
-            self._app,
-            lambda *what: process.ring.log("http", {"what": str(what)[:2000]}, dump_reason="http"),
-        )
+        self._server_context = make_server_context(process, self._config.http, self._app)
         try:
             self._listener = Listener(
-                host.strip("[]"),
-                int(port),
+                *split_address(self._config.http),
                 self._config.httpThreads,
                 self._begin,
                 lambda data: admission.classify(data, self._rank_of),
