Disk: a write that the system takes only in part is completed or fails

Disk.write_reserved ignored what os.pwrite returned, so a short write, on a disk that fills up within it, would have been synced and reported as durable.

Change: write_whole writes what remains until all is written, and raises ENOSPC if the system takes none of it; the depot then ends as on any failed write. Small files are written through a buffered file, which does that already.

Evidence: both tests of test_short_writes failed with os.pwrite in its place (entries missing after the folder was opened again, and no error); they pass now.

--- a/libs/replication/src/replication/disk.py
+++ b/libs/replication/src/replication/disk.py
@@ -25,6 +25,7 @@
     sync_file,
     sync_folder,
 )
+from replication.whole_writes import write_whole
 
 __all__ = ["Disk", "DiskError", "Loaded"]
 
@@ -182,7 +183,7 @@
         """Write and sync reserved data; return how long it took, in ms."""
         start_ms = time.monotonic() * 1000
         try:
-            os.pwrite(reservation.handle, reservation.data, reservation.offset)
+            write_whole(reservation.handle, reservation.data, reservation.offset)
             os.fdatasync(reservation.handle)
         finally:
             with self._mutex:
