Soak: stops while requests wait longer than the grace period, models in use that are dropped

Two sizes are new. waiting: loads of 3.9 s, time-outs of 20 s, and orderly stops of counters as the only troubles. dropping: the operator takes a model in use out of the configuration and puts it back, beside the usual troubles; requests for it at that time don't count as starved, since the configuration doesn't list it.

--- a/libs/simulation/src/simulation/judge/senders.py
+++ b/libs/simulation/src/simulation/judge/senders.py
@@ -20,6 +20,7 @@
 _NAMED_SHARE = 0.1
 _CHUNK_BYTES = 50
 _READ_BYTES = 65_536
+_MORE_PATIENCE_S = 4.0
 _SMUGGLED = b"POST /smuggled HTTP/1.1\r\nHost: h\r\nX-Try-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
 # Fields that a caller may name in Connection though they are for the engine.
 _NAMED = ("X-Parcel", "X-Prompt-Prefix", "X-Tokens", "X-Try-Id")
@@ -33,7 +34,12 @@
     items: tuple
     subjects: int = 12
     most_tokens: int = 24
-    deadline_ms: int = 8000
+    hold_ms: int = 8000
+
+    @property
+    def patience_s(self):
+        """How long callers wait for an answer: longer than any route lets them."""
+        return self.hold_ms / 1000 + _MORE_PATIENCE_S
 
 
 class Senders:
@@ -67,7 +73,7 @@
         id_ = f"{rng.getrandbits(64):016x}"
         manner = "whole" if rng.random() < _USUAL_SHARE else rng.choice(MANNERS)
         head, body = _wire(rng, id_, request, manner)
-        got, whole = _exchange(rng, address, head + body, manner)
+        got, whole = _exchange(rng, address, head + body, manner, self._traffic.patience_s)
         fields = dict(line.partition(": ")[::2] for line in request.headers)
         values = {name.lower(): value for name, value in fields.items()} | {"x-try-id": id_}
         self._ledger.add_sent(
@@ -148,7 +154,7 @@
     return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
 
 
-def _exchange(rng, address, wire, manner, timeout_s=12.0):
+def _exchange(rng, address, wire, manner, timeout_s):
     """(bytes that came back, whether the request was written whole)."""
     host, _, port = address.rpartition(":")
     end = rng.randrange(1, len(wire)) if manner == "half" else len(wire)
--- a/libs/simulation/src/simulation/judge/trial.py
+++ b/libs/simulation/src/simulation/judge/trial.py
@@ -22,6 +22,9 @@
 
 ACKNOWLEDGE_MS = 4000.0
 CONTACT_MS = 3000.0
+# Within this time an acknowledged configuration is in force everywhere, and requests of before are
+# answered.
+APPLY_MS = 4000.0
 _CHANGE_PAUSE_S = 1.4
 # From the last fault to the last look: what is under way ends, and orders are answered.
 _SETTLE_S = 8.0
@@ -30,7 +33,10 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """What a trial does; `mutant` names what is broken in every node, if anything."""
+    """What a trial does; `mutant` names what is broken in every node, if anything.  `load_ms`: how
+    long a load takes; `hold_ms`, `aim_ms`: the time-out and the target of the routes;
+    `drops_models`: whether the operator takes models out of the configuration, one at a time, and
+    puts them back."""
 
     seed: int
     seconds: float
@@ -42,6 +48,10 @@
     models: int = 9
     counters: int = 3
     engines_by_zone: int = 2
+    load_ms: float = 300.0
+    hold_ms: int = 8000
+    aim_ms: int = 500
+    drops_models: bool = False
 
 
 @dataclass
@@ -72,6 +82,7 @@
         self._configure()
         self.operator = TimedOperator(self._depots, random.Random(plan.seed + 1))
         self._lock = threading.Lock()
+        self.drops, self._dropped, self._dropped_ms = [], "", 0.0
 
     def _observe(self, engine, handler, body):
         head = {name.lower(): value for name, value in handler.headers.items()}
@@ -100,7 +111,7 @@
         kinds = ((models, "stream"), (models, "stream"), (plain[0], "safe"), (plain[1], "unsafe"))
         routes = [made.route(rng, f"r-{made.word(rng)}", [s["name"]], kind) for s, kind in kinds]
         for number, route in enumerate(routes):
-            route.update(transitLimitMs=8000, targetMs=500, tries=2)
+            route.update(transitLimitMs=self.plan.hold_ms, targetMs=self.plan.aim_ms, tries=2)
             if number < 2:
                 route.update(resumable=number == 0, gapTargetMs=600)
         self.whole = {
@@ -112,13 +123,15 @@
         self.parcels = models["engine"]["parcels"]
         items = [p["name"] for p in self.parcels]
         items += [f"{p['name']}/a{n + 1}" for p in self.parcels for n in range(p["inserts"])]
-        self.traffic = Traffic(tuple(routes), tuple(items))
+        self.traffic = Traffic(tuple(routes), tuple(items), hold_ms=self.plan.hold_ms)
 
     def furnish(self):
         """Engines of models and two plain services, in three zones."""
         models, one, other = (service["name"] for service in self.whole["services"])
         sizes = {p["name"]: (p["weightMb"], [f"a{n + 1}" for n in range(9)]) for p in self.parcels}
-        self.sizes = Sizes(8, 20000, 150000.0, 8, 300.0, 1.0, 80.0, 4, 1000.0, 60.0, sizes, 12.0)
+        self.sizes = Sizes(
+            8, 20000, 150000.0, 8, self.plan.load_ms, 1.0, 80.0, 4, 1000.0, 60.0, sizes, 12.0
+        )
         self.store = Store(8.0, 3)
         for number, zone in enumerate(self.fleet.zones):
             for extra in range(self.plan.engines_by_zone):
@@ -159,12 +172,41 @@
         """One change after another, each on top of the last."""
         edition = self.whole["edition"]
         while not stop():
-            route = {**self.whole["routes"][0], "transitLimitMs": 8000 + edition % 7}
-            body = {"edition": edition + 3, "upsert": {"routes": [route]}}
+            hold_ms = self.plan.hold_ms + edition % 7
+            upsert = {"routes": [{**self.whole["routes"][0], "transitLimitMs": hold_ms}]}
+            if self.plan.drops_models:
+                upsert["services"] = [self._next_models()]
+            body = {"edition": edition + 3, "upsert": upsert}
             order = self.operator.order("PATCH", "/config", body, edition)
             edition = edition + 3 if order.status == 200 else edition
             time.sleep(_CHANGE_PAUSE_S)
 
+    def _next_models(self):
+        """The service of models without one of them, or with all if one was missing."""
+        service, at_ms = self.whole["services"][0], now_ms()
+        if self._dropped:
+            self.drops.append((self._dropped, self._dropped_ms, at_ms + APPLY_MS))
+            self._dropped = ""
+            return service
+        self._dropped, self._dropped_ms = self.rng.choice(self.parcels)["name"], at_ms
+        parcels = [parcel for parcel in self.parcels if parcel["name"] != self._dropped]
+        return {**service, "engine": {**service["engine"], "parcels": parcels}}
+
+    def asked_for_listed(self, asked):
+        """The requests of `asked` for items that the configuration listed all the while."""
+        drops = list(self.drops)
+        if self._dropped:
+            drops.append((self._dropped, self._dropped_ms, float("inf")))
+        return [
+            request
+            for request in asked
+            if not any(
+                name == item.partition("/")[0] and from_ms <= request.at_ms <= to_ms
+                for name, from_ms, to_ms in drops
+                for item in request.items
+            )
+        ]
+
 
 def judge(plan):
     """Run a Plan and return its Report."""
--- a/libs/simulation/src/simulation/soak/kept_callers.py
+++ b/libs/simulation/src/simulation/soak/kept_callers.py
@@ -12,7 +12,6 @@
 
 __all__ = ["Broken", "KeptCallers", "read_one"]
 
-_TIMEOUT_S = 12.0
 _PART_BYTES = 65_536
 _PAUSE_S = 0.05
 # Callers rest a little now and then, so that stops find their connections idle.
@@ -81,7 +80,7 @@
         """Use one connection for as long as it lasts."""
         host, _, port = address.rpartition(":")
         try:
-            sock = socket.create_connection((host, int(port)), timeout=_TIMEOUT_S)
+            sock = socket.create_connection((host, int(port)), timeout=self._traffic.patience_s)
         except OSError:
             time.sleep(_PAUSE_S)
             return
--- a/libs/simulation/src/simulation/soak/plan.py
+++ b/libs/simulation/src/simulation/soak/plan.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["SIZES", "Size", "SoakPlan", "Trouble", "TroubleKind", "troubles"]
+__all__ = ["ORDERLY_STOPS", "SIZES", "Size", "SoakPlan", "Trouble", "TroubleKind", "troubles"]
 
 
 class TroubleKind(Enum):
@@ -26,6 +26,7 @@
 
 _ENGINE_KINDS = tuple(kind for kind in TroubleKind if kind.name.startswith("ENGINE"))
 _NODE_KINDS = tuple(kind for kind in TroubleKind if kind not in _ENGINE_KINDS)
+ORDERLY_STOPS = (TroubleKind.STOP, TroubleKind.STOP_TWICE, TroubleKind.STOP_AND_RELOAD)
 # Of all troubles, the share that strikes a depot; the others strike counters and engines.
 _DEPOT_SHARE = 0.25
 _ENGINE_SHARE = 0.4
@@ -36,19 +37,29 @@
 @dataclass(frozen=True)
 class Size:
     """`counters` and engines by zone, callers at once, models, and series of troubles a
-    minute; depots are always three."""
+    minute; depots are always three.  `only_stops`: the
+    only troubles are orderly stops of counters, beside which nothing excuses a lost request.
+    `load_ms`, `hold_ms`, `aim_ms` and `drops_models` as
+    in the judge's Plan."""
 
     counters: int
     engines: int
     callers: int
     models: int
     series_per_minute: float
+    load_ms: float = 300.0
+    hold_ms: int = 8000
+    aim_ms: int = 500
+    drops_models: bool = False
+    only_stops: bool = False
 
 
 SIZES = {
     "small": Size(3, 2, 10, 12, 20),
     "usual": Size(4, 3, 16, 24, 30),
     "biggest": Size(60, 16, 64, 150, 60),
+    "waiting": Size(3, 2, 24, 24, 16, 3900.0, 20_000, 6000, only_stops=True),
+    "dropping": Size(3, 2, 24, 8, 8, drops_models=True),
 }
 
 
@@ -77,16 +88,22 @@
     """All Troubles of a plan by time.  They come in series whose blows overlap: one begins
     before the one before it is over."""
     rng = random.Random(f"troubles {plan.seed}")
-    count = max(1, round(SIZES[plan.size].series_per_minute * plan.seconds / 60))
+    size = SIZES[plan.size]
+    count = max(1, round(size.series_per_minute * plan.seconds / 60))
     found = []
     for _ in range(count):
         at_s = rng.uniform(0.5, max(1.0, plan.seconds - 2.0))
         for _ in range(rng.randint(*_SERIES)):
-            found.append(_trouble(rng, at_s))
+            found.append(_stop(rng, at_s) if size.only_stops else _trouble(rng, at_s))
             at_s += rng.uniform(*_PAUSE_S)
     return sorted((t for t in found if t.at_s < plan.seconds), key=lambda t: t.at_s)
 
 
+def _stop(rng, at_s):
+    """An orderly stop of a counter."""
+    return Trouble(at_s, rng.choice(ORDERLY_STOPS), False, rng.random(), rng.uniform(0.2, 2.0))
+
+
 def _trouble(rng, at_s):
     engine = rng.random() < _ENGINE_SHARE
     kind = rng.choice(_ENGINE_KINDS if engine else _NODE_KINDS)
--- a/libs/simulation/src/simulation/soak/run.py
+++ b/libs/simulation/src/simulation/soak/run.py
@@ -16,7 +16,7 @@
 from simulation.soak import checks
 from simulation.soak.kept_callers import KeptCallers
 from simulation.soak.nodes import Nodes
-from simulation.soak.plan import SIZES, TroubleKind, troubles
+from simulation.soak.plan import ORDERLY_STOPS, SIZES, TroubleKind, troubles
 
 __all__ = ["SoakReport", "soak"]
 
@@ -25,7 +25,6 @@
 _BESIDE_CALLERS = 4
 _ANSWERS_AT_ONCE = 6
 _ENGINE_ANSWERS = tuple(fault for fault in Fault if fault is not Fault.SILENT)
-_ORDERLY = (TroubleKind.STOP, TroubleKind.STOP_TWICE, TroubleKind.STOP_AND_RELOAD)
 
 
 @dataclass
@@ -58,6 +57,10 @@
                 models=size.models,
                 counters=size.counters,
                 engines_by_zone=size.engines,
+                load_ms=size.load_ms,
+                hold_ms=size.hold_ms,
+                aim_ms=size.aim_ms,
+                drops_models=size.drops_models,
             )
         )
         self.fleet, self.nodes = self.trial.fleet, Nodes(self.trial.fleet)
@@ -105,7 +108,7 @@
             self.nodes.strike(name, trouble.kind, trouble.for_s)
             if trouble.on_depot:
                 self.core_hurt.append((begun_ms, now_ms() + CONTACT_MS))
-            if trouble.kind in _ORDERLY and not trouble.on_depot:
+            if trouble.kind in ORDERLY_STOPS and not trouble.on_depot:
                 self.stops.append((self.fleet.address(name, "counter"), begun_ms, now_ms()))
             else:
                 self.hurt.append((begun_ms, now_ms() + CONTACT_MS))
@@ -152,7 +155,7 @@
         ]
         broken += [
             {"rule": "STARVED", "id": s.sort, "detail": f"{s.names} of {s.asked_for}"}
-            for s in starved(asked)
+            for s in starved(trial.asked_for_listed(asked))
         ]
         broken += [
             {"rule": "LIMIT", "id": engine.id, "detail": str(wrong)}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -125,6 +125,21 @@
         self.assertThat(report.longest_stop_s, LessThan(9.0))
 
 
+class ShortRunOfPlannedWork(TestCase):
+    """Stops while requests wait for slow loads, and models in use that leave the configuration."""
+
+    def assert_nothing_breaks(self, size):
+        report = soak(SoakPlan(seed=11, seconds=20.0, size=size))
+        self.assertThat(report.broken, Equals([]))
+        self.assertThat(report.served, GreaterThan(100))
+
+    def test_requests_that_wait_longer_than_the_grace_period(self):
+        self.assert_nothing_breaks("waiting")
+
+    def test_models_in_use_that_are_dropped(self):
+        self.assert_nothing_breaks("dropping")
+
+
 class EarlyReload(TestCase):
     def test_a_reload_while_modules_load_does_not_end_a_node(self):
         """Whatever comes of the start, the signal is ignored from its first step on."""
