Readiness probe: a burst of probes isn't refused by a node that is ready

Trace: the listener of the probe had four threads in shares of one each; it queues requests for twice as many, and refuses the rest with 503 threads. Twenty probes at once could exceed that, and a prober takes that 503 for a node that isn't ready.

--- a/libs/pulleyhitch/src/pulleyhitch/status_endpoint.py
+++ b/libs/pulleyhitch/src/pulleyhitch/status_endpoint.py
@@ -11,9 +11,9 @@
 
 __all__ = ["StatusEndpoint"]
 
-_THREADS = 4
+_THREADS = 32
 # How long a prober may take to send its request.
-_REQUEST_TIMEOUT_S = 2.0
+_REQUEST_TIMEOUT_S = 8.0
 # WSGI environment key of the outcome that the application turns into a response.
 _OUTCOME_KEY = "pulleyhitch.ready"
 
