Threads of a burst end once they are idle

Cause: ThreadPoolExecutor never ends a thread. When a model in use is dropped, all requests that wait for it are refused at once, and the listener's two pools keep a thread for each of them. Ruled out by a dump of all threads at rest: threads that wait for something; each stood in the idle loop of its pool. Only the counter that had not been restarted had them (21 and 23 `http`, 10 and 20 `finish`).

The new test in test_listener failed before: all 48 threads of 24 requests were still there.

--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -14,12 +14,12 @@
 import socket
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 
 from transport import failures
 
 from pulleyhitch import admission, request_framing
 from pulleyhitch.caller_connection import CallerConnection
+from pulleyhitch.thread_pool import ThreadPool
 
 __all__ = ["Listener"]
 
@@ -57,10 +57,8 @@
         self._thread_shares = admission.thread_shares(threads)
         self._free_threads = dict(self._thread_shares)
         self._lock = threading.Lock()
-        self._pool = ThreadPoolExecutor(
-            sum(self._thread_shares.values()), thread_name_prefix="http"
-        )
-        self._finish_pool = ThreadPoolExecutor(threads, thread_name_prefix="finish")
+        self._pool = ThreadPool(sum(self._thread_shares.values()), "http")
+        self._finish_pool = ThreadPool(threads, "finish")
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._connection_limit = max(16, min(_CONNECTIONS_PER_THREAD * threads, limit // 2))
         self._connections, self._buffered_bytes = {}, 0
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -37,6 +37,7 @@
 
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
+from pulleyhitch.thread_pool import ThreadPool
 
 __all__ = ["Process", "CannotStart"]
 
@@ -48,6 +49,8 @@
 _FINAL_MESSAGES_S = 0.15
 _COUNTER_STOP_S = 1.0
 _STOP_POLL_S = 0.05
+# Threads for calls to engines and to the platform.
+_CALL_THREADS = 32
 # Interval between sweeps of idle connections to engines.
 _SWEEP_INTERVAL_MS = 5000.0
 
@@ -78,7 +81,7 @@
         self._stopped = threading.Event()
         self._finished = threading.Event()
         self._attempts_ended = threading.Event()
-        self._calls = ThreadPoolExecutor(32, thread_name_prefix="call")
+        self._calls = ThreadPool(_CALL_THREADS, "call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
         self._disk, group = self._open_disk(config)
         self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group, dialect)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -275,3 +275,37 @@
             self.assertThat(len(set(self.handled)), Equals(len(self.handled)))
             self.assertThat(len(set(self.disconnected)), Equals(len(self.disconnected)))
             self.assertTrue(set(self.finished) <= set(self.handled))
+
+
+class ThreadsOfABurst(ListenerTestCase):
+    REQUESTS = 24
+
+    def test_they_end_once_the_listener_is_idle(self):
+        """Guards against LEAK: a node kept the threads of the largest burst of its life."""
+        threads, futures = set(), []
+        began = threading.Barrier(self.REQUESTS + 1)
+        finished = threading.Barrier(self.REQUESTS)
+
+        def begin(caller):
+            threads.add(threading.current_thread())
+            began.wait(WAIT_S)
+            futures.append(Future())
+            return futures[-1], lambda _: finish(caller), lambda: None
+
+        def finish(caller):
+            threads.add(threading.current_thread())
+            finished.wait(WAIT_S)
+            answer(caller.sock, b"late")
+
+        self.start_listener(begin, threads=128)
+        socks = [self.connect() for _ in range(self.REQUESTS)]
+        for sock in socks:
+            sock.sendall(HEAD % b"held" + b"Content-Length: 0\r\n\r\n")
+        began.wait(WAIT_S)
+        self.until(lambda: len(futures) == self.REQUESTS)
+        for future in futures:
+            future.set_result(None)
+        for sock in socks:
+            self.assertTrue(received(sock).endswith(b"late"))
+        self.assertThat(len(threads), Equals(2 * self.REQUESTS))
+        self.until(lambda: not any(thread.is_alive() for thread in threads))
