--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -277,6 +277,29 @@
             self.assertTrue(set(self.finished) <= set(self.handled))
 
 
+class Stopping(ListenerTestCase):
+    CALLERS = 150
+
+    def test_connections_that_were_not_accepted_yet_are_served(self):
+        """Guards against LOST: a stop closed the connections of a backlog longer than one turn."""
+        listener = Listener(
+            "127.0.0.1", 0, 2 * self.CALLERS, self.begin, lambda data: "rank0", WAIT_S
+        )
+        self.address = listener._server_socket.getsockname()
+        socks = [self.connect() for _ in range(self.CALLERS)]
+        for sock in socks:
+            sock.sendall(HEAD % b"early" + b"Content-Length: 0\r\n\r\n")
+        listener.stop()
+        thread = threading.Thread(target=listener.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, WAIT_S)
+        endings = [received(sock)[-5:] for sock in socks]
+        self.assertThat(endings, Equals([b"early"] * self.CALLERS))
+
+    def begin(self, caller):
+        answer(caller.sock, id_of(caller))
+
+
 class ThreadsOfABurst(ListenerTestCase):
     REQUESTS = 24
 
