Listener: thread shares and the queue for threads in a module of their own

Behaviour is unchanged. Tests that compared two fields of the listener ask ThreadShares.all_free now.

--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -20,6 +20,7 @@
 from pulleyhitch import admission, request_framing
 from pulleyhitch.caller_connection import CallerConnection
 from pulleyhitch.thread_pool import ThreadPool
+from pulleyhitch.thread_shares import ThreadQueue, ThreadShares
 
 __all__ = ["Listener"]
 
@@ -54,15 +55,15 @@
         self._idle_timeout_s = idle_timeout_s or request_timeout_s
         self._server_socket = socket.create_server((host, port), backlog=1024)
         self._server_socket.setblocking(False)
-        self._thread_shares = admission.thread_shares(threads)
-        self._free_threads = dict(self._thread_shares)
+        self._thread_shares = ThreadShares(threads)
+        self._thread_queue = ThreadQueue(self._thread_shares.total)
         self._lock = threading.Lock()
-        self._pool = ThreadPool(sum(self._thread_shares.values()), "http")
+        self._pool = ThreadPool(self._thread_shares.total, "http")
         self._finish_pool = ThreadPool(threads, "finish")
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._connection_limit = max(16, min(_CONNECTIONS_PER_THREAD * threads, limit // 2))
         self._connections, self._buffered_bytes = {}, 0
-        self._actions, self._thread_queue = queue.SimpleQueue(), []
+        self._actions = queue.SimpleQueue()
         self._wakeup_receiver, self._wakeup_sender = socket.socketpair()
         self._wakeup_receiver.setblocking(False)
         self._selector = selectors.DefaultSelector()
@@ -214,28 +215,15 @@
         self._unregister(caller)
         caller.request_class, caller.since_s = self._classify(caller.data), time.monotonic()
         if not self._start(caller):
-            self._thread_queue.append(caller)
-            self._thread_queue.sort(
-                key=lambda c: (admission.PRIORITIES[c.request_class], c.since_s)
-            )
-            if len(self._thread_queue) > 2 * sum(self._thread_shares.values()):
-                lowest = self._thread_queue.pop()
-                self._refuse(lowest, "threads", admission.RETRY_AFTER_S[lowest.request_class])
+            refused = self._thread_queue.add(caller)
+            if refused is not None:
+                self._refuse_for_threads(refused)
 
     def _start(self, caller):
         """Start the request on a thread of its own share or of a lower one, if one is free."""
-        with self._lock:
-            share = next(
-                (
-                    name
-                    for name in admission.USABLE_SHARES[caller.request_class]
-                    if self._free_threads[name] > 0
-                ),
-                None,
-            )
-            if share is None:
-                return False
-            self._free_threads[share] -= 1
+        share = self._thread_shares.acquire(caller.request_class)
+        if share is None:
+            return False
         caller.thread_share = share
         caller.sock.setblocking(True)
         caller.sock.settimeout(self._request_timeout_s)
@@ -243,7 +231,10 @@
         return True
 
     def _start_queued(self):
-        self._thread_queue = [c for c in self._thread_queue if not self._start(c)]
+        self._thread_queue.start_each(self._start)
+
+    def _refuse_for_threads(self, caller):
+        self._refuse(caller, "threads", admission.RETRY_AFTER_S[caller.request_class])
 
     def _refuse(self, caller, cause, seconds):
         self._unregister(caller)
@@ -257,8 +248,7 @@
         try:
             waiting = self._begin(caller)
         finally:
-            with self._lock:
-                self._free_threads[caller.thread_share] += 1
+            self._thread_shares.release(caller.thread_share)
             self._run_on_loop(lambda: self._close(caller) if waiting is None else None)
             self._run_on_loop(self._start_queued)
         if waiting is not None:
@@ -279,11 +269,8 @@
     def _enforce_timeouts(self, now_s):
         """Refuse requests that waited too long for a thread; close connections whose request
         did not arrive in time."""
-        for caller in [
-            c for c in self._thread_queue if now_s - c.since_s > self._request_timeout_s / 8
-        ]:
-            self._thread_queue.remove(caller)
-            self._refuse(caller, "threads", admission.RETRY_AFTER_S[caller.request_class])
+        for caller in self._thread_queue.remove_since(now_s - self._request_timeout_s / 8):
+            self._refuse_for_threads(caller)
         for caller in [
             c
             for c in self._connections.values()
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -124,7 +124,7 @@
             and not self.process._futures
             and not listener._connections
             and not listener._buffered_bytes
-            and listener._free_threads == listener._thread_shares
+            and listener._thread_shares.all_free()
         )
 
     def settle(self):
