Soak: the size waiting asks for no more models than its engines can load

24 models, six engines that hold two each, loads of 3.9 s of which three at a time run at full speed: that is at most 23 loads in the 30 s of a seed, while stops end the waits that they meet. The check and its bounds are unchanged; the size has 16 models.

Seen in the trace and left open: a model whose load ends just after its last waiting request was refused by a stop can be unloaded at once for another one.

--- a/libs/simulation/src/simulation/soak/plan.py
+++ b/libs/simulation/src/simulation/soak/plan.py
@@ -58,7 +58,7 @@
     "small": Size(3, 2, 10, 12, 20),
     "usual": Size(4, 3, 16, 24, 30),
     "biggest": Size(60, 16, 64, 150, 60),
-    "waiting": Size(3, 2, 24, 24, 16, 3900.0, 20_000, 6000, only_stops=True),
+    "waiting": Size(3, 2, 24, 16, 16, 3900.0, 20_000, 6000, only_stops=True),
     "dropping": Size(3, 2, 24, 8, 8, drops_models=True),
 }
 
