Soak: connections between nodes are counted apart from other descriptors

The size biggest (63 processes), run for the first time, found LEAK at 43 counters: 62 to 84 descriptors more at rest than at the start, 60 allowed. A dump by remote address shows what they are: connections to and from other nodes, at most one each way for a pair (53 counters and 3 depots out, 56 in). At the start a counter has met 11 to 18 of the others, so the check measured how far the mesh had grown, and its bound depends on the size of the fleet.

Now these connections are counted apart, with a bound of their own, which the old check lacked: two for each other node. The bound on all other descriptors is unchanged.

--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -99,6 +99,10 @@
         number = ["counter", "readiness", "control", "http"].index(what)
         return f"{self.ip[name]}:{self.ports[number] + (what == 'http')}"
 
+    def peer_addresses(self):
+        """(host, port) at which each node accepts connections of other nodes."""
+        return frozenset((ip, self.ports[3]) for ip in self.ip.values())
+
     def engine(self, service, sizes, store, plain, zone, disk=(), warmMs=0.0, address=None):
         """An engine on a fresh address, or on one that is free again; it holds what is on
         its disk."""
--- a/libs/simulation/src/simulation/soak/checks.py
+++ b/libs/simulation/src/simulation/soak/checks.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from simulation.judge.comparison import Difference
+from simulation.soak.sockets import peer_connections
 
 __all__ = ["Use", "abrupt_ends", "cut_by_stops", "grown", "late_stops", "tracebacks", "use_of"]
 
@@ -14,33 +15,45 @@
 _SLACK_S = 1.0
 # A node at rest may have this much more than one that has just started, and no more.
 _MORE_FILES, _MORE_THREADS, _MORE_MB = 60, 30, 80.0
+# Connections between two nodes: each opens one.
+_CONNECTIONS_PER_PEER = 2
 _ENDED = (0, -15, -9, -1)
 _TRACEBACK = re.compile(r"^Traceback \(most recent call last\)|\"CoreBroke\"", re.MULTILINE)
 
 
 @dataclass(frozen=True)
 class Use:
-    """Descriptors, threads and memory of a process."""
+    """Descriptors but for connections between nodes, threads, memory and connections between
+    nodes of a process."""
 
     files: int
     threads: int
     memory_mb: float
+    peer_connections: int = 0
 
 
-def use_of(pid):
-    """A Use of a running process, from the system's own tables."""
+def use_of(pid, peer_addresses=frozenset()):
+    """A Use of a running process, from the system's own tables.  `peer_addresses`: the
+    addresses (host, port) at which nodes accept connections of other nodes."""
+    connections = peer_connections(pid, peer_addresses)
     status = Path(f"/proc/{pid}/status").read_text(encoding="utf8")
     fields = dict(line.split(":", 1) for line in status.splitlines() if ":" in line)
     return Use(
-        len(os.listdir(f"/proc/{pid}/fd")),
+        len(os.listdir(f"/proc/{pid}/fd")) - connections,
         int(fields["Threads"]),
         int(fields["VmRSS"].split()[0]) / 1024,
+        connections,
     )
 
 
-def grown(name, before, after):
-    """Differences if a node at rest holds much more than it did when it had started."""
+def grown(name, before, after, nodes):
+    """Differences if a node at rest holds much more than it did when it had started, or more
+    connections to the other ones of `nodes` nodes than there are to open."""
     found = []
+    most_connections = _CONNECTIONS_PER_PEER * (nodes - 1)
+    if after.peer_connections > most_connections:
+        detail = f"peer_connections: {after.peer_connections} of {most_connections}"
+        found.append(Difference("LEAK", name, detail))
     for what, most in (
         ("files", _MORE_FILES),
         ("threads", _MORE_THREADS),
--- a/libs/simulation/src/simulation/soak/run.py
+++ b/libs/simulation/src/simulation/soak/run.py
@@ -137,8 +137,9 @@
         self.hurt.append((begun_ms, now_ms() + CONTACT_MS))
 
     def _uses(self):
+        addresses = self.fleet.peer_addresses()
         return {
-            name: checks.use_of(process.pid)
+            name: checks.use_of(process.pid, addresses)
             for name, process in self.fleet.running.items()
             if process.poll() is None
         }
@@ -167,7 +168,7 @@
         found += checks.cut_by_stops(kept.lost, self.stops, self.hurt)
         found += checks.tracebacks(self.fleet.folder)
         for name, use in sorted(after.items()):
-            found += checks.grown(name, before.get(name, first), use)
+            found += checks.grown(name, before.get(name, first), use, len(self.fleet.ip))
         broken += [vars(d) for d in found]
         return SoakReport(
             self.plan.seed,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak: its plan, each of its checks shown to fail, and a short seeded run."""
 
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -58,10 +59,16 @@
         self.assertThat(checks.cut_by_stops(late, stops, []), Equals([]))
 
     def test_what_is_not_given_back(self):
-        before = Use(40, 30, 60.0)
-        self.assertThat(checks.grown("n", before, Use(80, 40, 90.0)), Equals([]))
-        for after in (Use(400, 30, 60.0), Use(40, 90, 60.0), Use(40, 30, 260.0)):
-            self.assertThat(rules(checks.grown("n", before, after)), Equals(["LEAK"]), str(after))
+        before = Use(40, 30, 60.0, 2)
+        self.assertThat(checks.grown("n", before, Use(80, 40, 90.0, 4), 3), Equals([]))
+        for after in (
+            Use(400, 30, 60.0, 2),
+            Use(40, 90, 60.0, 2),
+            Use(40, 30, 260.0, 2),
+            Use(40, 30, 60.0, 5),
+        ):
+            found = checks.grown("n", before, after, 3)
+            self.assertThat(rules(found), Equals(["LEAK"]), str(after))
 
     def test_tracebacks_in_a_log(self):
         folder = Path(tempfile.mkdtemp())
@@ -78,6 +85,17 @@
         self.assertThat(use.threads, GreaterThan(0))
         self.assertThat(use.memory_mb, GreaterThan(1.0))
 
+    def test_connections_between_nodes_are_counted_apart(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = server.getsockname()
+            with socket.create_connection(address), server.accept()[0]:
+                use = checks.use_of(os.getpid(), frozenset({address}))
+                # Both ends belong to this process; the listening socket isn't a connection.
+                self.assertThat(use.peer_connections, Equals(2))
+                self.assertThat(checks.use_of(os.getpid()).peer_connections, Equals(0))
+            use = checks.use_of(os.getpid(), frozenset({address}))
+            self.assertThat(use.peer_connections, Equals(0))
+
 
 class OneAnswer(TestCase):
     def read(self, *parts):
