Thread pool: idle threads beyond eight end at once, in place of a time limit

Now it waits without one, and a thread that has nothing to do ends if eight others of its pool are idle.

--- a/libs/pulleyhitch/src/pulleyhitch/thread_pool.py
+++ b/libs/pulleyhitch/src/pulleyhitch/thread_pool.py
@@ -1,4 +1,4 @@
-"""Thread pool whose idle threads end."""
+"""Thread pool that keeps few idle threads."""
 
 import threading
 from collections import deque
@@ -7,7 +7,7 @@
 
 __all__ = ["ThreadPool"]
 
-_IDLE_TIMEOUT_S = 5.0
+_IDLE_LIMIT = 8
 
 
 @dataclass(frozen=True)
@@ -32,12 +32,12 @@
 class ThreadPool:
     """Runs calls on up to `size` threads, in the order in which they were submitted.
 
-    Unlike `concurrent.futures.ThreadPoolExecutor`, it ends a thread that has been idle for
-    `idle_timeout_s`, so a burst of calls leaves no threads behind.  The threads are daemons
-    and are named `name`-1, `name`-2 and so on."""
+    Unlike `concurrent.futures.ThreadPoolExecutor`, it ends a thread that has nothing to do while
+    `idle_limit` others are idle, so a burst of calls leaves few threads behind.  The threads are
+    daemons and are named `name`-1, `name`-2 and so on."""
 
-    def __init__(self, size, name, idle_timeout_s=_IDLE_TIMEOUT_S):
-        self._size, self._name, self._idle_timeout_s = size, name, idle_timeout_s
+    def __init__(self, size, name, idle_limit=_IDLE_LIMIT):
+        self._size, self._name, self._idle_limit = size, name, idle_limit
         self._call_added = threading.Condition(threading.Lock())
         self._calls = deque()
         self._threads = self._idle_threads = self._started = 0
@@ -73,13 +73,19 @@
             del call
 
     def _next_call(self):
-        """The call to run next, or None if none came in time: the thread has to end then."""
+        """The call to run next, or None if the thread has to end."""
         with self._call_added:
-            if not self._calls:
-                self._idle_threads += 1
-                self._call_added.wait_for(lambda: self._calls, self._idle_timeout_s)
-                self._idle_threads -= 1
-            if self._calls:
-                return self._calls.popleft()
-            self._threads -= 1
-            return None
+            if not self._calls and not self._wait_for_call():
+                self._threads -= 1
+                return None
+            return self._calls.popleft()
+
+    def _wait_for_call(self):
+        """Wait until there is a call; returns False, at once, if enough threads wait already."""
+        if self._idle_threads >= self._idle_limit:
+            return False
+        self._idle_threads += 1
+        while not self._calls:
+            self._call_added.wait()
+        self._idle_threads -= 1
+        return True
