--- a/deploy/libraries.py
+++ b/deploy/libraries.py
@@ -12,6 +12,7 @@
 
 # The Debian package of each system library that a manylinux wheel may expect.
 PACKAGE_OF_LIBRARY = {
+    "ld-linux-aarch64.so.1": "libc6",
     "ld-linux-x86-64.so.2": "libc6",
     "libc.so.6": "libc6",
     "libdl.so.2": "libc6",
@@ -59,9 +60,16 @@
 
 def needed_libraries(path: pathlib.Path) -> set[str]:
     """The names of the shared libraries that an ELF file requires (DT_NEEDED)."""
-    data = path.read_bytes()
+    try:
+        return needed_libraries_of(path.read_bytes())
+    except UnsupportedElfFile as error:
+        raise UnsupportedElfFile(f"{path}: {error}") from error
+
+
+def needed_libraries_of(data: bytes) -> set[str]:
+    """The names of the shared libraries that the content of an ELF file requires (DT_NEEDED)."""
     if data[4:6] != ELF_CLASS_64_LITTLE_ENDIAN:
-        raise UnsupportedElfFile(f"{path}: not a 64-bit little-endian ELF file")
+        raise UnsupportedElfFile("not a 64-bit little-endian ELF file")
     segments = read_segments(data)
     entries = read_dynamic_entries(data, segments)
     tables = [value for tag, value in entries if tag == TAG_STRING_TABLE]
