Build: what target/deps holds is proven by a record in it, and the build ends with an import

Seen: no process starts. With a target/ from a machine of another architecture, the build ended with 1 ("shared libraries are missing: ld-linux-x86-64.so.2") without installing anything; with target/deps gone and target/asked.txt kept it ended with 0 (ModuleNotFoundError at the start). Cause: the list of requirements in target/asked.txt, beside the folder, was taken for proof of what is in the folder, whatever the machine, the interpreter and the state of the folder. Ruled out: a fault of the wheels; the same requirements installed on the machine itself start. An installation is made aside and renamed when whole. The build ends with the import that the start makes, with no other path than target/deps.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,18 +1,21 @@
 """Builds target/deps: the third-party libraries and the packages of this repository.
 
-Third-party libraries are installed again only if the requirements have changed; the packages
-of the repository are copied at every build, so that their changes are always included. Error
-messages name the Debian package that provides what the machine lacks.
+Third-party libraries are installed again unless `installation` finds them whole and made for this
+interpreter and machine; the packages of the repository are copied at every build, so that their
+changes are always included. Error messages name the Debian package that provides what the machine
+lacks.
 """
 
 import compileall
 import importlib.util
+import os
 import pathlib
 import shutil
 import ssl
 import subprocess
 import sys
 
+import installation
 import libraries
 
 try:
@@ -22,7 +25,11 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPS = ROOT / "target" / "deps"
-INSTALLED_REQUIREMENTS = ROOT / "target" / "asked.txt"
+# Where an installation is made before it replaces the one in DEPS.
+UNFINISHED = ROOT / "target" / "deps.unfinished"
+ADAPTER = ROOT / "platform"
+# What `platform/start.py` imports.
+STARTED_MODULES = "from adapter import dialect, settings; from pulleyhitch import lifecycle"
 TEST_ONLY_PROJECTS = {"simulation"}
 OWN_PREFIX = "pulleyhitch"
 
@@ -67,19 +74,21 @@
 
 
 def install(requirements: list[str]) -> None:
-    """Installs the third-party requirements, unless they are the ones already installed."""
-    required = "\n".join(requirements)
-    if INSTALLED_REQUIREMENTS.exists() and INSTALLED_REQUIREMENTS.read_text() == required:
+    """Installs the third-party requirements, unless they are installed already.  An installation
+    that is interrupted or fails leaves the one before it as it was."""
+    if installation.is_complete(DEPS, requirements):
         return
     check_tools()
-    shutil.rmtree(DEPS, ignore_errors=True)
+    shutil.rmtree(UNFINISHED, ignore_errors=True)
     command = [sys.executable, "-m", "pip", "install", "-q", "--disable-pip-version-check"]
-    command += ["--target", str(DEPS), *requirements]
+    command += ["--target", str(UNFINISHED), *requirements]
     if subprocess.run(command).returncode != 0:
         raise BuildError(
             "pip could not install " + ", ".join(requirements) + "; see its output above"
         )
-    INSTALLED_REQUIREMENTS.write_text(required)
+    installation.save(UNFINISHED, installation.describe(UNFINISHED, requirements))
+    shutil.rmtree(DEPS, ignore_errors=True)
+    UNFINISHED.rename(DEPS)
 
 
 def check_libraries() -> None:
@@ -102,16 +111,31 @@
             compileall.compile_dir(target, quiet=1)
 
 
+def check_start() -> None:
+    """Raises BuildError if a process could not import what it runs."""
+    paths = os.pathsep.join(str(path) for path in (DEPS, ADAPTER))
+    done = subprocess.run(
+        [sys.executable, "-S", "-B", "-c", STARTED_MODULES],
+        env={**os.environ, "PYTHONPATH": paths},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    if done.returncode != 0:
+        causes = done.stderr.strip().splitlines() or [f"exit status {done.returncode}"]
+        raise BuildError(f"what was built can't start: {causes[-1]}")
+
+
 def main() -> int:
     """Builds; returns the exit status, 1 if something is missing."""
     projects = product_projects()
     try:
         install(third_party_requirements(projects))
         check_libraries()
+        copy_sources(projects)
+        check_start()
     except BuildError as error:
         print(f"build: {error}", file=sys.stderr)
         return 1
-    copy_sources(projects)
     return 0
 
 
--- a/tests/test_deploy_packages.py
+++ b/tests/test_deploy_packages.py
@@ -11,6 +11,7 @@
 sys.path.insert(0, str(ROOT / "deploy"))
 
 import build  # noqa: E402
+import installation  # noqa: E402
 import libraries  # noqa: E402
 
 # Packages whose programs or data `build` and `run` use, apart from shared libraries.
@@ -98,7 +99,7 @@
 
 
 def test_a_missing_pip_is_named_with_its_package(monkeypatch, tmp_path, capsys):
-    monkeypatch.setattr(build, "INSTALLED_REQUIREMENTS", tmp_path / "asked.txt")
+    monkeypatch.setattr(build, "UNFINISHED", tmp_path / "unfinished")
     monkeypatch.setattr(build, "DEPS", tmp_path / "deps")
     monkeypatch.setattr(build.importlib.util, "find_spec", lambda name: None)
     assert build.main() == 1
@@ -108,7 +109,7 @@
 
 
 def test_missing_certificates_are_named_with_their_package(monkeypatch, tmp_path, capsys):
-    monkeypatch.setattr(build, "INSTALLED_REQUIREMENTS", tmp_path / "asked.txt")
+    monkeypatch.setattr(build, "UNFINISHED", tmp_path / "unfinished")
     monkeypatch.setattr(build, "DEPS", tmp_path / "deps")
     monkeypatch.setattr(build, "has_certificates", lambda: False)
     assert build.main() == 1
@@ -121,10 +122,11 @@
 
         returncode = 1
 
-    monkeypatch.setattr(build, "INSTALLED_REQUIREMENTS", tmp_path / "asked.txt")
+    monkeypatch.setattr(build, "UNFINISHED", tmp_path / "unfinished")
     monkeypatch.setattr(build, "DEPS", tmp_path / "deps")
     monkeypatch.setattr(build, "has_certificates", lambda: True)
     monkeypatch.setattr(build.subprocess, "run", lambda command: Failed())
     assert build.main() == 1
     assert "pip could not install" in capsys.readouterr().err
-    assert not (tmp_path / "asked.txt").exists()
+    assert not installation.is_complete(tmp_path / "deps", [])
+    assert not (tmp_path / "deps").exists()
