Starts and ends of a process are told apart by their causes

The incident left no record, and ours could not have told its hypotheses apart: a failed start printed a failure without code and time, a stop printed nothing, an address that can't be used for any reason looked like one that is taken, and a start didn't say what ran on what, nor what came before it. Change: the last line on stderr names the exit code, the time since the start, and the signal or the typed failure. The line "up" names interpreter, machine, the time that the start took and, on a depot, how the last run ended (the lock file keeps it; it isn't synced, and a full disk does no harm). Ruled out: a file for the last end on counters; they have no disk that outlives them.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -4,79 +4,90 @@
 """
 
 import gc
-import json
 import os
 import signal
-import sys
 import threading
+import time
 
 from transport import failures
 
 from pulleyhitch import orderly_stop
 from pulleyhitch.gateway import Gateway, OperatorGateway
-from pulleyhitch.process import CannotStart, Process
+from pulleyhitch.lifecycle_log import (
+    EXIT_CANNOT_START,
+    EXIT_FAILURE,
+    EXIT_ORDERLY,
+    LifecycleLog,
+    report_failure,
+)
+from pulleyhitch.process import CannotStart, Process, cannot_listen
 from pulleyhitch.server import Server
 from pulleyhitch.status_endpoint import StatusEndpoint
 
-__all__ = ["run", "report_failure"]
-
-
-def report_failure(failure):
-    """Print a failure to stderr as one line of JSON."""
-    print(json.dumps(failures.as_json(failure)), file=sys.stderr, flush=True)
+__all__ = ["run"]
 
 
 def _make_servers(process):
     """(name, server) of the product's own interface and of those set in the config's `doors`."""
-    servers = [("http", Server(process))]
+    servers = [("http", _listen(Server, process, process.config.http))]
     for name, server_class in (
         ("callers", Gateway),
         ("operators", OperatorGateway),
         ("status", StatusEndpoint),
     ):
         if name in process.config.doors:
-            servers.append((name, server_class(process)))
+            address = process.config.doors[name]
+            servers.append((name, _listen(server_class, process, address)))
     return servers
 
 
-def run(config, dialect=None, changed_seeds=None):
+def _listen(server_class, process, address):
+    """A server that listens at the address; raises CannotStart."""
+    try:
+        return server_class(process)
+    except OSError as error:
+        raise cannot_listen(address, error) from error
+
+
+def run(config, dialect=None, changed_seeds=None, start_s=None):
     """Run a node until SIGINT, SIGTERM or a failure, then exit the process.  Returns an exit
     code only if it can't start.  `changed_seeds()` is polled for seed addresses; it returns
-    None if they are unchanged.  SIGHUP polls at once, SIGUSR1 dumps the log ring."""
+    None if they are unchanged.  SIGHUP polls at once, SIGUSR1 dumps the log ring.  `start_s`:
+    monotonic time of the process's start in seconds, by default now."""
+    log = LifecycleLog(time.monotonic() if start_s is None else start_s, config.name)
     try:
         process = Process(config, dialect)
-    except CannotStart as error:
-        report_failure(error.failure)
-        return 3
-    try:
         servers = _make_servers(process)
-    except OSError as error:
-        report_failure(failures.AddressTaken(str(error.args[-1] if error.args else config.http)))
-        return 3
+    except CannotStart as error:
+        log.failed(EXIT_CANNOT_START, error.failure)
+        return EXIT_CANNOT_START
     stop_requested, reload_requested = threading.Event(), threading.Event()
+    stop_signals = []
+
+    def on_stop(number, _frame):
+        stop_signals.append(signal.Signals(number).name)
+        stop_requested.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop_requested.set())
+        signal.signal(number, on_stop)
     signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
     signal.signal(signal.SIGUSR1, lambda *_: process.ring.log("asked", {}, dump_reason="asked"))
     _freeze_garbage_collector()
     process.start()
     for name, server in servers:
         threading.Thread(target=server.run, name=name, daemon=True).start()
-    print(
-        json.dumps(
-            {"up": config.name, "role": config.role, "address": config.address, "http": config.http}
-        ),
-        flush=True,
-    )
+    log.serving(config, process.previous_end)
     if not config.tokens and dialect is None:
         report_failure(failures.NoTokens("operators are not authenticated; see [tokens]"))
     code = _wait(process, stop_requested, reload_requested, changed_seeds)
-    if code == 0:
+    if code == EXIT_ORDERLY:
         orderly_stop.stop(process, dict(servers))
+        process.record_end(stop_signals[0])
+        log.stopped(stop_signals[0])
     else:
         orderly_stop.stop_failed(process, dict(servers))
-    sys.stdout.flush()
-    sys.stderr.flush()
+        process.record_end(process.failure.tag)
+        log.failed(code, process.failure)
     os._exit(code)
 
 
@@ -92,11 +103,11 @@
     polls = 0
     while not stop_requested.wait(0.1 if changed_seeds is None else 0.25):
         if process.stopped():
-            return 4
+            return EXIT_FAILURE
         polls += 1
         if changed_seeds is not None and (reload_requested.is_set() or polls % 4 == 0):
             reload_requested.clear()
             seeds = changed_seeds()
             if seeds:
                 process.notify("", "seeds", {"seeds": seeds})
-    return 0
+    return EXIT_ORDERLY
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -6,6 +6,7 @@
 and never touch the core's state.
 """
 
+import errno
 import queue
 import random
 import secrets
@@ -39,7 +40,7 @@
 from pulleyhitch import node as nodes
 from pulleyhitch.thread_pool import ThreadPool
 
-__all__ = ["Process", "CannotStart"]
+__all__ = ["Process", "CannotStart", "cannot_listen"]
 
 _TICKS_PER_PING = 6
 # Part of the election timeout, before jitter, after which a depot that has just started may
@@ -63,6 +64,13 @@
         self.failure = failure
 
 
+def cannot_listen(address, error):
+    """The CannotStart for an OSError on listening at an address."""
+    if error.errno == errno.EADDRINUSE:
+        return CannotStart(failures.AddressTaken(address))
+    return CannotStart(failures.AddressUnusable(address, str(error.strerror)))
+
+
 class Process:
     """A running node.  `submit`, `notify` and `request` pass requests to the core by verb; the
     outcome comes from the core's `Reply` effects."""
@@ -78,6 +86,7 @@
         self._answers_nothing = False
         self._wake_ms = float("inf")
         self._sweep_ms = 0.0
+        self.failure = None
         self._stopped = threading.Event()
         self._finished = threading.Event()
         self._attempts_ended = threading.Event()
@@ -94,7 +103,7 @@
                 configs.times(config).election_ms,
             )
         except OSError as error:
-            raise CannotStart(failures.AddressTaken(config.listen)) from error
+            raise cannot_listen(config.listen, error) from error
         self._owner = threading.Thread(target=self._run_owner, name="owner", daemon=True)
 
     def _open_disk(self, config):
@@ -129,6 +138,16 @@
         self._owner.start()
         return self
 
+    @property
+    def previous_end(self):
+        """The cause of this node's last end as its data folder tells it, "" if it doesn't."""
+        return self._disk.previous_end if self._disk is not None else ""
+
+    def record_end(self, cause):
+        """Tell the next start why this one ends."""
+        if self._disk is not None:
+            self._disk.record_end(cause)
+
     def close(self):
         """Stop the owner thread, in order unless it has failed: release leases, leadership and
         membership first.  Then refuse all requests that still wait for an outcome, and all later
@@ -250,6 +269,8 @@
 
     def _fail(self, failure):
         self.ring.log("stops", failures.as_json(failure), dump_reason=failure.tag)
+        if self.failure is None:
+            self.failure = failure
         self._stopped.set()
 
     def _apply_effect(self, effect):
--- a/libs/pulleyhitch/src/pulleyhitch/role_commands.py
+++ b/libs/pulleyhitch/src/pulleyhitch/role_commands.py
@@ -4,12 +4,14 @@
 used, 4 stopped by a failure.
 """
 
+import time
+
 from cleo.commands.command import Command
 from cleo.helpers import option
 from transport import failures
 
 from pulleyhitch import config as configs
-from pulleyhitch import lifecycle
+from pulleyhitch import lifecycle, lifecycle_log
 
 __all__ = ["COMMANDS"]
 
@@ -45,11 +47,12 @@
     ] + [option(key, None, f"This process's {key}", flag=False) for key in _TEXT_OPTIONS]
 
     def handle(self):
+        start_s = time.monotonic()
         config = configs.read(self.option("config"), _flags(self, self.name))
         if isinstance(config, failures.Failure):
-            lifecycle.report_failure(config)
-            return 2
-        return lifecycle.run(config)
+            lifecycle_log.LifecycleLog(start_s).failed(lifecycle_log.EXIT_SETTINGS, config)
+            return lifecycle_log.EXIT_SETTINGS
+        return lifecycle.run(config, start_s=start_s)
 
 
 class Depot(_RoleCommand):
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -59,17 +59,14 @@
         self._serving = serving.TaskHandler(process.request, 500, process.ends_attempts)
         self._route_classes = {}
         self._server_context = make_server_context(process, self._config.http, self._app)
-        try:
-            self._listener = Listener(
-                *split_address(self._config.http),
-                self._config.httpThreads,
-                self._begin,
-                lambda data: admission.classify(data, self._rank_of),
-                0.4 * self._config.bounds.serviceBackMs / 1000,
-                policy=admission.PRODUCT_POLICY,
-            )
-        except OSError as error:
-            raise OSError(self._config.http) from error
+        self._listener = Listener(
+            *split_address(self._config.http),
+            self._config.httpThreads,
+            self._begin,
+            lambda data: admission.classify(data, self._rank_of),
+            0.4 * self._config.bounds.serviceBackMs / 1000,
+            policy=admission.PRODUCT_POLICY,
+        )
 
     def _rank_of(self, route):
         return RANK.get(self._route_classes.get(route), 1)
--- a/libs/replication/src/replication/disk.py
+++ b/libs/replication/src/replication/disk.py
@@ -4,7 +4,6 @@
 whole blocks.  A lock file makes sure that only one process uses the folder.
 """
 
-import fcntl
 import os
 import re
 import struct
@@ -17,6 +16,7 @@
 from transport import failures
 
 from replication import segment_format
+from replication.folder_lock import FolderLock
 from replication.versioned_files import (
     TEMPORARY_SUFFIX,
     DiskError,
@@ -113,7 +113,8 @@
 
 
 class Disk:
-    """An open data folder; `loaded` is its content at the start.
+    """An open data folder; `loaded` is its content at the start, and `previous_end` why the
+    process before this one ended, as FolderLock has it.
 
     `write` carries out a Save, Install or Write effect and returns once it is synced.
     `reserve` and `write_reserved` split a Write, so that several can be in flight.
@@ -124,7 +125,8 @@
         self._segment_bytes = segment_bytes
         self._mutex = threading.Lock()
         self._current, self._offset, self._open = None, 0, {}
-        self._lock_folder()
+        self._lock = FolderLock(self._folder)
+        self.previous_end = self._lock.previous_end
         sync_folder(self._folder)
         for leftover in self._folder.glob("*" + TEMPORARY_SUFFIX):
             leftover.unlink()
@@ -138,18 +140,9 @@
         self._segments = [_Segment(number, path, self._last) for number, path in segments]
         self._remove([s for s in self._segments if s.number < first])
 
-    def _lock_folder(self):
-        try:
-            self._folder.mkdir(parents=True, exist_ok=True)
-            self._lock = open(self._folder / "lock", "w", encoding="ascii")
-        except OSError as error:
-            raise DiskError(
-                failures.FolderUnwritable(str(self._folder), str(error.strerror))
-            ) from error
-        try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as error:
-            raise DiskError(failures.FolderInUse(str(self._folder))) from error
+    def record_end(self, cause):
+        """Leave the cause of this process's end to the next one that uses the folder."""
+        self._lock.record_end(cause)
 
     def write(self, effect):
         """Carry out an effect and return how long it took, in ms."""
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -41,6 +41,7 @@
     "CoreBroke",
     "EarlierRefusal",
     "AddressTaken",
+    "AddressUnusable",
     "Unreachable",
     "as_json",
     "retry_after",
@@ -296,6 +297,14 @@
     address: str
 
 
+@_failure("address-unusable", 500)
+class AddressUnusable(Failure):
+    """The process can't listen at an address, for another reason than that it is in use."""
+
+    address: str
+    cause: str
+
+
 @_failure("unreachable", 502)
 class Unreachable(Failure):
     """A node can't be reached."""
--- a/tests/test_wire_format.py
+++ b/tests/test_wire_format.py
@@ -54,6 +54,7 @@
 REGISTRY_FIELDS = "stamp sections stamps zones zoneStamps engines changes document"
 FAILURE_FIELDS = {
     "address-taken": "500 address",
+    "address-unusable": "500 address cause",
     "body-incomplete": "408",
     "body-malformed": "400 cause",
     "body-oversized": "413 limitBytes",
