Signals: a series of them doesn't end the process or stop its main thread

Callers saw: a process that ends by itself (exit -1, or 1 with a RecursionError) when SIGHUPs follow each other quickly; all its open requests are cut. Cause: the handlers set threading.Events, in Python. Each handler may be interrupted by the next signal, so a series nests until the stack is used up; and a handler that finds the lock of its Event held by the thread that it interrupts (this thread waits on the same Event) waits for ever, and SIGTERM with it. The deadlock wasn't seen in a run, it was read. Ruled out: default dispositions; the first few thousand signals are handled. Change: pulleyhitch.signals. The handler is the built-in put of a SimpleQueue, which is never interrupted and may be entered again; the main thread takes the signals from the queue, dumps the ring and reloads. Measured: test_signals; RealProcess (20,000 SIGHUPs, then SIGTERM) red before, by -1; now exit 0. The pause in which a change of settings is looked for stays a second.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -5,7 +5,6 @@
 
 import gc
 import os
-import signal
 import threading
 import time
 
@@ -22,10 +21,15 @@
 )
 from pulleyhitch.process import CannotStart, Process, cannot_listen
 from pulleyhitch.server import Server
+from pulleyhitch.signals import Request, Signals
 from pulleyhitch.status_endpoint import StatusEndpoint
 
 __all__ = ["run"]
 
+# How often a failure of the process and a change of its settings are looked for.
+_STOPPED_POLL_S = 0.25
+_SEEDS_POLL_S = 1.0
+
 
 def _make_servers(process):
     """(name, server) of the product's own interface and of those set in the config's `doors`."""
@@ -61,17 +65,7 @@
     except CannotStart as error:
         log.failed(EXIT_CANNOT_START, error.failure)
         return EXIT_CANNOT_START
-    stop_requested, reload_requested = threading.Event(), threading.Event()
-    stop_signals = []
-
-    def on_stop(number, _frame):
-        stop_signals.append(signal.Signals(number).name)
-        stop_requested.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, on_stop)
-    signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
-    signal.signal(signal.SIGUSR1, lambda *_: process.ring.log("asked", {}, dump_reason="asked"))
+    signals = Signals().install()
     _freeze_garbage_collector()
     process.start()
     for name, server in servers:
@@ -79,11 +73,11 @@
     log.serving(config, process.previous_end)
     if not config.tokens and dialect is None:
         report_failure(failures.NoTokens("operators are not authenticated; see [tokens]"))
-    code = _wait(process, stop_requested, reload_requested, changed_seeds)
+    code = _wait(process, signals, changed_seeds)
     if code == EXIT_ORDERLY:
         orderly_stop.stop(process, dict(servers))
-        process.record_end(stop_signals[0])
-        log.stopped(stop_signals[0])
+        process.record_end(signals.stop_signal)
+        log.stopped(signals.stop_signal)
     else:
         orderly_stop.stop_failed(process, dict(servers))
         process.record_end(process.failure.tag)
@@ -98,16 +92,21 @@
     gc.enable()
 
 
-def _wait(process, stop_requested, reload_requested, changed_seeds):
-    """Poll for seeds until a stop is requested or the process fails; returns the exit code."""
-    polls = 0
-    while not stop_requested.wait(0.1 if changed_seeds is None else 0.25):
-        if process.stopped():
-            return EXIT_FAILURE
-        polls += 1
-        if changed_seeds is not None and (reload_requested.is_set() or polls % 4 == 0):
-            reload_requested.clear()
+def _wait(process, signals, changed_seeds):
+    """Carry out what signals request, and poll for seeds, until a stop is requested or the process
+    fails; returns the exit code."""
+    poll_due_s = time.monotonic()
+    while not process.stopped():
+        request = signals.wait(_STOPPED_POLL_S)
+        if request is Request.STOP:
+            return EXIT_ORDERLY
+        if request is Request.DUMP_LOG:
+            process.ring.log("asked", {}, dump_reason="asked")
+        if changed_seeds is not None and (
+            request is Request.RELOAD or time.monotonic() >= poll_due_s
+        ):
+            poll_due_s = time.monotonic() + _SEEDS_POLL_S
             seeds = changed_seeds()
             if seeds:
                 process.notify("", "seeds", {"seeds": seeds})
-    return EXIT_ORDERLY
+    return EXIT_FAILURE
