Start: reloads and requests for the log don't end a process that starts

Callers saw: a process ends by itself (exit -1, or -10 for SIGUSR1) and is started again; the platform sends SIGHUP to every process when settings change, also to those that it has just started. Cause: until start.py ignored SIGHUP the system's default was in force, that is while the interpreter imported site and its .pth files, and signal with enum; SIGUSR1 wasn't ignored before the end of the start. Ruled out: a later step; with the signals ignored, series of both until the process serves do no harm. What is left is the interpreter's own start, before the first line of any program.

--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -1,6 +1,7 @@
 """The system as the platform runs it: real processes, each on an address of its own
 with ports alike, told where they are by a settings file with made-up names."""
 
+import contextlib
 import json
 import os
 import random
@@ -18,6 +19,7 @@
 from simulation.platform_serving import now_ms
 from simulation.platform_standin import Platform
 from simulation.polling import poll_until
+from simulation.process_status import handles_signal
 
 __all__ = ["PlatformFleet"]
 
@@ -26,6 +28,9 @@
 _NET_SIZE = 250
 _NETS = 240
 
+# As the deploy file starts a role's program.
+_INTERPRETER_OPTIONS = ("-S",)
+
 _ROOT = Path(__file__).resolve().parents[4]
 _BOUNDS = {
     "seedLagS": 3,
@@ -161,6 +166,17 @@
         path.write_text(json.dumps(told), encoding="utf8")
         return path
 
+    @contextlib.contextmanager
+    def half_of_settings(self, name):
+        """Cuts a node's settings file in the middle, as if it were being written."""
+        path = self._settings(name)
+        whole = path.read_bytes()
+        path.write_bytes(whole[: len(whole) // 2])
+        try:
+            yield
+        finally:
+            path.write_bytes(whole)
+
     def ip_of_platform(self):
         return f"{self._address(len(self.ip) + 1)}:{self.ports[4]}"
 
@@ -169,17 +185,18 @@
         if name in self.depots:
             (self.folder / name).mkdir(parents=True, exist_ok=True)
         role = "depot" if name in self.depots else "counter"
-        kept = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG", "PYTHONPATH")}
+        kept = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         self.started_ms[name] = now_ms()
         with open(self.folder / f"{name}.log", "ab") as log:
             self.running[name] = subprocess.Popen(
-                [sys.executable, *self._program, role],
+                [sys.executable, *_INTERPRETER_OPTIONS, *self._program, role],
                 cwd=_ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
                 env={
                     **kept,
+                    "PYTHONPATH": os.pathsep.join(filter(None, sys.path)),
                     "PYTHONUNBUFFERED": "1",
                     "PULLEYHITCH_BOOT": str(self._settings(name)),
                 },
@@ -196,6 +213,10 @@
         process.send_signal(number)
         return process.wait(30)
 
+    def survives(self, name, number):
+        """Whether the node's process has come so far that this signal doesn't end it."""
+        return handles_signal(self.running[name].pid, number)
+
     def stop_all(self):
         for process in self.running.values():
             process.kill()
