Start: the addresses and the folder of the process before are awaited

Callers saw: nodes that end by themselves with exit 3, again at each restart, while the process before them stops. Cause: an address in use or a locked folder ended the start at once, though the process before may take its whole grace period (graceS, 8 s) to stop, and is gone after it. Evidence: on a counter and a depot that were started beside a process of the same node ended with 3 after 0.57 s and 0.52 s; a platform that starts them again has three such ends in less than 3 s. Ruled out: leftovers of a dead process; all sockets are bound with SO_REUSEADDR, and flock ends with it. Change: pulleyhitch.startup. What passes by itself (address in use or not there yet, folder locked) is tried again for the grace period and two seconds, with one line that says so; then, and for all else, the start fails as before. Signals are handled from before the first of these steps, so a stop ends the wait. Callers' address is bound last, so that nobody connects meanwhile. The first election is timed from the start of the core.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -3,6 +3,7 @@
 `orderly_stop` has the steps between the signal to stop and the end of the process.
 """
 
+import functools
 import gc
 import os
 import threading
@@ -19,9 +20,10 @@
     LifecycleLog,
     report_failure,
 )
-from pulleyhitch.process import CannotStart, Process, cannot_listen
+from pulleyhitch.process import Process
 from pulleyhitch.server import Server
 from pulleyhitch.signals import Request, Signals
+from pulleyhitch.startup import CannotStart, StartRetry, StopRequested, cannot_listen
 from pulleyhitch.status_endpoint import StatusEndpoint
 
 __all__ = ["run"]
@@ -31,17 +33,20 @@
 _SEEDS_POLL_S = 1.0
 
 
-def _make_servers(process):
-    """(name, server) of the product's own interface and of those set in the config's `doors`."""
-    servers = [("http", _listen(Server, process, process.config.http))]
+def _make_servers(process, retry):
+    """(name, server) of the product's own interface and of those set in the config's `doors`.  The
+    last one serves callers, so that none of them connects while the others are awaited."""
+    addresses = {"http": process.config.http, **process.config.doors}
+    servers = []
     for name, server_class in (
-        ("callers", Gateway),
+        ("http", Server),
         ("operators", OperatorGateway),
         ("status", StatusEndpoint),
+        ("callers", Gateway),
     ):
-        if name in process.config.doors:
-            address = process.config.doors[name]
-            servers.append((name, _listen(server_class, process, address)))
+        if name in addresses:
+            listen = functools.partial(_listen, server_class, process, addresses[name])
+            servers.append((name, retry(listen)))
     return servers
 
 
@@ -59,13 +64,17 @@
     None if they are unchanged.  SIGHUP polls at once, SIGUSR1 dumps the log ring.  `start_s`:
     monotonic time of the process's start in seconds, by default now."""
     log = LifecycleLog(time.monotonic() if start_s is None else start_s, config.name)
+    signals = Signals().install()
+    retry = StartRetry(config, signals)
     try:
-        process = Process(config, dialect)
-        servers = _make_servers(process)
+        process = Process(config, dialect, retry)
+        servers = _make_servers(process, retry)
+    except StopRequested:
+        log.stopped(signals.stop_signal)
+        return EXIT_ORDERLY
     except CannotStart as error:
         log.failed(EXIT_CANNOT_START, error.failure)
         return EXIT_CANNOT_START
-    signals = Signals().install()
     _freeze_garbage_collector()
     process.start()
     for name, server in servers:
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -6,7 +6,6 @@
 and never touch the core's state.
 """
 
-import errno
 import queue
 import random
 import secrets
@@ -38,9 +37,10 @@
 
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
+from pulleyhitch.startup import CannotStart, call_once, cannot_listen
 from pulleyhitch.thread_pool import ThreadPool
 
-__all__ = ["Process", "CannotStart", "cannot_listen"]
+__all__ = ["Process"]
 
 _TICKS_PER_PING = 6
 # Part of the election timeout, before jitter, after which a depot that has just started may
@@ -56,26 +56,12 @@
 _SWEEP_INTERVAL_MS = 5000.0
 
 
-class CannotStart(Exception):
-    """The process can't start; `failure` is the typed cause."""
-
-    def __init__(self, failure):
-        super().__init__(failure.tag)
-        self.failure = failure
-
-
-def cannot_listen(address, error):
-    """The CannotStart for an OSError on listening at an address."""
-    if error.errno == errno.EADDRINUSE:
-        return CannotStart(failures.AddressTaken(address))
-    return CannotStart(failures.AddressUnusable(address, str(error.strerror)))
-
-
 class Process:
     """A running node.  `submit`, `notify` and `request` pass requests to the core by verb; the
-    outcome comes from the core's `Reply` effects."""
+    outcome comes from the core's `Reply` effects.  `retry` opens what the previous process may
+    still use: startup.StartRetry or call_once."""
 
-    def __init__(self, config, dialect=None):
+    def __init__(self, config, dialect=None, retry=call_once):
         self.config = config
         self.dialect = dialect
         self.pool = ConnectionPool()
@@ -92,49 +78,58 @@
         self._attempts_ended = threading.Event()
         self._calls = ThreadPool(_CALL_THREADS, "call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
-        self._disk, group = self._open_disk(config)
+        self._disk = retry(self._open_disk) if config.role == "depot" else None
+        group = self._make_replica() if self._disk is not None else None
         self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group, dialect)
-        try:
-            self._connections = Connections(
-                config.listen,
-                lambda: Gossip(self._node.card, False, (), self._node.peers.group),
-                lambda sender, message: self._queue.put(events.Received(sender, message)),
-                self._log_event,
-                configs.times(config).election_ms,
-            )
-        except OSError as error:
-            raise cannot_listen(config.listen, error) from error
+        self._connections = retry(self._listen_to_peers)
         self._owner = threading.Thread(target=self._run_owner, name="owner", daemon=True)
 
-    def _open_disk(self, config):
-        if config.role != "depot":
-            return None, None
+    def _open_disk(self):
         try:
-            disk = disks.Disk(config.folder, 8 << 20)
+            return disks.Disk(self.config.folder, 8 << 20)
         except disks.DiskError as error:
-            raise CannotStart(error.failure) from error
+            passing = isinstance(error.failure, failures.FolderInUse)
+            raise CannotStart(error.failure, passing) from error
+
+    def _make_replica(self):
+        """The replica of the log, as the disk has it."""
+        disk, config = self._disk, self.config
         identity = disk.loaded.files.get("identity")
         if identity is None:
             identity = secrets.token_hex(8).encode()
             disk.write(Save("identity", identity))
-        group = groups.Replica(
+        replica = groups.Replica(
             config.name,
             identity.decode(),
             config.address,
             configs.times(config),
             random.Random(secrets.randbits(64)),
         )
-        groups.open_replica(group, disk.loaded.files, disk.loaded.entries)
-        group.election_due_ms = _now() + _FIRST_ELECTION_RATIO * group.settings.election_ms * (
-            1 + random.random()
-        )
-        return disk, group
+        groups.open_replica(replica, disk.loaded.files, disk.loaded.entries)
+        return replica
+
+    def _listen_to_peers(self):
+        try:
+            return Connections(
+                self.config.listen,
+                lambda: Gossip(self._node.card, False, (), self._node.peers.group),
+                lambda sender, message: self._queue.put(events.Received(sender, message)),
+                self._log_event,
+                configs.times(self.config).election_ms,
+            )
+        except OSError as error:
+            raise cannot_listen(self.config.listen, error) from error
 
     def _log_event(self, event_name, facts):
         self.ring.log(event_name, facts)
 
     def start(self):
-        """Start the owner thread."""
+        """Start the owner thread; a depot may start an election a while later."""
+        if self._node.depot is not None:
+            replica = self._node.depot.group
+            replica.election_due_ms = _now() + (
+                _FIRST_ELECTION_RATIO * replica.settings.election_ms * (1 + random.random())
+            )
         self._owner.start()
         return self
 
