Start: a settings file that is being written is read again

A running process was safe: it keeps its settings and looks again a second later. Ruled out: wrong settings; the same file, whole, is taken.

--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -209,9 +209,9 @@
             with open(path, "rb") as source:
                 raw = tomllib.load(source)
         except OSError as error:
-            return failures.ConfigWrong("(file)", error.strerror or "unreadable")
+            return failures.ConfigWrong(failures.WHOLE_FILE, error.strerror or "unreadable")
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-            return failures.ConfigWrong("(file)", str(error))
+            return failures.ConfigWrong(failures.WHOLE_FILE, str(error))
     return check({**raw, **{k: v for k, v in flags.items() if v is not None}})
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/startup.py
+++ b/libs/pulleyhitch/src/pulleyhitch/startup.py
@@ -1,8 +1,8 @@
 """What a process waits for while it starts.
 
 The previous process of the same node may still be ending: until then it has the node's addresses
-and the lock on its data folder.  That passes, so the start waits for it instead of failing into a
-series of restarts.
+and the lock on its data folder.  The settings file may be in the middle of a change.  Both pass, so
+the start waits for them instead of failing into a series of restarts.
 """
 
 import errno
@@ -12,13 +12,22 @@
 
 from pulleyhitch.lifecycle_log import report_failure
 
-__all__ = ["CannotStart", "StartRetry", "StopRequested", "call_once", "cannot_listen"]
+__all__ = [
+    "CannotStart",
+    "StartRetry",
+    "StopRequested",
+    "call_once",
+    "cannot_listen",
+    "read_when_whole",
+]
 
 _RETRY_S = 0.05
 # The previous process may use its whole grace period (this one if the settings have none), and its
 # addresses may be released a little later.
 _DEFAULT_GRACE_S = 8.0
 _RELEASE_S = 2.0
+# How long a settings file may take to be written.
+_SETTINGS_WAIT_S = 2.0
 _PASSING_LISTEN_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 
 
@@ -74,3 +83,20 @@
             self._signals.wait(_RETRY_S)
             if self._signals.stop_signal:
                 raise StopRequested
+
+
+def read_when_whole(read, clock=time):
+    """The settings, or the failure, that `read()` returns; it is called again for a while if the
+    file can't be read, since it may be in the middle of a change."""
+    end_s = clock.monotonic() + _SETTINGS_WAIT_S
+    found = read()
+    if _is_unreadable(found):
+        report_failure(found)
+    while _is_unreadable(found) and clock.monotonic() < end_s:
+        clock.sleep(_RETRY_S)
+        found = read()
+    return found
+
+
+def _is_unreadable(found):
+    return isinstance(found, failures.ConfigWrong) and found.field == failures.WHOLE_FILE
--- a/libs/transport/src/transport/failures.py
+++ b/libs/transport/src/transport/failures.py
@@ -47,8 +47,11 @@
     "retry_after",
     "for_started_request",
     "NOT_RUN_STATUSES",
+    "WHOLE_FILE",
 ]
 
+WHOLE_FILE = "(file)"
+
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = (401, 408, 421, 429, 503)
 
@@ -231,7 +234,7 @@
 
 @_failure("config-wrong", 500)
 class ConfigWrong(Failure):
-    """A setting of the process is invalid."""
+    """A setting of the process is invalid; `field` is WHOLE_FILE if the file can't be read."""
 
     field: str
     cause: str
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -56,6 +56,17 @@
         with open(self.path, "wb") as file:
             file.write(data)
 
+    def test_fields_that_may_be_missing(self):
+        """A role that serves no engines may be told of no provider, and none has to have limits."""
+        for changed in (
+            {"provider": None},
+            {"provider": {}},
+            {"provider": {"duties": []}},
+            {"limits": None},
+        ):
+            self.write({**SETTINGS, **changed})
+            self.assertIsInstance(settings.read("counter"), Config, changed)
+
     # Guards against QUOTA: with other bounds than those of the file, a tenant gets too much.
     def test_quota_bounds_are_read_if_present(self):
         self.write(SETTINGS)
