Disk: a write waits while the disk is full, in place of ending the process

Callers saw: a depot ends by itself (exit 4, disk-untrusted, "No space left on device") as soon as its disk is full, and again a second after each restart, until there is space. Cause: each refused write was taken for a disk that can't be trusted. Ruled out: lost entries; nothing is reported as durable before it is written and synced whole, before and now (test_short_writes unchanged). Change: replication.full_disk. What finds no space is written again, the same bytes to the same place, until there is some: for the other depots a disk that stalls, which the protocol knows. The log says disk-full and disk-has-space. A sync that fails still ends the process, since pages may be lost; so do other errors. A start on a full disk is tried again (startup). A folder that fails to open is unlocked.

--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -15,6 +15,7 @@
 
 from replication import disk as disks
 from replication import group as groups
+from replication.full_disk import SpaceWait, is_full
 from routing import engine_api, engine_calls, proxying
 from routing.connection_pool import ConnectionPool
 from routing.draining import CLOSING
@@ -50,6 +51,7 @@
 _FINAL_MESSAGES_S = 0.15
 _COUNTER_STOP_S = 1.0
 _STOP_POLL_S = 0.05
+_SEGMENT_BYTES = 8 << 20
 # Threads for calls to engines and to the platform.
 _CALL_THREADS = 32
 # Interval between sweeps of idle connections to engines.
@@ -78,18 +80,31 @@
         self._attempts_ended = threading.Event()
         self._calls = ThreadPool(_CALL_THREADS, "call")
         self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
+        self._owner = threading.Thread(target=self._run_owner, name="owner", daemon=True)
         self._disk = retry(self._open_disk) if config.role == "depot" else None
-        group = self._make_replica() if self._disk is not None else None
+        group = retry(self._make_replica) if self._disk is not None else None
         self._node = nodes.make(config, secrets.token_hex(8), secrets.randbits(64), group, dialect)
         self._connections = retry(self._listen_to_peers)
-        self._owner = threading.Thread(target=self._run_owner, name="owner", daemon=True)
 
     def _open_disk(self):
+        with_space = SpaceWait(self._on_full_disk, self._gives_up_writes)
         try:
-            return disks.Disk(self.config.folder, 8 << 20)
+            return disks.Disk(self.config.folder, _SEGMENT_BYTES, with_space)
         except disks.DiskError as error:
             passing = isinstance(error.failure, failures.FolderInUse)
             raise CannotStart(error.failure, passing) from error
+        except OSError as error:
+            failure = failures.FolderUnwritable(self.config.folder, str(error.strerror))
+            raise CannotStart(failure, is_full(error)) from error
+
+    def _on_full_disk(self, waited_s):
+        """A write has begun to wait for space, or has found some after a while."""
+        event = "disk-has-space" if waited_s else "disk-full"
+        self.ring.log(event, {"waitedMs": round(1000 * waited_s)}, urgent=True)
+
+    def _gives_up_writes(self):
+        """Before the owner runs, the start as a whole is tried again instead (`retry`)."""
+        return self._stopped.is_set() or not self._owner.is_alive()
 
     def _make_replica(self):
         """The replica of the log, as the disk has it."""
@@ -97,7 +112,11 @@
         identity = disk.loaded.files.get("identity")
         if identity is None:
             identity = secrets.token_hex(8).encode()
-            disk.write(Save("identity", identity))
+            try:
+                disk.write(Save("identity", identity))
+            except OSError as error:
+                failure = failures.DiskUntrusted("identity", str(error.strerror))
+                raise CannotStart(failure, is_full(error)) from error
         replica = groups.Replica(
             config.name,
             identity.decode(),
--- a/libs/replication/src/replication/disk.py
+++ b/libs/replication/src/replication/disk.py
@@ -112,21 +112,34 @@
     data: bytes
 
 
+def _write(reservation):
+    write_whole(reservation.handle, reservation.data, reservation.offset)
+
+
 class Disk:
     """An open data folder; `loaded` is its content at the start, and `previous_end` why the
     process before this one ended, as FolderLock has it.
 
     `write` carries out a Save, Install or Write effect and returns once it is synced.
     `reserve` and `write_reserved` split a Write, so that several can be in flight.
+    `with_space(write)` calls what needs space on the disk: a SpaceWait, or by default just once.
     """
 
-    def __init__(self, folder, segment_bytes):
+    def __init__(self, folder, segment_bytes, with_space=lambda write: write()):
         self._folder = Path(folder)
-        self._segment_bytes = segment_bytes
+        self._segment_bytes, self._with_space = segment_bytes, with_space
         self._mutex = threading.Lock()
         self._current, self._offset, self._open = None, 0, {}
         self._lock = FolderLock(self._folder)
         self.previous_end = self._lock.previous_end
+        try:
+            self._load()
+        except BaseException:
+            self._lock.close()
+            raise
+
+    def _load(self):
+        """Read what the folder holds, and remove what earlier processes left behind."""
         sync_folder(self._folder)
         for leftover in self._folder.glob("*" + TEMPORARY_SUFFIX):
             leftover.unlink()
@@ -149,7 +162,7 @@
         start_ms = time.monotonic() * 1000
         kind = type(effect).__name__
         if kind == "Save":
-            save(self._folder, effect.name, effect.body)
+            self._with_space(lambda: save(self._folder, effect.name, effect.body))
         elif kind == "Install":
             self._install(effect)
         else:
@@ -176,7 +189,7 @@
         """Write and sync reserved data; return how long it took, in ms."""
         start_ms = time.monotonic() * 1000
         try:
-            write_whole(reservation.handle, reservation.data, reservation.offset)
+            self._with_space(lambda: _write(reservation))
             os.fdatasync(reservation.handle)
         finally:
             with self._mutex:
@@ -200,11 +213,12 @@
         previous = self._current
         number = self._number + 1
         path = self._folder / f"log.{number:012d}"
-        handle = os.open(path, os.O_RDWR | os.O_CREAT | os.O_EXCL, 0o644)
+        flags = os.O_RDWR | os.O_CREAT | os.O_EXCL
+        handle = self._with_space(lambda: os.open(path, flags, 0o644))
         self._number, self._offset = number, 0
         self._current = self._open[handle] = _Segment(number, path, 0, handle)
         self._segments.append(self._current)
-        sync_folder(self._folder)
+        self._with_space(lambda: sync_folder(self._folder))
         if previous is not None:
             self._close_if_unused(previous)
         return self._current
@@ -227,7 +241,7 @@
             remaining = [s.number for s in self._segments if s not in covered]
             first = remaining[0] if remaining else self._number + 1
         header = _SNAPSHOT.pack(_SNAPSHOT_MAGIC, first)
-        save(self._folder, "view", header + effect.body)
+        self._with_space(lambda: save(self._folder, "view", header + effect.body))
         with self._mutex:
             if effect.restart:
                 self._current, self._last = None, effect.index
