Process: a shortage ends nothing, and a thread that dies is not missed

Callers saw, or would: a node that ends by itself (exit 4, disk-untrusted) since it has no descriptor left for a connection to a peer; a node that lives, but decides, accepts or hears nothing. Cause: every OSError in the handling of an event was taken for one of the disk; a thread that can't be started ended the owner or a listener's loop; an exception in the owner's loop outside an event, in a listener, in the connections' thread or in a write in the background ended that thread alone; a call that raised was never reported to the core; a listening socket without a descriptor for its next connection kept its loop busy. Evidence: by reading, then by tests. Change: OSErrors are turned into failures of the disk where the disk is called (_disk_errors). EngineCaller reports each call as ended, also one that had no thread or broke. What ends the owner, a server or a write stops the process with core-broke and its cause. An error with one connection closes that connection and is logged with its trace. transport.acceptor pauses for 0.1 s without descriptors. Requests that get no thread are refused with 503, as when all threads are busy. The tests that looked into Process._futures look into PendingRequests.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -78,7 +78,9 @@
     _freeze_garbage_collector()
     process.start()
     for name, server in servers:
-        threading.Thread(target=server.run, name=name, daemon=True).start()
+        threading.Thread(
+            target=_serve, args=(process, name, server), name=name, daemon=True
+        ).start()
     log.serving(config, process.previous_end)
     if not config.tokens and dialect is None:
         report_failure(failures.NoTokens("operators are not authenticated; see [tokens]"))
@@ -94,6 +96,15 @@
     os._exit(code)
 
 
+def _serve(process, name, server):
+    """Run a server; an error that ends it stops the process, which would not hear its callers."""
+    try:
+        server.run()
+    except Exception as error:
+        process.fail(failures.CoreBroke(f"listener {name}", repr(error)))
+        raise
+
+
 def _freeze_garbage_collector():
     """Exempt the objects made so far, which live as long as the process, from garbage
     collection, and enable collection of new ones."""
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -14,8 +14,10 @@
 import socket
 import threading
 import time
+import traceback
 
 from transport import failures
+from transport.acceptor import Acceptor
 
 from pulleyhitch import admission, request_framing
 from pulleyhitch.caller_connection import CallerConnection
@@ -53,8 +55,8 @@
         self._begin, self._classify, self._request_timeout_s = begin, classify, request_timeout_s
         self._policy = policy
         self._idle_timeout_s = idle_timeout_s or request_timeout_s
-        self._server_socket = socket.create_server((host, port), backlog=1024)
-        self._server_socket.setblocking(False)
+        server_socket = socket.create_server((host, port), backlog=1024)
+        server_socket.setblocking(False)
         self._thread_shares = ThreadShares(threads)
         self._thread_queue = ThreadQueue(self._thread_shares.total)
         self._lock = threading.Lock()
@@ -67,7 +69,7 @@
         self._wakeup_receiver, self._wakeup_sender = socket.socketpair()
         self._wakeup_receiver.setblocking(False)
         self._selector = selectors.DefaultSelector()
-        self._selector.register(self._server_socket, selectors.EVENT_READ)
+        self._acceptor = Acceptor(server_socket, self._selector)
         self._selector.register(self._wakeup_receiver, selectors.EVENT_READ)
         self._stopping = self._refusing_connections = False
         self._accepting = True
@@ -87,16 +89,30 @@
         while not (self._stopping and self.empty()):
             if self._refusing_connections and self._accepting:
                 self._stop_accepting()
+            self._acceptor.resume_if_due()
             for key, _ in self._selector.select(0.1 if self._thread_queue else 0.5):
-                if key.fileobj is self._server_socket:
-                    self._accept()
-                elif key.fileobj is self._wakeup_receiver:
-                    self._wakeup_receiver.recv(4096)
-                else:
-                    self._on_readable(key.data)
+                self._contain(lambda key=key: self._on_event(key), key.data)
             while not self._actions.empty():
-                self._actions.get()()
-            self._enforce_timeouts(time.monotonic())
+                self._contain(self._actions.get())
+            self._contain(lambda: self._enforce_timeouts(time.monotonic()))
+
+    def _on_event(self, key):
+        if key.fileobj is self._acceptor.listening:
+            self._accept()
+        elif key.fileobj is self._wakeup_receiver:
+            self._wakeup_receiver.recv(4096)
+        else:
+            self._on_readable(key.data)
+
+    def _contain(self, step, caller=None):
+        """Run a step of the event loop; an error closes the connection that it concerns, so that
+        all others are still served."""
+        try:
+            step()
+        except Exception:
+            traceback.print_exc()
+            if caller is not None:
+                self._close(caller)
 
     def empty(self):
         """Whether the listener has stopped accepting and no request is pending, not even one whose
@@ -114,8 +130,7 @@
         while self._accept():
             pass
         self._accepting = False
-        self._selector.unregister(self._server_socket)
-        self._server_socket.close()
+        self._acceptor.close()
 
     def _run_on_loop(self, action):
         """Run `action` on the thread of the event loop."""
@@ -128,10 +143,10 @@
     def _accept(self):
         """Accept some of the pending connections; returns whether there may be more."""
         for _ in range(_ACCEPTS_PER_EVENT):
-            try:
-                sock, address = self._server_socket.accept()
-            except OSError:
+            accepted = self._acceptor.accept()
+            if accepted is None:
                 return False
+            sock, address = accepted
             if len(self._connections) >= self._connection_limit and not self._close_oldest_idle():
                 sock.close()
                 continue
@@ -227,7 +242,11 @@
         caller.thread_share = share
         caller.sock.setblocking(True)
         caller.sock.settimeout(self._request_timeout_s)
-        self._pool.submit(self._serve, caller)
+        try:
+            self._pool.submit(self._serve, caller)
+        except RuntimeError:
+            self._thread_shares.release(share)
+            return False
         return True
 
     def _start_queued(self):
@@ -254,9 +273,18 @@
         if waiting is not None:
             future, caller.finish, caller.on_disconnect = waiting
             self._run_on_loop(lambda: self._register(caller) if caller.finish else None)
-            future.add_done_callback(
-                lambda done: self._finish_pool.submit(self._finish, caller, done)
-            )
+            future.add_done_callback(lambda done: self._submit_finish(caller, done))
+
+    def _submit_finish(self, caller, done):
+        """Answer a request whose outcome is known, or refuse it if there is no thread for that."""
+        try:
+            self._finish_pool.submit(self._finish, caller, done)
+        except RuntimeError:
+            self._run_on_loop(lambda: self._refuse_outcome(caller))
+
+    def _refuse_outcome(self, caller):
+        self._on_disconnect(caller)
+        self._refuse_for_threads(caller)
 
     def _finish(self, caller, done):
         with self._lock:
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -6,19 +6,16 @@
 and never touch the core's state.
 """
 
+import contextlib
 import queue
 import random
 import secrets
 import threading
 import time
-from concurrent.futures import Future, ThreadPoolExecutor
 
 from replication import disk as disks
-from replication import group as groups
-from replication.full_disk import SpaceWait, is_full
-from routing import engine_api, engine_calls, proxying
+from replication.full_disk import SpaceWait
 from routing.connection_pool import ConnectionPool
-from routing.draining import CLOSING
 from transport import events, failures
 from transport.connections import Connections
 from transport.effects import (
@@ -38,7 +35,10 @@
 
 from pulleyhitch import config as configs
 from pulleyhitch import node as nodes
-from pulleyhitch.startup import CannotStart, call_once, cannot_listen
+from pulleyhitch import replica_disk
+from pulleyhitch.engine_caller import EngineCaller
+from pulleyhitch.pending_requests import PendingRequests
+from pulleyhitch.startup import call_once, cannot_listen
 from pulleyhitch.thread_pool import ThreadPool
 
 __all__ = ["Process"]
@@ -51,9 +51,8 @@
 _FINAL_MESSAGES_S = 0.15
 _COUNTER_STOP_S = 1.0
 _STOP_POLL_S = 0.05
-_SEGMENT_BYTES = 8 << 20
-# Threads for calls to engines and to the platform.
-_CALL_THREADS = 32
+# Writes of the log that may be in flight.
+_WRITE_THREADS = 2
 # Interval between sweeps of idle connections to engines.
 _SWEEP_INTERVAL_MS = 5000.0
 
@@ -69,17 +68,17 @@
         self.pool = ConnectionPool()
         self.ring = LogRing(config.name)
         self._queue = queue.SimpleQueue()
-        self._futures = {}
-        self._lock = threading.Lock()
-        self._answers_nothing = False
+        self._pending = PendingRequests()
         self._wake_ms = float("inf")
         self._sweep_ms = 0.0
         self.failure = None
         self._stopped = threading.Event()
         self._finished = threading.Event()
         self._attempts_ended = threading.Event()
-        self._calls = ThreadPool(_CALL_THREADS, "call")
-        self._writes = ThreadPoolExecutor(2, thread_name_prefix="write")
+        self._caller = EngineCaller(
+            config.name, dialect, self.pool, self._queue.put, self._log_call_error
+        )
+        self._writes = ThreadPool(_WRITE_THREADS, "write")
         self._owner = threading.Thread(target=self._run_owner, name="owner", daemon=True)
         self._disk = retry(self._open_disk) if config.role == "depot" else None
         group = retry(self._make_replica) if self._disk is not None else None
@@ -87,15 +86,9 @@
         self._connections = retry(self._listen_to_peers)
 
     def _open_disk(self):
-        with_space = SpaceWait(self._on_full_disk, self._gives_up_writes)
-        try:
-            return disks.Disk(self.config.folder, _SEGMENT_BYTES, with_space)
-        except disks.DiskError as error:
-            passing = isinstance(error.failure, failures.FolderInUse)
-            raise CannotStart(error.failure, passing) from error
-        except OSError as error:
-            failure = failures.FolderUnwritable(self.config.folder, str(error.strerror))
-            raise CannotStart(failure, is_full(error)) from error
+        return replica_disk.open_disk(
+            self.config, SpaceWait(self._on_full_disk, self._gives_up_writes)
+        )
 
     def _on_full_disk(self, waited_s):
         """A write has begun to wait for space, or has found some after a while."""
@@ -107,25 +100,7 @@
         return self._stopped.is_set() or not self._owner.is_alive()
 
     def _make_replica(self):
-        """The replica of the log, as the disk has it."""
-        disk, config = self._disk, self.config
-        identity = disk.loaded.files.get("identity")
-        if identity is None:
-            identity = secrets.token_hex(8).encode()
-            try:
-                disk.write(Save("identity", identity))
-            except OSError as error:
-                failure = failures.DiskUntrusted("identity", str(error.strerror))
-                raise CannotStart(failure, is_full(error)) from error
-        replica = groups.Replica(
-            config.name,
-            identity.decode(),
-            config.address,
-            configs.times(config),
-            random.Random(secrets.randbits(64)),
-        )
-        groups.open_replica(replica, disk.loaded.files, disk.loaded.entries)
-        return replica
+        return replica_disk.make_replica(self.config, self._disk)
 
     def _listen_to_peers(self):
         try:
@@ -170,7 +145,7 @@
             self._leave()
         self._stopped.set()
         self._queue.put(events.Tick())
-        self._refuse_pending()
+        self._pending.close()
 
     def _leave(self):
         """Release leases, leadership and membership, and wait until that is done."""
@@ -185,14 +160,6 @@
                 return
         self._stopped.wait(_FINAL_MESSAGES_S)
 
-    def _refuse_pending(self):
-        """Refuse the requests that wait for an outcome of the core, which decides nothing more."""
-        with self._lock:
-            self._answers_nothing = True
-            pending, self._futures = list(self._futures.values()), {}
-        for future in pending:
-            future.set_result(CLOSING)
-
     def end_attempts(self):
         """Have the requests that still wait for an engine's response answered without it."""
         self._attempts_ended.set()
@@ -208,12 +175,9 @@
     def submit(self, token, verb, body):
         """Pass a request to the core; returns the future of its outcome.  Once the core has
         stopped, the request is refused at once."""
-        future = Future()
-        with self._lock:
-            if self._answers_nothing:
-                future.set_result(CLOSING)
-                return future
-            self._futures[token] = future
+        future = self._pending.add(token)
+        if future.done():
+            return future
         self._queue.put(events.LocalRequest(token, verb, body))
         return future
 
@@ -228,18 +192,20 @@
         try:
             return future.result(timeout=wait_s)
         except TimeoutError:
-            return self._abandon(token, future)
-
-    def _abandon(self, token, future):
-        """Drop the future after a timeout, so that a late outcome is discarded.  An outcome
-        that arrived just before is still returned."""
-        with self._lock:
-            if self._futures.get(token) is future:
-                del self._futures[token]
+            if self._pending.abandon(token, future):
                 return failures.MajorityLost(1000)
-        return future.result()
+            return future.result()
 
     def _run_owner(self):
+        """Run the core until the process stops.  Whatever ends this thread stops the process, which
+        would otherwise be there and decide nothing."""
+        try:
+            self._handle_events()
+        except Exception as error:
+            self.fail(failures.CoreBroke("owner", repr(error)))
+            raise
+
+    def _handle_events(self):
         """Handle events as they arrive, and a tick whenever one is due, however long the queue
         is.  After a pause of the process, the events queued meanwhile are handled before the
         tick, so that no timeout fires although the message it waits for has arrived."""
@@ -267,24 +233,24 @@
         """Close idle connections to engines at intervals, even if there are no requests."""
         if now_ms >= self._sweep_ms:
             self._sweep_ms = now_ms + _SWEEP_INTERVAL_MS
-            self._calls.submit(self.pool.close_expired)
+            self._caller.close_idle()
 
     def _handle_event(self, event):
         try:
             for effect in nodes.handle(self._node, _now(), event):
                 self._apply_effect(effect)
         except disks.DiskError as error:
-            self._fail(error.failure)
-        except OSError as error:
-            self._fail(failures.DiskUntrusted("data folder", str(error.strerror)))
+            self.fail(error.failure)
         except Exception as error:
-            self._fail(failures.CoreBroke(type(event).__name__, repr(error)))
+            self.fail(failures.CoreBroke(type(event).__name__, repr(error)))
             raise
 
-    def _fail(self, failure):
+    def fail(self, failure):
+        """Stop the process because of a failure; the first one is its cause."""
+        if self._stopped.is_set():
+            return
         self.ring.log("stops", failures.as_json(failure), dump_reason=failure.tag)
-        if self.failure is None:
-            self.failure = failure
+        self.failure = self.failure or failure
         self._stopped.set()
 
     def _apply_effect(self, effect):
@@ -293,14 +259,12 @@
         elif isinstance(effect, Write):
             self._write(effect)
         elif isinstance(effect, (Save, Install)):
-            self._disk.write(effect)
+            with _disk_errors("data folder"):
+                self._disk.write(effect)
         elif isinstance(effect, Reply):
-            with self._lock:
-                future = self._futures.pop(effect.token, None)
-            if future is not None:
-                future.set_result(effect.outcome)
+            self._pending.resolve(effect.token, effect.outcome)
         elif isinstance(effect, EngineCall):
-            self._calls.submit(self._call, effect)
+            self._caller.submit(effect)
         elif isinstance(effect, Wake):
             self._wake_ms = min(self._wake_ms, effect.at_ms)
         elif isinstance(effect, LogLine):
@@ -313,44 +277,44 @@
     def _write(self, effect):
         """Write log entries, on the owner thread if `inline`, otherwise on a writer thread."""
         last_entry = effect.entries[-1]
-        reservation = self._disk.reserve(effect)
+        with _disk_errors("log"):
+            reservation = self._disk.reserve(effect)
         if effect.inline:
-            took_ms = self._disk.write_reserved(reservation)
-            self._handle_event(events.Written(last_entry.index, last_entry.term, took_ms))
-        else:
+            self._handle_event(self._written(reservation, last_entry))
+            return
+        try:
             self._writes.submit(self._write_in_background, reservation, last_entry)
+        except RuntimeError as error:
+            self._log_call_error(error)
+            self._write_in_background(reservation, last_entry)
+
+    def _written(self, reservation, last_entry):
+        """Write reserved entries; returns the event that reports it."""
+        with _disk_errors("log"):
+            took_ms = self._disk.write_reserved(reservation)
+        return events.Written(last_entry.index, last_entry.term, took_ms)
 
     def _write_in_background(self, reservation, last_entry):
         try:
-            self._queue.put(
-                events.Written(
-                    last_entry.index, last_entry.term, self._disk.write_reserved(reservation)
-                )
-            )
-        except OSError as error:
-            self._fail(failures.DiskUntrusted("log", str(error.strerror)))
-
-    def _call(self, effect):
-        """Call an engine or the provider, on a thread of the pool, and queue the result."""
-        request_body = {**effect.body, "engine": effect.engine, "holder": self.config.name}
-        if self.dialect is None:
-            request = engine_api.order_request(effect.url, effect.verb, effect.body)
-            exchange = engine_calls.call(
-                request, effect.timeout_ms, effect.timeout_ms / 2, effect.not_after_ms
-            )
-            body = engine_api.read_json(exchange.data) if exchange.code else {}
-        else:
-            request = self.dialect.engine_request(effect.url, effect.verb, request_body)
-            exchange = proxying.call(self.pool, request, effect.timeout_ms, effect.not_after_ms)
-            body = self.dialect.read_engine_response(
-                effect.verb, request_body, exchange.code, exchange.data
-            )
-        connection_reused = exchange.head is not None and exchange.head.kept
-        self._queue.put(
-            events.CallEnded(
-                effect.id, exchange.code, body or {}, exchange.request_sent, connection_reused
-            )
-        )
+            self._queue.put(self._written(reservation, last_entry))
+        except disks.DiskError as error:
+            self.fail(error.failure)
+        except Exception as error:
+            self.fail(failures.CoreBroke("Write", repr(error)))
+            raise
+
+    def _log_call_error(self, error):
+        """A call that could not be made, or broke; it has been reported to the core as ended."""
+        self.ring.log("call-error", {"error": repr(error)}, urgent=True)
+
+
+@contextlib.contextmanager
+def _disk_errors(file):
+    """Turns an OSError into a DiskError."""
+    try:
+        yield
+    except OSError as error:
+        raise disks.DiskError(failures.DiskUntrusted(file, str(error.strerror))) from error
 
 
 def _now():
--- a/libs/transport/src/transport/connections.py
+++ b/libs/transport/src/transport/connections.py
@@ -8,51 +8,30 @@
 import errno
 import selectors
 import socket
-import struct
+import sys
 import threading
 import time
-from dataclasses import dataclass, field
+import traceback
 
 from transport import frames
+from transport.acceptor import Acceptor
+from transport.connection_state import (
+    Incoming,
+    Outgoing,
+    dialled_address,
+    host_and_port,
+    open_socket,
+)
 from transport.messages import Gossip
 
 __all__ = ["Connections"]
 
 _MAX_UNSENT_BYTES = 8 << 20
 _CHUNK_BYTES = 1 << 16
+_ACCEPTS_PER_EVENT = 64
 _IN_PROGRESS = (errno.EINPROGRESS, errno.EAGAIN)
 
 
-def _host_and_port(address):
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-@dataclass
-class _Outgoing:
-    """A connection that this node dials.
-
-    `progress_s`: when bytes were last sent; `redial_s`: the earliest time of the next attempt
-    to connect, after the connection was lost.
-    """
-
-    to: str
-    sock: socket.socket = None
-    opened: bool = False
-    unsent: bytearray = field(default_factory=bytearray)
-    progress_s: float = 0.0
-    redial_s: float = 0.0
-
-
-@dataclass
-class _Incoming:
-    """A connection that another node dialled; `sender` is its address, from its first message."""
-
-    sock: socket.socket
-    buffer: frames.FrameBuffer = field(default_factory=frames.FrameBuffer)
-    sender: str = ""
-
-
 class Connections:
     """All connections of a node.
 
@@ -65,16 +44,14 @@
         self._make_greeting, self._on_message, self._on_log = make_greeting, on_message, on_log
         self._stall_s = stall_ms / 1000
         self._outgoing, self._lock = {}, threading.RLock()
-        self._listener = socket.create_server(
-            _host_and_port(address), backlog=256, reuse_port=False
-        )
-        self._listener.setblocking(False)
+        listener = socket.create_server(host_and_port(address), backlog=256, reuse_port=False)
+        listener.setblocking(False)
         self._wake_receiver, self._wake_sender = socket.socketpair()
         self._wake_receiver.setblocking(False)
         self._wake_sender.setblocking(False)
         self._wake_pending, self._closed = False, False
         self._selector = selectors.DefaultSelector()
-        self._selector.register(self._listener, selectors.EVENT_READ, None)
+        self._acceptor = Acceptor(listener, self._selector)
         self._selector.register(self._wake_receiver, selectors.EVENT_READ, None)
         self._to_watch = []
         threading.Thread(target=self._run, name="connections", daemon=True).start()
@@ -87,7 +64,7 @@
         with self._lock:
             conn = self._outgoing.get(to)
             if conn is None:
-                conn = self._outgoing[to] = _Outgoing(to)
+                conn = self._outgoing[to] = Outgoing(to)
             if conn.sock is None:
                 if time.monotonic() < conn.redial_s:
                     return
@@ -122,30 +99,23 @@
         self._wake()
 
     def _dial(self, conn):
-        sock = socket.socket(socket.AF_INET6 if "[" in conn.to else socket.AF_INET)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(2000 * self._stall_s))
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        host, port = _host_and_port(conn.to)
+        """Begin to connect; a process that has no socket left for it loses the connection only."""
         try:
-            code = sock.connect_ex((host.strip("[]"), port))
-        except OSError as failed:
-            code = failed.errno
+            conn.sock = open_socket(conn.to, self._stall_s)
+            code = conn.sock.connect_ex(dialled_address(conn.to))
+        except OSError as error:
+            self._disconnect(conn, type(error).__name__)
+            return
         if code and code not in _IN_PROGRESS:
-            sock.close()
             self._disconnect(conn, "ConnectionRefusedError")
             return
-        conn.sock, conn.opened, conn.progress_s = sock, False, time.monotonic()
+        conn.opened, conn.progress_s = False, time.monotonic()
         conn.unsent = bytearray(frames.pack(self._make_greeting()))
         self._watch(conn)
 
     def _disconnect(self, conn, cause):
         if conn.sock is not None:
-            try:
-                self._selector.unregister(conn.sock)
-            except (KeyError, ValueError):
-                pass
+            self._stop_watching(conn.sock)
             conn.sock.close()
         conn.sock, conn.opened, conn.unsent = None, False, bytearray()
         conn.redial_s = time.monotonic() + self._stall_s / 10
@@ -166,21 +136,38 @@
     def _run(self):
         while not self._closed:
             for key, mask in self._selector.select(self._stall_s / 2):
-                if key.fileobj is self._listener:
-                    self._accept()
-                elif key.fileobj is self._wake_receiver:
-                    self._wake_receiver.recv(64)
-                elif isinstance(key.data, _Outgoing):
-                    self._on_outgoing(key.data, key.fileobj, mask)
-                else:
-                    self._read(key.data)
+                try:
+                    self._handle_ready(key, mask)
+                except Exception:
+                    self._drop_broken(key)
             self._wake_pending = False
             with self._lock:
                 self._watch_and_time_out()
-        self._listener.close()
+        self._acceptor.close()
+
+    def _handle_ready(self, key, mask):
+        if key.fileobj is self._acceptor.listening:
+            self._accept()
+        elif key.fileobj is self._wake_receiver:
+            self._wake_receiver.recv(64)
+        elif isinstance(key.data, Outgoing):
+            self._on_outgoing(key.data, key.fileobj, mask)
+        else:
+            self._read(key.data)
+
+    def _drop_broken(self, key):
+        """Close the one connection whose handling raised, so that all others are still served."""
+        traceback.print_exc()
+        self._on_log("connection-error", {"error": repr(sys.exc_info()[1])})
+        if isinstance(key.data, Outgoing):
+            with self._lock:
+                self._disconnect(key.data, "error")
+        elif isinstance(key.data, Incoming):
+            self._close_incoming(key.data)
 
     def _watch_and_time_out(self):
         """Register new connections for watching; close those without progress."""
+        self._acceptor.resume_if_due()
         added, self._to_watch = self._to_watch, []
         for conn in added:
             if conn.sock is not None:
@@ -224,15 +211,15 @@
         return True
 
     def _accept(self):
-        for _ in range(64):
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
+        for _ in range(_ACCEPTS_PER_EVENT):
+            accepted = self._acceptor.accept()
+            if accepted is None:
                 return
+            sock = accepted[0]
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            self._selector.register(sock, selectors.EVENT_READ, _Incoming(sock))
+            self._selector.register(sock, selectors.EVENT_READ, Incoming(sock))
 
     def _read(self, incoming):
         try:
@@ -242,8 +229,17 @@
         except OSError:
             data = b""
         if not data or not self._deliver(incoming, data):
-            self._selector.unregister(incoming.sock)
-            incoming.sock.close()
+            self._close_incoming(incoming)
+
+    def _close_incoming(self, incoming):
+        self._stop_watching(incoming.sock)
+        incoming.sock.close()
+
+    def _stop_watching(self, sock):
+        try:
+            self._selector.unregister(sock)
+        except (KeyError, ValueError):
+            pass
 
     def _deliver(self, incoming, data):
         """Pass complete messages to `on_message`; returns whether to keep the connection open."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -33,7 +33,7 @@
         listener = Listener(
             "127.0.0.1", 0, threads, begin, lambda data: "rank0", WAIT_S, policy=policy
         )
-        self.address = listener._server_socket.getsockname()
+        self.address = listener._acceptor.listening.getsockname()
         thread = threading.Thread(target=listener.run, daemon=True)
         thread.start()
         self.addCleanup(thread.join, WAIT_S)
@@ -285,7 +285,7 @@
         listener = Listener(
             "127.0.0.1", 0, 2 * self.CALLERS, self.begin, lambda data: "rank0", WAIT_S
         )
-        self.address = listener._server_socket.getsockname()
+        self.address = listener._acceptor.listening.getsockname()
         socks = [self.connect() for _ in range(self.CALLERS)]
         for sock in socks:
             sock.sendall(HEAD % b"early" + b"Content-Length: 0\r\n\r\n")
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -121,7 +121,7 @@
         return (
             not router.tasks
             and not any(router.in_flight.values())
-            and not self.process._futures
+            and not len(self.process._pending)
             and not listener._connections
             and not listener._buffered_bytes
             and listener._thread_shares.all_free()
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -258,9 +258,9 @@
 
         process = self.process(handle)
         self.assertIsInstance(process.request("t", "late", {}, 0.01), failures.MajorityLost)
-        self.assertThat(process._futures, Equals({}))
+        self.assertThat(len(process._pending), Equals(0))
         self.assertIsInstance(process.request("u", "say", {}, 30), Done)
-        self.assertThat((said.is_set(), process._futures), Equals((True, {})))
+        self.assertThat((said.is_set(), len(process._pending)), Equals((True, 0)))
 
     def test_each_reply_goes_to_its_own_thread(self):
         """Many threads, some of which give up at once."""
@@ -286,7 +286,7 @@
 
         with ThreadPoolExecutor(12) as pool:
             self.assertThat(sum(pool.map(ask_repeatedly, range(12)), []), Equals([]))
-        self.assertThat(process._futures, Equals({}))
+        self.assertThat(len(process._pending), Equals(0))
 
 
 class Commands(TestCase):
