Log: a reader that stands still holds up no thread

Callers saw, or would: a process that ignores SIGTERM, or decides nothing any more, though it lives. Cause: a log line is written by the thread that logs, in the end the one that runs the core; once a pipe is full, a write waits until somebody reads. The line "up" waited in the main thread likewise. Evidence: found while looking for causes of a start that never ends. With a full pipe the process before this commit served, but SIGTERM had no effect for 30 s (test_log_stream, red), and a ring that logs hung. Change: transport.log_stream writes as much as a pipe takes at once, waits 0.1 s for the reader once, and drops lines until it reads again; errors of the stream end nothing. Ruled out: a thread for the log; it costs a switch a line, and a bound anyway.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle_log.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle_log.py
@@ -10,6 +10,7 @@
 import time
 
 from transport import failures
+from transport.log_stream import LogStream
 
 __all__ = [
     "EXIT_CANNOT_START",
@@ -29,11 +30,7 @@
 
 
 def _print(line, stream):
-    """Print a line; a reader of the log that is gone, or a disk that is full, ends no process."""
-    try:
-        print(json.dumps(line), file=stream, flush=True)
-    except (OSError, ValueError):
-        pass
+    LogStream(stream).write(json.dumps(line) + "\n")
 
 
 class LifecycleLog:
--- a/libs/transport/src/transport/log_ring.py
+++ b/libs/transport/src/transport/log_ring.py
@@ -12,6 +12,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from transport.log_stream import LogStream
+
 __all__ = ["LogRing"]
 
 
@@ -22,7 +24,7 @@
         self._lines = collections.deque(maxlen=size)
         self._lock = threading.Lock()
         self._logger = logging.Logger("pulleyhitch")
-        handler = logging.StreamHandler(stream or sys.stderr)
+        handler = logging.StreamHandler(LogStream(stream or sys.stderr))
         handler.setFormatter(JsonFormatter())
         self._logger.addHandler(handler)
         self._node = node
