--- a/libs/pulleyhitch/src/pulleyhitch/role_commands.py
+++ b/libs/pulleyhitch/src/pulleyhitch/role_commands.py
@@ -11,7 +11,7 @@
 from transport import failures
 
 from pulleyhitch import config as configs
-from pulleyhitch import lifecycle, lifecycle_log
+from pulleyhitch import lifecycle, lifecycle_log, startup
 
 __all__ = ["COMMANDS"]
 
@@ -48,7 +48,8 @@
 
     def handle(self):
         start_s = time.monotonic()
-        config = configs.read(self.option("config"), _flags(self, self.name))
+        flags = _flags(self, self.name)
+        config = startup.read_when_whole(lambda: configs.read(self.option("config"), flags))
         if isinstance(config, failures.Failure):
             lifecycle_log.LifecycleLog(start_s).failed(lifecycle_log.EXIT_SETTINGS, config)
             return lifecycle_log.EXIT_SETTINGS
--- a/libs/transport/src/transport/log_stream.py
+++ b/libs/transport/src/transport/log_stream.py
@@ -1,7 +1,7 @@
 """A stream for log lines that never waits long for its reader.
 
-Logs often go to a pipe.  If nobody reads it, because the reader stands still or is stuck itself, a
-write to it waits for ever once the pipe is full, and the thread that logs with it.
+Logs often go to another process.  If it doesn't read them, since it stands still or is stuck
+itself, the kernel's buffer fills up, and then a write waits for ever, and the thread that logs.
 """
 
 import os
@@ -11,8 +11,8 @@
 
 # How long a line waits for the reader, but for the lines that follow one that was dropped.
 _PATIENCE_MS = 100
-# A pipe that is ready for writing takes this much at once.
-_CHUNK_BYTES = select.PIPE_BUF
+# A descriptor that is ready for writing takes this much at once.
+_CHUNK_BYTES = 4096
 
 
 class LogStream:
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -44,46 +44,50 @@
 
 
 class EachStep(TestCase):
-    def started(self, modules, numbers=HARMLESS):
-        """The exit codes of all roles, started as the deploy file tells with a settings file that
+    def started(self, modules, commands=None):
+        """The exit codes of commands (all roles, as the deploy file starts them) whose settings
         can't be used, if each of these modules sends the signals when it is imported."""
         folder = Path(tempfile.mkdtemp())
         settings = folder / "settings.json"
         settings.write_text(json.dumps({"nodeName": "n"}), encoding="utf8")
-        senders = folder / "senders"
-        senders.mkdir()
         for module in modules:
-            text = SENDER.format(numbers=[int(number) for number in numbers])
-            (senders / f"{module}.py").write_text(text, encoding="utf8")
-        codes = []
-        for program, *arguments in run_lines():
-            self.assertThat(program, Equals("python3"))
-            done = subprocess.run(
-                [sys.executable, *arguments],
-                cwd=ROOT,
-                env={
-                    "PATH": os.environ["PATH"],
-                    "PYTHONPATH": os.pathsep.join([str(senders), *filter(None, sys.path)]),
-                    "PULLEYHITCH_BOOT": str(settings),
-                },
-                capture_output=True,
-                timeout=LIMIT_S,
-            )
-            codes.append(done.returncode)
-        return codes
+            text = SENDER.format(numbers=[int(number) for number in HARMLESS])
+            (folder / f"{module}.py").write_text(text, encoding="utf8")
+        return {self.exit_code(words, folder, settings) for words in commands or run_lines()}
+
+    def exit_code(self, words, folder, settings):
+        self.assertThat(words[0], Equals("python3"))
+        done = subprocess.run(
+            [sys.executable, *words[1:]],
+            cwd=ROOT,
+            env={
+                "PATH": os.environ["PATH"],
+                "PYTHONPATH": os.pathsep.join([str(folder), *filter(None, sys.path)]),
+                "PULLEYHITCH_BOOT": str(settings),
+            },
+            capture_output=True,
+            timeout=LIMIT_S,
+        )
+        return done.returncode
 
     def test_without_signals_the_settings_are_refused(self):
-        self.assertThat(set(self.started([])), Equals({2}))
+        self.assertThat(self.started([]), Equals({2}))
 
     def test_while_the_interpreter_sets_up_its_paths(self):
         """`site` and what it imports take most of the time of the interpreter's own start."""
-        self.assertThat(set(self.started(["sitecustomize", "usercustomize"])), Equals({2}))
+        self.assertThat(self.started(["sitecustomize", "usercustomize"]), Equals({2}))
 
     def test_while_the_first_modules_load(self):
-        self.assertThat(set(self.started(["enum", "signal", "gc"])), Equals({2}))
+        self.assertThat(self.started(["enum", "signal", "gc"]), Equals({2}))
 
     def test_while_the_programs_modules_load(self):
-        self.assertThat(set(self.started(["json", "queue", "pycurl", "marshmallow"])), Equals({2}))
+        self.assertThat(self.started(["json", "queue", "pycurl", "marshmallow"]), Equals({2}))
+
+    def test_the_products_own_program(self):
+        """It imports a library for command lines before the role's own modules."""
+        roles = [["python3", "-m", "pulleyhitch", role] for role in ("counter", "depot")]
+        for modules in ([], ["cleo"], ["pycurl", "marshmallow"]):
+            self.assertThat(self.started(modules, roles), Equals({2}))
 
     def test_nothing_is_imported_before_the_signals_are_ignored(self):
         """Only `_signal`, which is a part of the interpreter."""
