Build: the versions of the libraries are those that the tests run on

Cause: the requirements have lower bounds, two of them no upper one, so each clean build took the newest releases, which no test had seen. Not reproduced: no such release is known. The record of what is installed names them, so a change is installed.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -27,6 +27,8 @@
 DEPS = ROOT / "target" / "deps"
 # Where an installation is made before it replaces the one in DEPS.
 UNFINISHED = ROOT / "target" / "deps.unfinished"
+# The versions that the tests run on; a later release of a library may not work with this one.
+TESTED_VERSIONS = ROOT / "deploy" / "tested-versions.txt"
 ADAPTER = ROOT / "platform"
 # What `platform/start.py` imports.
 STARTED_MODULES = "from adapter import dialect, settings; from pulleyhitch import lifecycle"
@@ -76,21 +78,34 @@
 def install(requirements: list[str]) -> None:
     """Installs the third-party requirements, unless they are installed already.  An installation
     that is interrupted or fails leaves the one before it as it was."""
-    if installation.is_complete(DEPS, requirements):
+    wanted = requirements_and_versions(requirements)
+    if installation.is_complete(DEPS, wanted):
         return
     check_tools()
-    shutil.rmtree(UNFINISHED, ignore_errors=True)
-    command = [sys.executable, "-m", "pip", "install", "-q", "--disable-pip-version-check"]
-    command += ["--target", str(UNFINISHED), *requirements]
-    if subprocess.run(command).returncode != 0:
-        raise BuildError(
-            "pip could not install " + ", ".join(requirements) + "; see its output above"
-        )
-    installation.save(UNFINISHED, installation.describe(UNFINISHED, requirements))
+    if not pip_installs(requirements, ["-c", str(TESTED_VERSIONS)]):
+        print("build: the tested versions can't be installed; trying others", file=sys.stderr)
+        if not pip_installs(requirements, []):
+            raise BuildError(
+                "pip could not install " + ", ".join(requirements) + "; see its output above"
+            )
+    installation.save(UNFINISHED, installation.describe(UNFINISHED, wanted))
     shutil.rmtree(DEPS, ignore_errors=True)
     UNFINISHED.rename(DEPS)
 
 
+def requirements_and_versions(requirements: list[str]) -> list[str]:
+    """What the record of an installation names: a change of either is installed."""
+    return [*requirements, *TESTED_VERSIONS.read_text().split()]
+
+
+def pip_installs(requirements: list[str], options: list[str]) -> bool:
+    """Installs the requirements into the unfinished folder; returns whether pip could."""
+    shutil.rmtree(UNFINISHED, ignore_errors=True)
+    command = [sys.executable, "-m", "pip", "install", "-q", "--disable-pip-version-check"]
+    command += [*options, "--target", str(UNFINISHED), *requirements]
+    return subprocess.run(command).returncode == 0
+
+
 def check_libraries() -> None:
     """Raises BuildError if a shared library that the installed wheels need is missing."""
     missing = libraries.missing_libraries(libraries.system_libraries(DEPS))
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -5,6 +5,7 @@
 missing folder were all kept.
 """
 
+import importlib.metadata
 import json
 import pathlib
 import subprocess
@@ -17,6 +18,7 @@
 
 import build  # noqa: E402
 import installation  # noqa: E402
+from test_deploy_packages import name_of  # noqa: E402
 
 REQUIREMENTS = ["somewhere>=1"]
 ENDED_WELL = subprocess.CompletedProcess([], 0, stderr="")
@@ -26,10 +28,12 @@
     """Stands in for pip: makes a package in the target folder, or ends in the middle."""
 
     def __init__(self):
-        self.calls, self.interrupted = 0, False
+        self.calls, self.interrupted, self.tested_missing = 0, False, False
 
     def __call__(self, command, **_):
         self.calls += 1
+        if self.tested_missing and "-c" in command:
+            return subprocess.CompletedProcess([], 1)
         target = pathlib.Path(command[command.index("--target") + 1])
         (target / "somewhere").mkdir(parents=True)
         (target / "somewhere" / "__init__.py").write_text("NAME = 'somewhere'\n")
@@ -76,12 +80,50 @@
     assert path.stat().st_size == size
 
 
+def test_the_tested_versions_are_installed(pip, monkeypatch):
+    commands = []
+    monkeypatch.setattr(
+        build.subprocess, "run", lambda command: commands.append(command) or pip(command)
+    )
+    build.install(REQUIREMENTS)
+    assert [command[command.index("-c") + 1] for command in commands] == [
+        str(build.TESTED_VERSIONS)
+    ]
+
+
+def test_other_versions_are_installed_where_the_tested_ones_are_missing(pip):
+    pip.tested_missing = True
+    build.install(REQUIREMENTS)
+    assert (build.DEPS / "somewhere" / "part.so").exists()
+
+
+def test_every_library_has_a_tested_version():
+    """Those that the requirements name, and what these require, as they are installed here."""
+    lines = build.TESTED_VERSIONS.read_text().splitlines()
+    tested = dict(line.split("==") for line in lines if not line.startswith("#"))
+    required = build.third_party_requirements(build.product_projects())
+    waiting = [name_of(word) for word in required]
+    while waiting:
+        name = waiting.pop()
+        distribution = importlib.metadata.distribution(name)
+        assert tested[name.lower()] == distribution.version
+        waiting += [name_of(word) for word in distribution.requires or () if ";" not in word]
+
+
 def test_other_requirements_are_installed(pip):
     build.install(REQUIREMENTS)
     build.install([*REQUIREMENTS, "other>=2"])
     assert pip.calls == 2
 
 
+def test_other_tested_versions_are_installed(pip, monkeypatch, tmp_path):
+    build.install(REQUIREMENTS)
+    monkeypatch.setattr(build, "TESTED_VERSIONS", tmp_path / "versions.txt")
+    build.TESTED_VERSIONS.write_text("somewhere==2\n")
+    build.install(REQUIREMENTS)
+    assert pip.calls == 2
+
+
 def test_a_folder_from_another_machine_is_installed_again(pip):
     """As for another architecture, interpreter or C library: all are parts of the environment."""
     build.install(REQUIREMENTS)
@@ -125,7 +167,8 @@
     pip.interrupted = True
     with pytest.raises(KeyboardInterrupt):
         build.install([*REQUIREMENTS, "other>=2"])
-    assert installation.is_complete(build.DEPS, REQUIREMENTS)
+    wanted = build.requirements_and_versions(REQUIREMENTS)
+    assert installation.is_complete(build.DEPS, wanted)
 
 
 def test_the_repositorys_own_packages_are_no_damage(pip):
