Start: an unexpected error names its cause in the last line as well

Cause: an exception that no step of the start expects ended the process with a trace and exit 1, the one end without the line that all others have (found when the change was read once more). Change: it is logged as core-broke, with exit 4, after the trace. Measured: test_lifecycle_log, BrokenStart (the exception went through lifecycle.run before), 6 passed.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -8,6 +8,7 @@
 import os
 import threading
 import time
+import traceback
 
 from transport import failures
 
@@ -75,6 +76,10 @@
     except CannotStart as error:
         log.failed(EXIT_CANNOT_START, error.failure)
         return EXIT_CANNOT_START
+    except Exception as error:
+        traceback.print_exc()
+        log.failed(EXIT_FAILURE, failures.CoreBroke("start", repr(error)))
+        return EXIT_FAILURE
     _freeze_garbage_collector()
     process.start()
     for name, server in servers:
--- a/tests/test_lifecycle_log.py
+++ b/tests/test_lifecycle_log.py
@@ -4,16 +4,20 @@
 apart.
 """
 
+import io
 import json
 import os
 import signal
+import sys
 import tempfile
 from pathlib import Path
 
+import test_start_beside
+from pulleyhitch import config, lifecycle
 from replication.disk import Disk
 from simulation.platform_fleet import PlatformFleet
 from testtools import TestCase
-from testtools.matchers import ContainsDict, Equals, GreaterThan
+from testtools.matchers import Contains, ContainsDict, Equals, GreaterThan
 
 LIMIT_S = 60.0
 
@@ -77,6 +81,24 @@
         self.assertThat(self.start(self.depot)["previousEnd"], Equals("SIGTERM"))
 
 
+class BrokenStart(TestCase):
+    def test_a_start_that_breaks_names_the_error(self):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.patch(lifecycle, "Process", lambda *_: 1 / 0)
+        printed = self.patch_stderr()
+        node = config.check(test_start_beside.SETTINGS)
+        self.assertThat(lifecycle.run(node), Equals(4))
+        line = json.loads(printed.getvalue().splitlines()[-1])
+        self.assertThat((line["failure"], line["exit"]), Equals(("core-broke", 4)))
+        self.assertThat(line["error"], Contains("ZeroDivisionError"))
+
+    def patch_stderr(self):
+        printed = io.StringIO()
+        self.patch(sys, "stderr", printed)
+        return printed
+
+
 class PreviousEnd(TestCase):
     def test_a_disk_that_takes_nothing_does_no_harm(self):
         folder = Path(tempfile.mkdtemp())
