--- a/libs/simulation/src/simulation/cli.py
+++ b/libs/simulation/src/simulation/cli.py
@@ -12,6 +12,7 @@
 )
 from simulation.commands.judge import JudgeCommand
 from simulation.commands.measurements import HollowCommand, MeasureCommand
+from simulation.commands.memory import MemoryCommand
 from simulation.commands.orders import OrdersCommand
 from simulation.commands.processes import EngineCommand, FleetCommand, TrialCommand
 from simulation.commands.soak import SoakCommand
@@ -32,6 +33,7 @@
         TrialCommand,
         JudgeCommand,
         SoakCommand,
+        MemoryCommand,
         MeasureCommand,
         HollowCommand,
     ):
--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -181,6 +182,10 @@
         process.send_signal(number)
         return process.wait(30)
 
+    def empty(self, name):
+        """Lose the disk of a depot that doesn't run."""
+        shutil.rmtree(self.folder / name, ignore_errors=True)
+
     def survives(self, name, number):
         """Whether the node's process has come so far that this signal doesn't end it."""
         return handles_signal(self.running[name].pid, number)
--- a/libs/simulation/src/simulation/platform_settings.py
+++ b/libs/simulation/src/simulation/platform_settings.py
@@ -2,8 +2,12 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Place", "settings_document"]
+__all__ = ["MEMORY_MB", "Place", "settings_document"]
 
+# Memory that the platform allows a process of each role; it kills one that takes more.
+MEMORY_MB = {"depot": 296, "counter": 300}
+_CORES = {"depot": 2.58, "counter": 1.07}
+_FILE_HANDLES = 4100
 _INTERNAL_PORTS = 16
 _MACHINE_CLASS = {"depot": "sorting", "counter": "counter"}
 _SERVES = {"depot": ["dispatch"], "counter": ["counter"]}
@@ -63,6 +67,12 @@
         "dataPath": place.folder,
         "tolerance": {"machineLosses": 1, "zones": 1, "regionLosses": 0},
         "bounds": _BOUNDS,
+        "limits": {
+            "cpuShare": _CORES[place.role],
+            "cores": 1,
+            "memoryMb": MEMORY_MB[place.role],
+            "fileHandles": _FILE_HANDLES,
+        },
         "discovery": "platform",
         "entry": "vip",
         "beatIntervalMs": 1200,
