Memory: the bytes of requests and responses that a process holds are bounded by its limit

What callers saw: counters end by themselves under large responses or many large bodies at once. Cause: nothing bounded the sum. 64 MB counted only what was being received, and not what is held afterwards (queue for threads, wait for a model, attempts); responses were collected whole, of any length. Change: a ByteBudget of 0.4 of limits.memoryMb for all listeners of a process. A request's bytes are reserved once its head tells them, and until its connection closes. Without room it gets 503 with Retry-After before its body is read, and what its sender still sends is read and dropped for 2 s, so that the response isn't lost in a reset. An event of a resumable stream that is longer than 1 MiB is passed on as it is. Ruled out as the bound: the number of connections or threads (one body is 4 MiB, another nothing).

--- a/libs/pulleyhitch/src/pulleyhitch/caller_connection.py
+++ b/libs/pulleyhitch/src/pulleyhitch/caller_connection.py
@@ -3,6 +3,8 @@
 import socket
 from dataclasses import dataclass, field
 
+from routing import byte_budget
+
 __all__ = ["CallerConnection"]
 
 
@@ -11,7 +13,9 @@
     """A connection, its request, and the callbacks of a request that waits for its outcome.
 
     `data` holds the bytes received so far.  `request_class` is empty until they are a complete
-    request.  `since_s` is when the connection was accepted, or when its request was complete."""
+    request.  `since_s` is when the connection was accepted, or when its request was complete.
+    `reservation` is what the request holds of the process's byte budget.  `discards`: the request
+    was refused before it was complete, and the rest of it is read and dropped."""
 
     sock: socket.socket
     address: tuple
@@ -23,3 +27,5 @@
     finish: object = None
     on_disconnect: object = None
     registered: bool = False
+    reservation: byte_budget.Reservation = field(default_factory=byte_budget.unbounded)
+    discards: bool = False
--- a/libs/pulleyhitch/src/pulleyhitch/config.py
+++ b/libs/pulleyhitch/src/pulleyhitch/config.py
@@ -36,6 +36,8 @@
 # Parts of `serviceBackMs`: how long after the last confirmation by a majority a depot grants
 # tokens, and how long a depot may leave a request unanswered before it counts as silent.
 _TRUST_RATIO, _SILENT_RATIO = 2 / 3, 0.008
+# The part of `memoryMb` that requests and responses may hold, and what they may without a limit.
+_BUDGET_RATIO, _DEFAULT_BUDGET_BYTES = 0.4, 64 << 20
 _NAME = validate.Regexp(r"^[a-z0-9][a-z0-9._-]{0,62}$", error="not a valid name")
 
 
@@ -65,7 +67,7 @@
     of shards, `revokeRatio` the part of `serviceBackMs` after which they are revoked.  `founds`:
     an empty depot may take part in founding a log.  `worksUnheard`: requests are routed however
     old the last confirmation of this node's state is.  `provider` is the address of the
-    platform's list of engines."""
+    platform's list of engines.  `memoryMb`: a process that takes more is ended, 0 if unknown."""
 
     name: str
     role: str
@@ -95,6 +97,12 @@
     provider: str = ""
     providerLagMs: int = 0
     providerPerS: float = 1.0
+    memoryMb: int = 0
+
+    @property
+    def budget_bytes(self):
+        """The bytes of requests and responses that the process may hold at a time."""
+        return int(_BUDGET_RATIO * (self.memoryMb << 20)) or _DEFAULT_BUDGET_BYTES
 
 
 class _StrictSchema(Schema):
@@ -134,6 +142,7 @@
     depots = fields.Integer(strict=True, load_default=3, validate=validate.OneOf([1, 3, 5]))
     httpThreads = fields.Integer(strict=True, validate=validate.Range(min=4, max=4096))
     cores = fields.Float(load_default=0.0, validate=validate.Range(min=0))
+    memoryMb = fields.Integer(strict=True, load_default=0, validate=validate.Range(min=0))
     deadlineMs = fields.Integer(
         strict=True, load_default=30000, validate=validate.Range(min=1, max=3_600_000)
     )
--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -48,6 +48,7 @@
             lambda data: "rank0",
             0.4 * service_back_s,
             1.5 * service_back_s,
+            budget=process.budget,
         )
 
     def _begin(self, caller):
@@ -106,6 +107,7 @@
             self._begin,
             lambda data: "operator",
             0.4 * service_back_s,
+            budget=process.budget,
         )
 
     def _begin(self, caller):
--- a/libs/pulleyhitch/src/pulleyhitch/http_handler.py
+++ b/libs/pulleyhitch/src/pulleyhitch/http_handler.py
@@ -7,6 +7,7 @@
 import collections
 import io
 
+from routing import byte_budget
 from werkzeug.serving import WSGIRequestHandler
 from werkzeug.wrappers import Request
 
@@ -72,6 +73,7 @@
         """The WSGI environment; the listener has already decoded a chunked body."""
         environ = super().make_environ()
         environ.pop("HTTP_TRANSFER_ENCODING", None)
+        environ[byte_budget.ENVIRON_KEY] = self.request.reservation
         environ["wsgi.input"] = io.BytesIO(body)
         # werkzeug then reads the body in one piece, which shares the memory of `body`.
         environ["wsgi.input_terminated"] = True
@@ -104,8 +106,8 @@
 
 
 def request_of(environ):
-    """The werkzeug Request of a WSGI environment.  It is not put into the environment: the two would
-    refer to each other, and only the garbage collector could free them and the body."""
+    """The werkzeug Request of a WSGI environment.  It isn't put into the environment, as the two
+    would refer to each other, and only the garbage collector could free them and the body."""
     return Request(environ, populate_request=False)
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -4,8 +4,9 @@
 share of its class, or from a lower share that has free threads.  If none becomes free soon, the
 request is refused, so that a flood of one class never starves a higher one.  A request that has to
 wait (for its model, for example) releases its thread; the event loop watches its connection until
-the outcome is known or the caller disconnects.  Open connections, buffered bytes and the time
-in which a request must arrive are all bounded.
+the outcome is known or the caller disconnects.  Open connections and the time in which a request
+must arrive are bounded.  The bytes of a request are reserved in the process's byte budget as soon
+as its head tells them, and until its connection is closed; without room for them it is refused.
 """
 
 import queue
@@ -16,6 +17,7 @@
 import time
 import traceback
 
+from routing.byte_budget import ByteBudget
 from transport import failures
 from transport.acceptor import Acceptor
 
@@ -26,7 +28,13 @@
 
 __all__ = ["Listener"]
 
-_BUFFER_LIMIT_BYTES = 64 << 20
+# What a listener without a budget of its process may hold.
+_DEFAULT_BUDGET_BYTES = 64 << 20
+# Retry-After of a request for whose bytes there was no room.
+_MEMORY_RETRY_S = 1
+# How long the rest of a refused request is read, so that its sender sees the response.
+_DISCARD_S = 2.0
+_RECEIVE_BYTES = 1 << 18
 _CONNECTIONS_PER_THREAD = 20
 # Connections accepted at a time, so that those accepted before get their turn.
 _ACCEPTS_PER_EVENT = 64
@@ -51,9 +59,10 @@
         request_timeout_s,
         idle_timeout_s=None,
         policy=admission.PLATFORM_POLICY,
+        budget=None,
     ):
         self._begin, self._classify, self._request_timeout_s = begin, classify, request_timeout_s
-        self._policy = policy
+        self._policy, self._budget = policy, budget or ByteBudget(_DEFAULT_BUDGET_BYTES)
         self._idle_timeout_s = idle_timeout_s or request_timeout_s
         server_socket = socket.create_server((host, port), backlog=1024)
         server_socket.setblocking(False)
@@ -64,7 +73,7 @@
         self._finish_pool = ThreadPool(threads, "finish")
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._connection_limit = max(16, min(_CONNECTIONS_PER_THREAD * threads, limit // 2))
-        self._connections, self._buffered_bytes = {}, 0
+        self._connections = {}
         self._actions = queue.SimpleQueue()
         self._wakeup_receiver, self._wakeup_sender = socket.socketpair()
         self._wakeup_receiver.setblocking(False)
@@ -152,7 +161,8 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            caller = CallerConnection(sock, address, time.monotonic())
+            reservation = self._budget.reservation()
+            caller = CallerConnection(sock, address, time.monotonic(), reservation=reservation)
             self._connections[sock] = caller
             self._register(caller)
         return True
@@ -176,15 +186,10 @@
 
     def _close(self, caller):
         self._unregister(caller)
-        if self._connections.pop(caller.sock, None) is not None:
-            self._drop_data(caller)
+        self._connections.pop(caller.sock, None)
+        caller.reservation.release()
         admission.close_connection(caller.sock)
 
-    def _drop_data(self, caller):
-        """Free the received bytes of a connection."""
-        self._buffered_bytes -= len(caller.data)
-        caller.data = bytearray()
-
     def _on_readable(self, caller):
         if caller.request_class:
             self._unregister(caller)
@@ -192,22 +197,28 @@
                 self._on_disconnect(caller)
             return
         try:
-            chunk = caller.sock.recv(1 << 18)
+            chunk = caller.sock.recv(_RECEIVE_BYTES)
         except BlockingIOError:
             return
         except OSError:
             self._close(caller)
             return
-        caller.data += chunk
-        self._buffered_bytes += len(chunk)
-        limit_bytes = self._policy.body_limit_of(caller.data)
-        self._dispatch(caller, admission.parse_first_request(caller.data, limit_bytes), not chunk)
+        if not caller.discards:
+            caller.data += chunk
+            limit_bytes = self._policy.body_limit_of(caller.data)
+            parsed = admission.parse_first_request(caller.data, limit_bytes)
+            self._dispatch(caller, parsed, not chunk)
+        elif not chunk:
+            self._close(caller)
 
     def _dispatch(self, caller, parsed, at_end):
-        """Admit a complete request; reject a truncated or malformed one."""
-        if isinstance(parsed, request_framing.Complete):
+        """Admit a complete request; reject a truncated or malformed one, and one for whose bytes
+        there is no room."""
+        if not isinstance(parsed, request_framing.Malformed) and not self._reserve(caller, parsed):
+            self._refuse(caller, "memory", _MEMORY_RETRY_S)
+        elif isinstance(parsed, request_framing.Complete):
             caller.request, caller.request_class = parsed, self._classify(caller.data)
-            self._drop_data(caller)
+            caller.data = bytearray()
             self._admit(caller)
         elif isinstance(parsed, request_framing.Malformed):
             self._reject(caller, parsed)
@@ -217,12 +228,26 @@
             )
         elif at_end:
             self._close(caller)
-        elif self._buffered_bytes > _BUFFER_LIMIT_BYTES:
-            self._refuse(caller, "memory", 2)
+
+    def _reserve(self, caller, parsed):
+        """Reserve the bytes of a request: all of them, as far as its head tells their number."""
+        return caller.reservation.resize(
+            max(len(caller.data), getattr(parsed, "expected_bytes", 0))
+        )
 
     def _reject(self, caller, malformed):
         admission.send_malformed(caller.sock, malformed)
-        self._close(caller)
+        self._discard(caller)
+
+    def _discard(self, caller):
+        """Close a connection once its sender has stopped sending, or after a while: if it were
+        closed before, the sender could lose the response that has just been sent."""
+        caller.data, caller.discards, caller.since_s = bytearray(), True, time.monotonic()
+        caller.reservation.release()
+        try:
+            caller.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close(caller)
 
     def _on_disconnect(self, caller):
         """Call `on_disconnect` of a request, at most once, and only while it still waits."""
@@ -262,11 +287,13 @@
         self._refuse(caller, "threads", admission.RETRY_AFTER_S[caller.request_class])
 
     def _refuse(self, caller, cause, seconds):
-        self._unregister(caller)
         admission.send_failure(
             caller.sock, 503, failures.Overloaded(1000 * seconds, cause), seconds
         )
-        self._close(caller)
+        if caller.request_class:
+            self._close(caller)
+        else:
+            self._discard(caller)
 
     def _serve(self, caller):
         waiting = None
@@ -305,14 +332,17 @@
         did not arrive in time."""
         for caller in self._thread_queue.remove_since(now_s - self._request_timeout_s / 8):
             self._refuse_for_threads(caller)
-        for caller in [
-            c
-            for c in self._connections.values()
-            if not c.request_class
-            and now_s - c.since_s > (self._request_timeout_s if c.data else self._idle_timeout_s)
-        ]:
+        for caller in list(self._connections.values()):
+            if caller.request_class or now_s - caller.since_s <= self._patience_s(caller):
+                continue
             if caller.data:
                 admission.send_malformed(
                     caller.sock, request_framing.Malformed(408, "not whole in time")
                 )
             self._close(caller)
+
+    def _patience_s(self, caller):
+        """How long a connection without a complete request is kept."""
+        if caller.discards:
+            return _DISCARD_S
+        return self._request_timeout_s if caller.data else self._idle_timeout_s
--- a/libs/pulleyhitch/src/pulleyhitch/process.py
+++ b/libs/pulleyhitch/src/pulleyhitch/process.py
@@ -15,6 +15,7 @@
 
 from replication import disk as disks
 from replication.full_disk import SpaceWait
+from routing.byte_budget import ByteBudget
 from routing.connection_pool import ConnectionPool
 from transport import events, failures
 from transport.connections import Connections
@@ -66,6 +67,7 @@
         self.config = config
         self.dialect = dialect
         self.pool = ConnectionPool()
+        self.budget = ByteBudget(config.budget_bytes)
         self.ring = LogRing(config.name)
         self._queue = queue.SimpleQueue()
         self._pending = PendingRequests()
--- a/libs/pulleyhitch/src/pulleyhitch/request_framing.py
+++ b/libs/pulleyhitch/src/pulleyhitch/request_framing.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["Complete", "Incomplete", "Malformed", "parse_request", "HEAD_LIMIT_BYTES"]
 
@@ -24,7 +24,9 @@
 
 @dataclass(frozen=True)
 class Incomplete:
-    """The request is not complete yet."""
+    """The request is not complete yet.  `expected_bytes`: its whole size, 0 if that isn't known."""
+
+    expected_bytes: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True)
@@ -61,7 +63,7 @@
     if length > body_limit_bytes:
         return Malformed(413, "body", body_limit_bytes)
     if len(data) < end + length:
-        return Incomplete()
+        return Incomplete(end + length)
     return Complete(head, bytes(memoryview(data)[end : end + length]))
 
 
--- a/libs/pulleyhitch/src/pulleyhitch/server.py
+++ b/libs/pulleyhitch/src/pulleyhitch/server.py
@@ -70,6 +70,7 @@
             lambda data: admission.classify(data, self._rank_of),
             0.4 * self._config.bounds.serviceBackMs / 1000,
             policy=admission.PRODUCT_POLICY,
+            budget=process.budget,
         )
 
     def _rank_of(self, route):
--- a/libs/pulleyhitch/src/pulleyhitch/status_endpoint.py
+++ b/libs/pulleyhitch/src/pulleyhitch/status_endpoint.py
@@ -33,6 +33,7 @@
             self._begin,
             lambda data: "lookup",
             _REQUEST_TIMEOUT_S,
+            budget=process.budget,
         )
 
     def _begin(self, caller):
--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -12,7 +12,7 @@
 from transport.socket_state import closed_by_peer
 from werkzeug.wrappers import Response
 
-from routing import attempts, proxying, responses
+from routing import attempts, byte_budget, proxying, response_reading, responses
 from routing.engine_api import EngineRequest
 from routing.router import Attempt, KeepWaiting
 
@@ -26,6 +26,8 @@
 _NOT_RUN_PROOFS = ("not-run", "no-pipe")
 # The first status that reports a failure of the engine.
 _FIRST_FAILED_STATUS = 500
+# The longest event of a stream that may be resumed.
+_MAX_EVENT_BYTES = 1 << 20
 
 
 class RequestRelay:
@@ -43,6 +45,7 @@
         """The response for a caller; `step` is the event loop's first decision.  If this fails with
         any exception, the event loop is told that the task is over."""
         sock = environ.get("werkzeug.socket")
+        request["reservation"] = environ.get(byte_budget.ENVIRON_KEY) or byte_budget.unbounded()
 
         def has_left():
             return sock is not None and closed_by_peer(sock)
@@ -69,15 +72,15 @@
                 step = self._ask(token, "ended", {"proof": "not-run"})
                 continue
             source = self._start_attempt(request, attempt, 0)
-            head, first, proof = self._await_head(token, request, source, has_left)
+            response, proof = self._await_response(token, request, source, has_left)
             if isinstance(proof, (Attempt, failures.Failure)):
                 source.close()
                 step, may_have_run = proof, True
                 continue
-            if head is not None and not (request["repeatable"] and head.code >= 500):
-                return self._respond(token, request, head, first, source, has_left)
-            if head is not None:
-                last_response = responses.build(request, head, [first])
+            if response is not None and not self._may_retry(request, response):
+                return self._respond(token, request, response, source, has_left)
+            if response is not None and not response.arrives:
+                last_response = responses.build(request, response.head, response.chunks)
             source.close()
             may_have_run = may_have_run or proof not in _NOT_RUN_PROOFS
             step = self._ask(token, "ended", {"proof": proof})
@@ -87,6 +90,10 @@
             step = failures.OutcomeUnknown("caller-left")
         return self._failure_response(step, may_have_run)
 
+    def _may_retry(self, request, response):
+        """Whether a response reports a failure that another engine may not have."""
+        return request["repeatable"] and response.head.code >= _FIRST_FAILED_STATUS
+
     def _failure_response(self, failure, may_have_run):
         """The router's own final response.  It promises that the request has not run only if no
         attempt may have run it."""
@@ -121,72 +128,57 @@
             silent_ms,
         )
 
-    def _await_head(self, token, request, source, has_left):
-        """(head, first data, proof) of the engine's own response, with head None if there is none.
-        If the event loop decided on something else because the engine was silent for long, that
-        decision stands in place of the proof."""
+    def _await_response(self, token, request, source, has_left):
+        """(EngineResponse or None, proof).  If the event loop decided on something else because
+        the engine was silent for long, that decision stands in place of the proof."""
         started_s = time.monotonic()
         for kind, value in source:
             if kind == "silent":
                 step = self._ask(token, "silent", {})
                 if not isinstance(step, KeepWaiting):
-                    return None, b"", step
+                    return None, step
             if kind == "head":
                 response_class = self._dialect.classify_response(request, value)
                 if response_class == "not-run":
-                    return None, b"", "not-run"
+                    return None, "not-run"
                 if response_class != "ours":
-                    return None, b"", "unknown"
-                if responses.is_streamed(request, value):
-                    return value, b"", "unknown"
-                return self._read_whole(value, source, has_left)
+                    return None, "unknown"
+                return response_reading.read(request, value, source, self._ends_attempts, has_left)
             if kind == "idle" and self._ends_attempts():
-                return None, b"", attempts.ABANDONED
+                return None, attempts.ABANDONED
             if kind == "idle" and has_left():
-                return None, b"", attempts.departed_caller_proof(request, started_s)
+                return None, attempts.departed_caller_proof(request, started_s)
             if kind == "end":
-                return None, b"", attempts.failed_attempt_proof(value)
-        return None, b"", "unknown"
+                return None, attempts.failed_attempt_proof(value)
+        return None, "unknown"
 
-    def _read_whole(self, head, source, has_left):
-        """Read a response that isn't streamed; it is passed on only if it is complete."""
-        data, size = [], 0
-        for kind, value in source:
-            if kind == "data":
-                data.append(value)
-                size += len(value)
-            elif kind == "idle" and self._ends_attempts():
-                return None, b"", attempts.ABANDONED
-            elif kind == "idle" and has_left():
-                return None, b"", "gone"
-            elif kind == "end":
-                return (
-                    (head, b"".join(data), "unknown")
-                    if value.code
-                    else (None, b"", attempts.failed_attempt_proof(value))
-                )
-        return None, b"", "unknown"
-
-    def _respond(self, token, request, head, first, source, has_left):
+    def _respond(self, token, request, response, source, has_left):
         """The response for the caller, built from the engine's response."""
-        if not responses.is_streamed(request, head):
+        head = response.head
+        proof = "failed" if head.code >= _FIRST_FAILED_STATUS else "done"
+        if not response.arrives:
             source.close()
-            proof = "failed" if head.code >= _FIRST_FAILED_STATUS else "done"
             self._ask(token, "ended", {"proof": proof})
-            return responses.build(request, head, [first])
+            return responses.build(request, head, response.chunks)
 
         def on_unread():
             source.close()
             self._report_departed(token)
 
-        events = self._stream_events(token, request, head, source, has_left)
+        events = self._stream_events(token, request, head, response.chunks, source, proof, has_left)
         return responses.build(request, head, responses.StreamedBody(events, on_unread))
 
-    def _stream_events(self, token, request, head, source, has_left):
-        """Yield the stream as it arrives; if it breaks, resume it elsewhere if that is allowed."""
+    def _stream_events(self, token, request, head, chunks, source, whole_proof, has_left):
+        """Yield a body as it arrives, first what `chunks` has of it; if a stream breaks, resume it
+        elsewhere if that is allowed.  `whole_proof`: the proof of an attempt that doesn't break."""
         proof, buffer, last_event = "gone", bytearray(), 0
-        whole_events = request["resumable"] and head.code == 200
+        whole_events = (
+            request["resumable"] and head.code == 200 and responses.is_streamed(request, head)
+        )
         try:
+            while chunks:
+                yield chunks[0]
+                request["reservation"].grow(-len(chunks.pop(0)))
             while True:
                 ended = None
                 for kind, value in source:
@@ -198,16 +190,21 @@
                         out, last_event = self._take_whole_events(buffer, last_event)
                         if out:
                             yield out
+                        if len(buffer) > _MAX_EVENT_BYTES:
+                            # No event: passed on as it is, and not resumed elsewhere any more.
+                            whole_events = False
+                            yield bytes(buffer)
+                            buffer.clear()
                     elif kind == "idle" and has_left():
                         raise responses.ResponseAborted("caller left")
                     elif kind == "end":
                         ended = value
                 if ended is not None and ended.code:
-                    proof = "done"
+                    proof = whole_proof
                     if buffer:
                         yield bytes(buffer)
                     return
-                source, head = self._resume_elsewhere(
+                source = self._resume_elsewhere(
                     token,
                     request,
                     attempts.broken_stream_proof(ended, request, whole_events),
@@ -239,8 +236,8 @@
         return bytes(out), last_event
 
     def _resume_elsewhere(self, token, request, proof, last_event, has_left):
-        """(source, head) of an attempt at another engine that resumes after the event numbered
-        `last_event`; (None, None) if there is none."""
+        """The source of an attempt at another engine that resumes after the event numbered
+        `last_event`; None if there is none."""
         step = self._ask(token, "ended", {"proof": proof})
         while isinstance(step, Attempt):
             attempt = None if has_left() else attempts.with_time_left(step)
@@ -248,13 +245,13 @@
                 self._report_departed(token)
                 break
             source = self._start_attempt(request, attempt, last_event)
-            head, _, proof = self._await_head(token, request, source, has_left)
+            response, proof = self._await_response(token, request, source, has_left)
             if isinstance(proof, (Attempt, failures.Failure)):
                 source.close()
                 step = proof
                 continue
-            if head is not None and head.code == 200:
-                return source, head
+            if response is not None and response.head.code == 200:
+                return source
             source.close()
             step = self._ask(token, "ended", {"proof": proof})
-        return None, None
+        return None
--- a/libs/routing/src/routing/responses.py
+++ b/libs/routing/src/routing/responses.py
@@ -72,12 +72,15 @@
 
 def build(request, head, body):
     """A response with the engine's status and headers.  Content-Length is computed from the body
-    that is passed on, and omitted for a stream, which may be joined from several attempts."""
+    that is passed on, if that is a list; otherwise it is the engine's, and omitted for a stream,
+    which may be joined from several attempts."""
     headers = [(n, v) for n, v in head.headers if n.lower() not in _HOP_BY_HOP]
     if not _has_no_body(request, head):
         headers = [(n, v) for n, v in headers if n.lower() != "content-length"]
         if isinstance(body, list):
             headers.append(("Content-Length", str(sum(map(len, body)))))
+        elif head.get("content-length") is not None and not is_streamed(request, head):
+            headers.append(("Content-Length", head.get("content-length")))
     return _EngineResponse(body, f"{head.code} {head.reason}", headers, direct_passthrough=True)
 
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -102,7 +102,7 @@
             self.until(lambda: any(c.data for c in list(self.listener._connections.values())))
             reset(sock)
             self.until(lambda: not self.listener._connections)
-        self.assertThat((self.handled, self.listener._buffered_bytes), Equals(([], 0)))
+        self.assertThat((self.handled, self.listener._budget.used_bytes), Equals(([], 0)))
         self.assert_still_serving()
 
     def test_ambiguous_requests_are_refused(self):
@@ -268,7 +268,7 @@
         self.until(lambda: not self.listener._connections)
         listener = self.listener
         self.until(listener._thread_shares.all_free)
-        self.assertThat((listener._buffered_bytes, len(listener._thread_queue)), Equals((0, 0)))
+        self.assertThat((listener._budget.used_bytes, len(listener._thread_queue)), Equals((0, 0)))
         with self.lock:
             self.assertThat(self.waiting, Equals([]))
             self.assertThat(len(set(self.finished)), Equals(len(self.finished)))
--- a/tests/test_operator_gateway.py
+++ b/tests/test_operator_gateway.py
@@ -11,6 +11,7 @@
 from adapter.dialect import DIALECT
 from pulleyhitch.command_forwarding import CommandResult
 from pulleyhitch.gateway import OperatorGateway
+from routing.byte_budget import ByteBudget
 from testtools import TestCase
 from testtools.matchers import Equals
 from transport import failures
@@ -31,6 +32,7 @@
             bounds=SimpleNamespace(serviceBackMs=600000, acknowledgeMs=4000),
         )
         self.dialect = DIALECT
+        self.budget = ByteBudget(64 << 20)
         self.ring = SimpleNamespace(note=lambda *what, **why: None)
         self.submitted, self.notified = queue.SimpleQueue(), queue.SimpleQueue()
 
--- a/tests/test_request_integrity.py
+++ b/tests/test_request_integrity.py
@@ -17,6 +17,7 @@
 from pulleyhitch.gateway import Gateway
 from pulleyhitch.request_framing import parse_request
 from routing import proxying
+from routing.byte_budget import ByteBudget
 from routing.connection_pool import ConnectionPool
 from routing.engine_api import EngineRequest
 from routing.router import Attempt
@@ -39,6 +40,7 @@
     def __init__(self, engines, port):
         self.pool, self.dialect, self._engines = ConnectionPool(), DIALECT, engines
         self._left, self._rng, self._lock = {}, random.Random(1), threading.Lock()
+        self.budget = ByteBudget(64 << 20)
         self.ring = SimpleNamespace(note=lambda *what, **more: None)
         self.config = SimpleNamespace(
             doors={"callers": f"127.0.0.1:{port}"},
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -123,7 +123,7 @@
             and not any(router.in_flight.values())
             and not len(self.process._pending)
             and not listener._connections
-            and not listener._buffered_bytes
+            and not listener._budget.used_bytes
             and listener._thread_shares.all_free()
         )
 
--- a/tests/test_status_endpoint.py
+++ b/tests/test_status_endpoint.py
@@ -11,6 +11,7 @@
 
 from pulleyhitch.command_forwarding import CommandResult
 from pulleyhitch.status_endpoint import StatusEndpoint
+from routing.byte_budget import ByteBudget
 from testtools import TestCase
 from testtools.matchers import Equals, StartsWith
 from transport import failures
@@ -24,6 +25,7 @@
     def __init__(self, outcome):
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
+        self.budget = ByteBudget(64 << 20)
         self.config = SimpleNamespace(doors={"status": "%s:%d" % self.address})
         self.outcome = outcome
 
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -15,6 +15,7 @@
 from process_harness import lone_counter
 from pulleyhitch import config, server
 from routing import choice, proxying, responses, router
+from routing.byte_budget import ByteBudget
 from routing.engine_calls import AttemptEnd
 from routing.proxying import ResponseHead
 from routing.relaying import RequestRelay
@@ -295,6 +296,7 @@
         bodies = []
 
         class Asked:
+            budget = ByteBudget(64 << 20)
             config = SimpleNamespace(
                 http="127.0.0.1:0", httpThreads=4, bounds=config.Bounds(), tokens={}
             )
