Tests: the ports of servers lie below those of outgoing connections

test_request_memory failed once with EADDRINUSE on port 41983: a free port was closed and bound again, and the system may give it to an outgoing connection of any test in between. Free ports come from 10000 to 31999 now, below the system's own range.

--- a/libs/simulation/src/simulation/fleet.py
+++ b/libs/simulation/src/simulation/fleet.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -23,15 +24,24 @@
 __all__ = ["Fleet", "free_ports"]
 
 _POLL_PAUSE_S = 0.02
+# Ports of servers.  Those that the system gives to outgoing connections lie above them, so that
+# none of these takes a port between its choice and the start of its server.
+_SERVER_PORTS = range(10_000, 32_000)
 
 
 def hold_ports(count):
     """Sockets bound and not listening: a server that reuses addresses can listen
     on their ports, and nobody is given them as free ones until they are closed."""
-    held = [socket.socket() for _ in range(count)]
-    for sock in held:
+    held = []
+    while len(held) < count:
+        sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
+        try:
+            sock.bind(("127.0.0.1", secrets.choice(_SERVER_PORTS)))
+        except OSError:
+            sock.close()
+        else:
+            held.append(sock)
     return held
 
 
