Memory: small stacks for threads, one heap, and large blocks that go back to the system

What callers saw: on a machine that enforces memory as address space (ulimit -v) the system doesn't start. Cause: stacks of 8 MB a thread and heaps of 64 MB for each of several threads: 640 to 2,870 MB of address space in a system that took 65 MB. And glibc keeps freed blocks up to 32 MB once it has seen one of that size.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -12,7 +12,7 @@
 
 from transport import failures
 
-from pulleyhitch import orderly_stop
+from pulleyhitch import orderly_stop, process_memory
 from pulleyhitch.gateway import Gateway, OperatorGateway
 from pulleyhitch.lifecycle_log import (
     EXIT_CANNOT_START,
@@ -65,6 +65,7 @@
     None if they are unchanged.  SIGHUP polls at once, SIGUSR1 dumps the log ring.  `start_s`:
     monotonic time of the process's start in seconds, by default now."""
     log = LifecycleLog(time.monotonic() if start_s is None else start_s, config.name)
+    process_memory.configure()
     signals = Signals().install()
     retry = StartRetry(config, signals)
     try:
--- a/libs/simulation/src/simulation/platform_fleet.py
+++ b/libs/simulation/src/simulation/platform_fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -38,7 +39,8 @@
 
 class PlatformFleet:
     """`start`, `kill`, `call` and `until` are what tests use, beside `platform`.
-    `observe` is told of what engines run; `program` is what a node's process is."""
+    `observe` is told of what engines run; `program` is what a node's process is; `limits`, by
+    number of a resource (setrlimit(2)), are set on the nodes that are started from then on."""
 
     def __init__(self, folder, seed, observe=None, program=("platform/start.py",), counters=3):
         self._program = tuple(program)
@@ -54,6 +56,7 @@
         platform = f"{self._address(self._last)}:{self.ports[4]}"
         self.platform = Platform(platform, 600, 30.0, observe)
         self.running, self.started_ms, self._first = {}, {}, True
+        self.limits = {}
 
     def _address(self, number):
         """The loopback address of this number, over several nets if there are many."""
@@ -170,6 +173,8 @@
                     "PULLEYHITCH_BOOT": str(self._settings(name)),
                 },
             )
+        for number, limit in self.limits.items():
+            resource.prlimit(self.running[name].pid, number, (limit, limit))
 
     def start_all(self):
         for name in self.depots + self.counters:
