Memory: a process near its limit says so before it is killed

A process that the platform kills for its memory can log nothing, so such an end could not be told from another kill. A line memory-high is written at four fifths of limits.memoryMb, memory-normal below seven tenths; the line of a start tells the limit. The test of the watch is new with it.

--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle.py
@@ -122,6 +122,7 @@
     """Carry out what signals request, and poll for seeds, until a stop is requested or the process
     fails; returns the exit code."""
     poll_due_s = time.monotonic()
+    memory = process_memory.MemoryWatch(process.config.memoryMb << 20, process.ring.log)
     while not process.stopped():
         request = signals.wait(_STOPPED_POLL_S)
         if request is Request.STOP:
@@ -132,6 +133,7 @@
             request is Request.RELOAD or time.monotonic() >= poll_due_s
         ):
             poll_due_s = time.monotonic() + _SEEDS_POLL_S
+            memory.check()
             seeds = changed_seeds()
             if seeds:
                 process.notify("", "seeds", {"seeds": seeds})
--- a/libs/pulleyhitch/src/pulleyhitch/lifecycle_log.py
+++ b/libs/pulleyhitch/src/pulleyhitch/lifecycle_log.py
@@ -53,6 +53,7 @@
             "http": config.http,
             "python": platform.python_version(),
             "machine": platform.machine(),
+            "memoryMb": config.memoryMb,
             "startMs": self._age_ms(),
             "previousEnd": previous_end,
         }
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -1,10 +1,12 @@
-"""Memory of real processes: address space and stacks of threads."""
+"""Memory of real processes: address space, stacks of threads, and the log of a process near its
+limit."""
 
 import collections
 import resource
 import subprocess
 import sys
 
+from pulleyhitch.process_memory import MemoryWatch
 from simulation.judge.trial import Plan, Trial
 from simulation.memory.loads import WholeBodies
 from simulation.platform_settings import MEMORY_MB
@@ -14,6 +16,7 @@
 SEED = 7
 CALLERS, REQUESTS = 60, 180
 BODY_BYTES = 200_001
+LIMIT_BYTES = 300 << 20
 # Objects and lists that are nested as deep as the interpreter allows, read on a thread.
 DEEP_JSON = """
 import json, threading
@@ -55,3 +58,19 @@
             [sys.executable, "-c", DEEP_JSON], capture_output=True, text=True, timeout=60
         )
         self.assertThat((ended.returncode, ended.stdout), Equals((0, "refused\nrefused\n")))
+
+
+class Watching(TestCase):
+    def test_a_process_near_its_limit_says_so_once_and_when_it_has_left_it(self):
+        lines, held = [], [0]
+        watch = MemoryWatch(
+            LIMIT_BYTES, lambda event, facts, urgent: lines.append(event), lambda: held[0]
+        )
+        for megabytes in (100, 241, 260, 220, 200, 260):
+            held[0] = megabytes << 20
+            watch.check()
+        self.assertThat(lines, Equals(["memory-high", "memory-normal", "memory-high"]))
+
+    def test_without_a_limit_nothing_is_said(self):
+        watch = MemoryWatch(0, lambda *what, **why: self.fail("said"), lambda: LIMIT_BYTES)
+        watch.check()
