Input: figures that no process can compute with are refused where they come in

What callers saw: all counters end by themselves within 60 ms (exit 4, core-broke, OverflowError) at their next request, and again after each start. Cause: values from outside were checked for their type alone, stored, logged and sent to every process. A size in the engine list beyond a float's range broke each router; such a count in a report breaks the planner; a configuration of 30 KB with 300 models of 10,000 adapters each took every process 0.5 GB and more. Change: sizes, names and addresses of engines have bounds; a wrong entry leaves its engine as it is known, and no other entry is lost with it (one unreadable entry discarded the whole page); what an earlier version logged is brought within bounds; reports have bounds for counts and items; a configuration may have 20,000 routes and tenants, 1,000 services, 10,000 models and 50,000 adapters (the size aimed at: 1,100 and 2,400).

--- a/libs/configuration/src/configuration/checked_document.py
+++ b/libs/configuration/src/configuration/checked_document.py
@@ -182,6 +182,8 @@
         ]
     except Unreadable:
         return False
+    if _size_fault(reader, checked, document, services) is not None:
+        return False
     return (
         all(_well_formed(document_facts.SERVICE, facts) for facts in services.values())
         and all(_well_formed(document_facts.ROUTE, facts) for facts in routes.values())
@@ -198,6 +200,18 @@
     return read_items(part, changed, read_item)
 
 
+def _size_fault(reader, checked, document, changed_services):
+    """The fault of a document with too many items; `changed_services` are facts by name."""
+    parts = document["parts"]
+    services = {
+        name: changed_services.get(name, checked.services.get(name, {}))
+        for name in parts.get(reader.services, ())
+    }
+    return document_facts.size_fault(
+        parts.get(reader.routes, ()), services, parts.get(reader.tenants, ())
+    )
+
+
 def _well_formed(schema, facts):
     try:
         schema.load(facts)
--- a/libs/configuration/src/configuration/document_facts.py
+++ b/libs/configuration/src/configuration/document_facts.py
@@ -14,11 +14,14 @@
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
 from transport.failures import FieldWrong
 
-__all__ = ["check", "section", "OWNER", "ROUTE", "SERVICE", "TENANT"]
+__all__ = ["check", "section", "size_fault", "OWNER", "ROUTE", "SERVICE", "TENANT"]
 
 # The key of this section among the sections of partners.
 OWNER = "floor"
 _MAX_NUMBER = 1e12
+# What every node holds facts of, several times over while a change is applied.
+_MAX_ITEMS = {"routes": 20_000, "services": 1_000, "tenants": 20_000}
+_MAX_MODELS, _MAX_ADAPTERS = 10_000, 50_000
 _TENANT_DEFAULTS = {"ratePerS": 0.0, "burst": 0.0, "rank": None}
 
 
@@ -114,8 +117,27 @@
     return FieldWrong(path, str(messages[0] if isinstance(messages, list) else messages))
 
 
+def size_fault(routes, services, tenants):
+    """A FieldWrong if there are more items than nodes can hold, else None."""
+    models = [model for facts in services.values() for model in facts.get("models", ())]
+    counts = (
+        ("routes", len(routes), _MAX_ITEMS["routes"]),
+        ("services", len(services), _MAX_ITEMS["services"]),
+        ("tenants", len(tenants), _MAX_ITEMS["tenants"]),
+        ("models", len(models), _MAX_MODELS),
+        ("adapters", sum(len(model.get("adapters", ())) for model in models), _MAX_ADAPTERS),
+    )
+    for name, count, limit in counts:
+        if count > limit:
+            return FieldWrong(name, f"{count}, more than {limit}")
+    return None
+
+
 def check(routes, services, tenants):
     """A list of FieldWrong for the facts, by name, of each part; empty if they are valid."""
+    too_many = size_fault(routes, services, tenants)
+    if too_many is not None:
+        return [too_many]
     faults = []
     parts = (
         ("services", SERVICE, services),
--- a/libs/configuration/src/configuration/registry.py
+++ b/libs/configuration/src/configuration/registry.py
@@ -24,6 +24,7 @@
     document_facts,
     documents,
     earlier_records,
+    engine_list,
 )
 from configuration.change_answers import ChangeAnswers
 from configuration.checked_document import CheckedDocument
@@ -113,7 +114,7 @@
             registry.zones.pop(content["zone"], None)
     elif kind == "engines":
         for engine in content["engines"]:
-            registry.engines[engine["name"]] = engine
+            registry.engines[engine["name"]] = engine_list.within_bounds(engine)
             if engine["state"] == "gone":
                 del registry.engines[engine["name"]]
     if content.get("change"):
@@ -201,5 +202,8 @@
     registry = Registry(**json.loads(body), zonesKnown=zonesKnown, reader=reader)
     registry.changes = ChangeAnswers(registry.changes)
     registry.document = earlier_records.upgrade_document(reader, registry.document)
+    registry.engines = {
+        name: engine_list.within_bounds(engine) for name, engine in registry.engines.items()
+    }
     _update_section(registry)
     return registry
--- a/libs/placement/src/placement/engine_list_polling.py
+++ b/libs/placement/src/placement/engine_list_polling.py
@@ -2,13 +2,16 @@
 
 The lease holder of shard 0 requests the list page by page and logs only the changes.  An engine
 is removed only if a complete list lacks it; a list that can't be read completely changes nothing.
+An entry that isn't valid changes nothing either, and keeps no other one from being followed.
 The remaining warm-up time of an engine is logged when the list first shows it, and again only if
 the list shows that the warm-up will end later than expected.
 """
 
 from dataclasses import dataclass, field
 
-from transport.effects import EngineCall
+from configuration import engine_list
+from transport import failures
+from transport.effects import EngineCall, LogLine
 
 __all__ = ["EngineListPoll", "tick", "on_called"]
 
@@ -63,14 +66,30 @@
     if called.code != 200 or not isinstance(called.body.get("engines"), list):
         poll.open = False
         return [], []
-    for engine in called.body["engines"]:
-        poll.found[engine["name"]] = engine
+    effects = _add_entries(poll, called.body["engines"], registry)
     token = called.body.get("next")
     if token and len(poll.found) < _MAX_PAGES * 50:
         poll.token = token
-        return [_page_call(poll, settings, address, prefix)], []
+        return [*effects, _page_call(poll, settings, address, prefix)], []
     poll.open = False
-    return [], _changed_engines(poll, now_ms, registry)
+    return effects, _changed_engines(poll, now_ms, registry)
+
+
+def _add_entries(poll, entries, registry):
+    """Add the valid entries of a page, and for any other one the engine as it is known, if it is;
+    returns a log line for each of the others."""
+    effects = []
+    for number, entry in enumerate(entries):
+        fault = engine_list.entry_fault(f"engines.{number}", entry)
+        if fault is None:
+            poll.found[entry["name"]] = entry
+            continue
+        effects.append(LogLine("engine-entry-invalid", failures.as_json(fault)))
+        name = entry.get("name") if isinstance(entry, dict) else None
+        known = registry.engines.get(name) if isinstance(name, str) else None
+        if known is not None:
+            poll.found[name] = {key: known[key] for key in known if key != "warmMs"}
+    return effects
 
 
 def _changed_engines(poll, now_ms, registry):
--- a/libs/placement/src/placement/engine_reports.py
+++ b/libs/placement/src/placement/engine_reports.py
@@ -15,6 +15,9 @@
 __all__ = ["on_report"]
 
 _OPEN_STATES = ("intended", "taken", "unknown")
+# What no engine reports in earnest: counts and sizes above this, and more items.
+_MAX_COUNT = 10**15
+_MAX_ITEMS = 20_000
 
 
 def on_report(placer, now_ms, engine, body, requested_ms, registry):
@@ -139,14 +142,19 @@
         isinstance(body, dict)
         and isinstance(body.get("incarnation"), str)
         and isinstance(body.get("items"), dict)
+        and len(body["items"]) <= _MAX_ITEMS
         and all(isinstance(s, str) for s in body["items"].values())
-        and isinstance(body.get("roomMb"), int)
-        and isinstance(body.get("adapterPlaces"), int)
-        and isinstance(body.get("orders"), int | None)
-        and isinstance(body.get("running"), int | None)
+        and _is_count(body.get("roomMb"))
+        and _is_count(body.get("adapterPlaces"))
+        and (body.get("orders") is None or _is_count(body["orders"]))
+        and (body.get("running") is None or _is_count(body["running"]))
     )
 
 
+def _is_count(value):
+    return isinstance(value, int) and 0 <= value <= _MAX_COUNT
+
+
 def _item_facts(registry, engine, items):
     """item -> its state and charge.  The size of an item that no layout defines is unknown, so the
     engine's whole room is charged for it, and nothing is loaded beside it until it is unloaded or
