Memory: operators' configurations wait encoded, one is converted at a time, and readers share its text

Cause: the node that an operator asks held each change decoded, at 4.4 times its size, until its answer, up to eight at a time; encoded it anew for each sending, four times a second, and the holder decoded each; and every reader had three copies of the configuration of its own. Change: an operators' gateway converts one configuration at a time and keeps a change as JSON text; a large command is sent again after a time that grows with its size, or when the holder changes; readers of one configuration share one text.

--- a/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
+++ b/libs/pulleyhitch/src/pulleyhitch/command_forwarding.py
@@ -1,7 +1,8 @@
 """Forwarding of commands to the lease holder of a shard.
 
 A command is resent, under the same id, until the holder answers or the deadline passes; then
-the client gets a failure, and the command may or may not have taken effect.  A node that is cut
+the client gets a failure, and the command may or may not have taken effect.  A large one is resent
+less often, unless the holder changes.  A node that is cut
 off from the majority fails fast, so that the operator can try another node.
 """
 
@@ -15,6 +16,8 @@
 from transport.effects import Reply, Send
 from transport.messages import ShardCommand, ShardCommandReply
 
+from pulleyhitch import json_text
+
 __all__ = [
     "CommandResult",
     "LOG_SHARD",
@@ -37,6 +40,8 @@
 _SERVICE_BACK_SHARE = 0.75
 # Part of the deadline during which a change may wait for the edition that it builds on.
 _EDITION_WAIT_SHARE = 0.5
+# A command of this size is resent after twice the usual time, a larger one after more.
+_RESENT_BYTES = 256 << 10
 # A lower `current_ms` means that the feed has confirmed nothing yet.
 _NO_CONTACT_MS = -1e11
 
@@ -51,7 +56,8 @@
 
 @dataclass
 class PendingCommand:
-    """A command without an answer so far; `token` is empty for a router's Hold."""
+    """A command without an answer so far; `token` is empty for a router's Hold.  Values of `body`
+    may be JsonTexts.  `sent_to`: the address it was last sent to; `sent_bytes`: its size."""
 
     token: str
     shard: int
@@ -60,6 +66,8 @@
     deadline_ms: float
     edition_wait_end_ms: float = 0.0
     sent_ms: float = -1e12
+    sent_to: str = ""
+    sent_bytes: int = 0
 
 
 def is_isolated(node, now_ms):
@@ -124,11 +132,11 @@
     address = holder_address(node, pending.shard)
     if not address:
         return []
-    pending.sent_ms = now_ms
     body_sent = pending.body
     if pending.verb == "written" and now_ms < pending.edition_wait_end_ms:
         body_sent = {**body_sent, "may_wait": True}
-    body = json.dumps(body_sent).encode()
+    body = json_text.encode(body_sent)
+    pending.sent_ms, pending.sent_to, pending.sent_bytes = now_ms, address, len(body)
     return [Send(address, ShardCommand(id_, pending.shard, node.card.address, pending.verb, body))]
 
 
@@ -152,11 +160,18 @@
         if now_ms >= pending.deadline_ms:
             del node.operator.pending[id_]
             effects += _finish(node, now_ms, pending, failures.NoHolder(1000, pending.shard))
-        elif now_ms - pending.sent_ms > node.times.ping_ms:
+        elif now_ms - pending.sent_ms > _resend_after_ms(node, pending):
             effects += _send_to_holder(node, now_ms, pending, id_)
     return effects
 
 
+def _resend_after_ms(node, pending):
+    """How long after a command was sent it is sent again."""
+    if holder_address(node, pending.shard) != pending.sent_to:
+        return node.times.ping_ms
+    return node.times.ping_ms * (1 + pending.sent_bytes // _RESENT_BYTES)
+
+
 def cancel(node, token):
     """Drop the commands of a client that has disconnected."""
     for id_, pending in list(node.operator.pending.items()):
--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -5,6 +5,7 @@
 """
 
 import secrets
+import threading
 
 from routing import responses
 from routing.relaying import RequestRelay
@@ -12,7 +13,8 @@
 from transport.socket_state import closed_by_peer
 from werkzeug.wrappers import Response
 
-from pulleyhitch import admission
+from pulleyhitch import admission, json_text
+from pulleyhitch.command_forwarding import CommandResult
 from pulleyhitch.http_handler import (
     RequestHandler,
     make_server_context,
@@ -28,6 +30,8 @@
 _OUTCOME_KEY = "pulleyhitch.step"
 # How long a thread waits for an outcome before it returns the connection to the listener.
 _FIRST_WAIT_S = 0.005
+# The field of an operator's change that holds a configuration.
+_CONFIGURATION = "written"
 
 
 class Gateway(ListeningServer):
@@ -99,6 +103,10 @@
     def __init__(self, process):
         config = process.config
         self._process, self._dialect = process, process.dialect
+        # One configuration at a time is decoded or put into the platform's form, which takes a
+        # multiple of its size.
+        self._converting = threading.Lock()
+        self._last_read = (None, None)
         self._server_context = make_server_context(process, config.doors["operators"], self._app)
         service_back_s = config.bounds.serviceBackMs / 1000
         self._listener = Listener(
@@ -117,7 +125,7 @@
         handler = RequestHandler(caller, caller.address, self._server_context)
         if not handler.parsed:
             return None
-        facts = self._dialect.read_operator_request(request_of(handler.wsgi_environ))
+        facts = self._read(handler)
         if isinstance(facts, failures.Failure):
             handler.wsgi_environ[_OUTCOME_KEY] = ("", facts)
             handler.run_wsgi()
@@ -144,7 +152,29 @@
             return None
         return future, finish, on_disconnect
 
+    def _read(self, handler):
+        """(verb, body) of an operator's request, or a Failure.  A configuration stays encoded."""
+        with self._converting:
+            facts = self._dialect.read_operator_request(request_of(handler.wsgi_environ))
+            if isinstance(facts, failures.Failure) or _CONFIGURATION not in facts[1]:
+                return facts
+            verb, body = facts
+            return verb, {**body, _CONFIGURATION: json_text.of(body[_CONFIGURATION])}
+
     def _app(self, environ, start_response):
         verb, outcome = environ[_OUTCOME_KEY]
-        status, headers, body = self._dialect.operator_response(verb, outcome)
+        status, headers, body = self._response(verb, outcome)
         return Response(body, status, headers)(environ, start_response)
+
+    def _response(self, verb, outcome):
+        """(status, headers, body as bytes) for an operator.  Reads of the same configuration share
+        their body."""
+        document = outcome.body.get("document") if isinstance(outcome, CommandResult) else None
+        with self._converting:
+            if document is None or self._last_read[0] is not document:
+                status, headers, text = self._dialect.operator_response(verb, outcome)
+                response = status, headers, text.encode()
+                if document is None:
+                    return response
+                self._last_read = (document, response)
+            return self._last_read[1]
