Descriptors: a request that finds none is refused as not run, and idle connections make room

What callers saw: with few descriptors (256 in place of 4,100) 410 of 1,500 requests got 500. Cause: a connection to an engine takes three descriptors, two of them for curl's multi handle; without them pycurl raises, which was handled as any defect. Idle connections were bounded for each engine (32) only, so with many engines they could take thousands of descriptors and 100 KB of memory each. Change: idle connections are closed when there is no descriptor for a new one; without that the request gets 503 with Retry-After, unless an attempt may have run; 256 idle connections are kept at most.

--- a/libs/routing/src/routing/connection_pool.py
+++ b/libs/routing/src/routing/connection_pool.py
@@ -13,23 +13,35 @@
 
 import pycurl
 
-__all__ = ["ConnectionPool", "Connection"]
+__all__ = ["ConnectionPool", "Connection", "OutOfDescriptors"]
 
 # How long an idle connection is kept if the engine announces no timeout.
 _DEFAULT_KEEP_S = 0.8
 # The fraction of the announced timeout for which a connection is used again.
 _KEEP_FRACTION = 0.7
-# Idle connections for each address.
+# Idle connections for each address, and for all of them: each takes three descriptors and up to
+# 100 KB.
 _MAX_IDLE = 32
+_MAX_IDLE_TOTAL = 256
 # How often expired connections are closed.
 _SWEEP_S = 5.0
 
 
+class OutOfDescriptors(Exception):
+    """This process can open no connection: it has no descriptor left."""
+
+
 class Connection:
-    """A curl handle, and the multi handle whose cache holds its connection."""
+    """A curl handle, and the multi handle whose cache holds its connection.  Raises
+    OutOfDescriptors if there are none for it."""
 
     def __init__(self):
-        self.curl, self.multi = pycurl.Curl(), pycurl.CurlMulti()
+        self.curl = pycurl.Curl()
+        try:
+            self.multi = pycurl.CurlMulti()
+        except pycurl.error as error:
+            self.curl.close()
+            raise OutOfDescriptors(str(error)) from error
         self.expires_s = 0.0
         self.fd = -1
 
@@ -48,7 +60,7 @@
 
     def acquire(self, base, fresh):
         """(connection, whether it comes from the pool) for the address `base`; always new with
-        `fresh`."""
+        `fresh`.  Raises OutOfDescriptors."""
         while not fresh:
             with self._lock:
                 idle = self._idle.get(base)
@@ -58,7 +70,22 @@
             if time.monotonic() < connection.expires_s and _has_nothing_to_read(connection.fd):
                 return connection, True
             connection.close()
-        return Connection(), False
+        return self.open(), False
+
+    def open(self):
+        """A new connection; idle ones are closed if there are no descriptors for it."""
+        try:
+            return Connection()
+        except OutOfDescriptors:
+            self._close_idle()
+            return Connection()
+
+    def _close_idle(self):
+        with self._lock:
+            to_close = [connection for idle in self._idle.values() for connection in idle]
+            self._idle.clear()
+        for connection in to_close:
+            connection.close()
 
     def release(self, base, connection, fd, keep_s):
         """Keep a connection for `keep_s` seconds as the engine announced, or briefly if that is
@@ -72,7 +99,7 @@
             idle = self._idle.setdefault(base, [])
             idle.append(connection)
             to_close = [idle.pop(0)] if len(idle) > _MAX_IDLE else []
-            to_close += self._expired(time.monotonic())
+            to_close += self._expired(time.monotonic()) + self._excess()
         for connection in to_close:
             connection.close()
 
@@ -83,6 +110,20 @@
         for connection in to_close:
             connection.close()
 
+    def _excess(self):
+        """Remove and return connections beyond the limit of all addresses, those first that expire
+        first."""
+        count = sum(map(len, self._idle.values())) - _MAX_IDLE_TOTAL
+        if count <= 0:
+            return []
+        excess = sorted(
+            (connection for idle in self._idle.values() for connection in idle),
+            key=lambda connection: connection.expires_s,
+        )[:count]
+        for base, idle in self._idle.items():
+            self._idle[base] = [connection for connection in idle if connection not in excess]
+        return excess
+
     def _expired(self, now_s):
         """Remove and return the expired connections of all addresses, also of engines that are
         gone."""
--- a/libs/routing/src/routing/proxying.py
+++ b/libs/routing/src/routing/proxying.py
@@ -13,7 +13,6 @@
 
 from routing import response_framing
 from routing.connect_timeout import TIMED_OUT, ConnectTimeout, has_sent_request
-from routing.connection_pool import Connection
 from routing.engine_calls import AttemptEnd
 
 __all__ = ["ResponseHead", "stream", "call"]
@@ -124,7 +123,7 @@
     if kept and not ended.request_sent:
         # The engine had closed the pooled connection before anything was sent: use a new one.
         ended = yield from _exchange(
-            pool, base, Connection(), False, request, timeout_ms, connect_ms, silent_ms
+            pool, base, pool.open(), False, request, timeout_ms, connect_ms, silent_ms
         )
     yield "end", ended
 
--- a/libs/routing/src/routing/relaying.py
+++ b/libs/routing/src/routing/relaying.py
@@ -13,6 +13,7 @@
 from werkzeug.wrappers import Response
 
 from routing import attempts, byte_budget, proxying, response_reading, responses
+from routing.connection_pool import OutOfDescriptors
 from routing.engine_api import EngineRequest
 from routing.router import Attempt, KeepWaiting
 
@@ -28,6 +29,8 @@
 _FIRST_FAILED_STATUS = 500
 # The longest event of a stream that may be resumed.
 _MAX_EVENT_BYTES = 1 << 20
+# When a caller that found no descriptor left here may come again.
+_DESCRIPTORS_RETRY_MS = 1000
 
 
 class RequestRelay:
@@ -52,6 +55,10 @@
 
         try:
             return self._serve(token, request, step, has_left)
+        except OutOfDescriptors:
+            self._report_departed(token)
+            failure = failures.Overloaded(_DESCRIPTORS_RETRY_MS, "descriptors")
+            return self._failure_response(failure, request["may_have_run"])
         except BaseException:
             self._report_departed(token)
             raise
@@ -62,7 +69,7 @@
 
     def _serve(self, token, request, step, has_left):
         """Follow the event loop's decisions until there is a response."""
-        last_response, may_have_run = None, False
+        last_response, request["may_have_run"] = None, False
         while isinstance(step, Attempt):
             if has_left():
                 self._report_departed(token)
@@ -75,20 +82,20 @@
             response, proof = self._await_response(token, request, source, has_left)
             if isinstance(proof, (Attempt, failures.Failure)):
                 source.close()
-                step, may_have_run = proof, True
+                step, request["may_have_run"] = proof, True
                 continue
             if response is not None and not self._may_retry(request, response):
                 return self._respond(token, request, response, source, has_left)
             if response is not None and not response.arrives:
                 last_response = responses.build(request, response.head, response.chunks)
             source.close()
-            may_have_run = may_have_run or proof not in _NOT_RUN_PROOFS
+            request["may_have_run"] |= proof not in _NOT_RUN_PROOFS
             step = self._ask(token, "ended", {"proof": proof})
         if last_response is not None:
             return last_response
         if not isinstance(step, failures.Failure):
             step = failures.OutcomeUnknown("caller-left")
-        return self._failure_response(step, may_have_run)
+        return self._failure_response(step, request["may_have_run"])
 
     def _may_retry(self, request, response):
         """Whether a response reports a failure that another engine may not have."""
