--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -1,19 +1,16 @@
-"""HTTP listener: accepts connections, and assigns threads to complete requests only.
-
-One event loop watches every open connection.  A complete request gets a thread from the
-share of its class, or from a lower share that has free threads.  If none becomes free soon, the
-request is refused, so that a flood of one class never starves a higher one.  A request that has to
-wait (for its model, for example) releases its thread; the event loop watches its connection until
-the outcome is known or the caller disconnects.  Open connections and the time in which a request
-must arrive are bounded.  The bytes of a request are reserved in the process's byte budget as soon
-as its head tells them, and until its connection is closed; without room for them it is refused.
+"""HTTP listener: accepts connections, and passes complete requests on to threads.
+
+One event loop watches every open connection.  A complete request is served by `RequestThreads`.
+While it waits without a thread (for its model, for example), the event loop watches its
+connection until the outcome is known or the caller disconnects.  Open connections and the time in
+which a request must arrive are bounded.  The bytes of a request are reserved in the process's byte
+budget as soon as its head tells them, and until its connection is closed; without room for them it
+is refused.
 """
 
-import queue
 import resource
 import selectors
 import socket
-import threading
 import time
 import traceback
 
@@ -23,8 +20,8 @@
 
 from pulleyhitch import admission, request_framing
 from pulleyhitch.caller_connection import CallerConnection
-from pulleyhitch.thread_pool import ThreadPool
-from pulleyhitch.thread_shares import ThreadQueue, ThreadShares
+from pulleyhitch.loop_actions import LoopActions
+from pulleyhitch.request_threads import RequestThreads
 
 __all__ = ["Listener"]
 
@@ -61,32 +58,25 @@
         policy=admission.PLATFORM_POLICY,
         budget=None,
     ):
-        self._begin, self._classify, self._request_timeout_s = begin, classify, request_timeout_s
+        self._classify, self._request_timeout_s = classify, request_timeout_s
         self._policy, self._budget = policy, budget or ByteBudget(_DEFAULT_BUDGET_BYTES)
         self._idle_timeout_s = idle_timeout_s or request_timeout_s
         server_socket = socket.create_server((host, port), backlog=1024)
         server_socket.setblocking(False)
-        self._thread_shares = ThreadShares(threads)
-        self._thread_queue = ThreadQueue(self._thread_shares.total)
-        self._lock = threading.Lock()
-        self._pool = ThreadPool(self._thread_shares.total, "http")
-        self._finish_pool = ThreadPool(threads, "finish")
+        self._threads = RequestThreads(self, threads, begin, request_timeout_s)
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._connection_limit = max(16, min(_CONNECTIONS_PER_THREAD * threads, limit // 2))
         self._connections = {}
-        self._actions = queue.SimpleQueue()
-        self._wakeup_receiver, self._wakeup_sender = socket.socketpair()
-        self._wakeup_receiver.setblocking(False)
         self._selector = selectors.DefaultSelector()
         self._acceptor = Acceptor(server_socket, self._selector)
-        self._selector.register(self._wakeup_receiver, selectors.EVENT_READ)
+        self._actions = LoopActions(self._selector)
         self._stopping = self._refusing_connections = False
         self._accepting = True
 
     def stop_accepting(self):
         """Accept no more connections.  Requests on connections accepted before are still served."""
         self._refusing_connections = True
-        self._run_on_loop(lambda: None)
+        self.run_on_loop(lambda: None)
 
     def stop(self):
         """Stop accepting; `run` returns once every accepted request is answered."""
@@ -99,17 +89,17 @@
             if self._refusing_connections and self._accepting:
                 self._stop_accepting()
             self._acceptor.resume_if_due()
-            for key, _ in self._selector.select(0.1 if self._thread_queue else 0.5):
+            for key, _ in self._selector.select(0.1 if self._threads.queue else 0.5):
                 self._contain(lambda key=key: self._on_event(key), key.data)
-            while not self._actions.empty():
-                self._contain(self._actions.get())
+            for action in self._actions.take_all():
+                self._contain(action)
             self._contain(lambda: self._enforce_timeouts(time.monotonic()))
 
     def _on_event(self, key):
         if key.fileobj is self._acceptor.listening:
             self._accept()
-        elif key.fileobj is self._wakeup_receiver:
-            self._wakeup_receiver.recv(4096)
+        elif key.fileobj is self._actions.receiver:
+            self._actions.on_readable()
         else:
             self._on_readable(key.data)
 
@@ -121,7 +111,7 @@
         except Exception:
             traceback.print_exc()
             if caller is not None:
-                self._close(caller)
+                self.close(caller)
 
     def empty(self):
         """Whether the listener has stopped accepting and no request is pending, not even one whose
@@ -141,13 +131,9 @@
         self._accepting = False
         self._acceptor.close()
 
-    def _run_on_loop(self, action):
+    def run_on_loop(self, action):
         """Run `action` on the thread of the event loop."""
-        self._actions.put(action)
-        try:
-            self._wakeup_sender.send(b"!", socket.MSG_DONTWAIT)
-        except OSError:
-            pass
+        self._actions.add(action)
 
     def _accept(self):
         """Accept some of the pending connections; returns whether there may be more."""
@@ -164,7 +150,7 @@
             reservation = self._budget.reservation()
             caller = CallerConnection(sock, address, time.monotonic(), reservation=reservation)
             self._connections[sock] = caller
-            self._register(caller)
+            self.register(caller)
         return True
 
     def _close_oldest_idle(self):
@@ -172,10 +158,11 @@
         idle = [c for c in self._connections.values() if not c.request_class and not c.data]
         if not idle:
             return False
-        self._close(min(idle, key=lambda c: c.since_s))
+        self.close(min(idle, key=lambda c: c.since_s))
         return True
 
-    def _register(self, caller):
+    def register(self, caller):
+        """Watch a connection."""
         self._selector.register(caller.sock, selectors.EVENT_READ, caller)
         caller.registered = True
 
@@ -184,7 +171,8 @@
             self._selector.unregister(caller.sock)
             caller.registered = False
 
-    def _close(self, caller):
+    def close(self, caller):
+        """Close a connection and give back what it holds."""
         self._unregister(caller)
         self._connections.pop(caller.sock, None)
         caller.reservation.release()
@@ -194,14 +182,14 @@
         if caller.request_class:
             self._unregister(caller)
             if admission.peek(caller.sock) == b"":
-                self._on_disconnect(caller)
+                self._threads.on_disconnect(caller)
             return
         try:
             chunk = caller.sock.recv(_RECEIVE_BYTES)
         except BlockingIOError:
             return
         except OSError:
-            self._close(caller)
+            self.close(caller)
             return
         if not caller.discards:
             caller.data += chunk
@@ -209,17 +197,18 @@
             parsed = admission.parse_first_request(caller.data, limit_bytes)
             self._dispatch(caller, parsed, not chunk)
         elif not chunk:
-            self._close(caller)
+            self.close(caller)
 
     def _dispatch(self, caller, parsed, at_end):
         """Admit a complete request; reject a truncated or malformed one, and one for whose bytes
         there is no room."""
         if not isinstance(parsed, request_framing.Malformed) and not self._reserve(caller, parsed):
-            self._refuse(caller, "memory", _MEMORY_RETRY_S)
+            self.refuse(caller, "memory", _MEMORY_RETRY_S)
         elif isinstance(parsed, request_framing.Complete):
             caller.request, caller.request_class = parsed, self._classify(caller.data)
             caller.data = bytearray()
-            self._admit(caller)
+            self._unregister(caller)
+            self._threads.admit(caller)
         elif isinstance(parsed, request_framing.Malformed):
             self._reject(caller, parsed)
         elif at_end and caller.data:
@@ -227,7 +216,7 @@
                 caller, request_framing.Malformed(self._policy.truncated_status, "cut short")
             )
         elif at_end:
-            self._close(caller)
+            self.close(caller)
 
     def _reserve(self, caller, parsed):
         """Reserve the bytes of a request: all of them, as far as its head tells their number."""
@@ -247,91 +236,22 @@
         try:
             caller.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            self._close(caller)
-
-    def _on_disconnect(self, caller):
-        """Call `on_disconnect` of a request, at most once, and only while it still waits."""
-        with self._lock:
-            on_disconnect, caller.on_disconnect = caller.on_disconnect, None
-        if on_disconnect is not None:
-            on_disconnect()
+            self.close(caller)
 
-    def _admit(self, caller):
-        """Start a complete request on a thread, or queue it until one is free."""
-        self._unregister(caller)
-        caller.since_s = time.monotonic()
-        if not self._start(caller):
-            refused = self._thread_queue.add(caller)
-            if refused is not None:
-                self._refuse_for_threads(refused)
-
-    def _start(self, caller):
-        """Start the request on a thread of its own share or of a lower one, if one is free."""
-        share = self._thread_shares.acquire(caller.request_class)
-        if share is None:
-            return False
-        caller.thread_share = share
-        caller.sock.setblocking(True)
-        caller.sock.settimeout(self._request_timeout_s)
-        try:
-            self._pool.submit(self._serve, caller)
-        except RuntimeError:
-            self._thread_shares.release(share)
-            return False
-        return True
-
-    def _start_queued(self):
-        self._thread_queue.start_each(self._start)
-
-    def _refuse_for_threads(self, caller):
-        self._refuse(caller, "threads", admission.RETRY_AFTER_S[caller.request_class])
-
-    def _refuse(self, caller, cause, seconds):
+    def refuse(self, caller, cause, seconds):
+        """Refuse a request that hasn't run; its sender may come again in so many seconds."""
         admission.send_failure(
             caller.sock, 503, failures.Overloaded(1000 * seconds, cause), seconds
         )
         if caller.request_class:
-            self._close(caller)
+            self.close(caller)
         else:
             self._discard(caller)
 
-    def _serve(self, caller):
-        waiting = None
-        try:
-            waiting = self._begin(caller)
-        finally:
-            self._thread_shares.release(caller.thread_share)
-            self._run_on_loop(lambda: self._close(caller) if waiting is None else None)
-            self._run_on_loop(self._start_queued)
-        if waiting is not None:
-            future, caller.finish, caller.on_disconnect = waiting
-            self._run_on_loop(lambda: self._register(caller) if caller.finish else None)
-            future.add_done_callback(lambda done: self._submit_finish(caller, done))
-
-    def _submit_finish(self, caller, done):
-        """Answer a request whose outcome is known, or refuse it if there is no thread for that."""
-        try:
-            self._finish_pool.submit(self._finish, caller, done)
-        except RuntimeError:
-            self._run_on_loop(lambda: self._refuse_outcome(caller))
-
-    def _refuse_outcome(self, caller):
-        self._on_disconnect(caller)
-        self._refuse_for_threads(caller)
-
-    def _finish(self, caller, done):
-        with self._lock:
-            finish, caller.finish, caller.on_disconnect = caller.finish, None, None
-        try:
-            finish(done.result())
-        finally:
-            self._run_on_loop(lambda: self._close(caller))
-
     def _enforce_timeouts(self, now_s):
         """Refuse requests that waited too long for a thread; close connections whose request
         did not arrive in time."""
-        for caller in self._thread_queue.remove_since(now_s - self._request_timeout_s / 8):
-            self._refuse_for_threads(caller)
+        self._threads.refuse_overdue(now_s)
         for caller in list(self._connections.values()):
             if caller.request_class or now_s - caller.since_s <= self._patience_s(caller):
                 continue
@@ -339,7 +259,7 @@
                 admission.send_malformed(
                     caller.sock, request_framing.Malformed(408, "not whole in time")
                 )
-            self._close(caller)
+            self.close(caller)
 
     def _patience_s(self, caller):
         """How long a connection without a complete request is kept."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -267,8 +267,8 @@
         )
         self.until(lambda: not self.listener._connections)
         listener = self.listener
-        self.until(listener._thread_shares.all_free)
-        self.assertThat((listener._budget.used_bytes, len(listener._thread_queue)), Equals((0, 0)))
+        self.until(listener._threads.shares.all_free)
+        self.assertThat((listener._budget.used_bytes, len(listener._threads.queue)), Equals((0, 0)))
         with self.lock:
             self.assertThat(self.waiting, Equals([]))
             self.assertThat(len(set(self.finished)), Equals(len(self.finished)))
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -124,7 +124,7 @@
             and not len(self.process._pending)
             and not listener._connections
             and not listener._budget.used_bytes
-            and listener._thread_shares.all_free()
+            and listener._threads.shares.all_free()
         )
 
     def settle(self):
