Listener: bytes are received into one buffer that is kept

Each read allocated a block of 256 KiB. The loads of the memory runs name numbers of routes in place of bytes that were a guess.

--- a/libs/pulleyhitch/src/pulleyhitch/listener.py
+++ b/libs/pulleyhitch/src/pulleyhitch/listener.py
@@ -67,6 +67,7 @@
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._connection_limit = max(16, min(_CONNECTIONS_PER_THREAD * threads, limit // 2))
         self._connections = {}
+        self._received = bytearray(_RECEIVE_BYTES)
         self._selector = selectors.DefaultSelector()
         self._acceptor = Acceptor(server_socket, self._selector)
         self._actions = LoopActions(self._selector)
@@ -185,18 +186,18 @@
                 self._threads.on_disconnect(caller)
             return
         try:
-            chunk = caller.sock.recv(_RECEIVE_BYTES)
+            count = caller.sock.recv_into(self._received)
         except BlockingIOError:
             return
         except OSError:
             self.close(caller)
             return
         if not caller.discards:
-            caller.data += chunk
+            caller.data += memoryview(self._received)[:count]
             limit_bytes = self._policy.body_limit_of(caller.data)
             parsed = admission.parse_first_request(caller.data, limit_bytes)
-            self._dispatch(caller, parsed, not chunk)
-        elif not chunk:
+            self._dispatch(caller, parsed, count == 0)
+        elif count == 0:
             self.close(caller)
 
     def _dispatch(self, caller, parsed, at_end):
--- a/libs/simulation/src/simulation/memory/loads.py
+++ b/libs/simulation/src/simulation/memory/loads.py
@@ -20,7 +20,6 @@
 _PART_BYTES = 65_536
 _SLOW_READ_S = 0.01
 _STALL_S = 8.0
-_ROUTE_BYTES = 330
 _OPERATOR_TIMEOUT_S = 10.0
 
 
@@ -96,11 +95,12 @@
 
 
 class Configurations:
-    """Operators that send large configurations side by side and read back what is in force."""
+    """Operators that send configurations with so many routes more, about 230 bytes each, side by
+    side, and read back what is in force."""
 
-    def __init__(self, trial, seed, at_once, body_bytes):
+    def __init__(self, trial, seed, at_once, routes):
         self._trial, self._seed, self._at_once = trial, seed, at_once
-        self._routes = body_bytes // _ROUTE_BYTES
+        self._routes = routes
         self._lock, self._edition = threading.Lock(), trial.whole["edition"]
         self.statuses = []
 
--- a/libs/simulation/src/simulation/memory/run.py
+++ b/libs/simulation/src/simulation/memory/run.py
@@ -16,6 +16,7 @@
 _REST_S = 3.0
 _MODELS = 24
 _OPERATORS = 8
+_ROUTES = 9_696
 
 
 @dataclass
@@ -47,8 +48,8 @@
     return lambda trial, seed: loads.WholeBodies(trial, seed, at_once, body_bytes, **options)
 
 
-def _configurations(body_bytes):
-    return lambda trial, seed: loads.Configurations(trial, seed, _OPERATORS, body_bytes)
+def _configurations(routes):
+    return lambda trial, seed: loads.Configurations(trial, seed, _OPERATORS, routes)
 
 
 LOADS = {
@@ -59,8 +60,8 @@
     "small-at-once": _Load(_bodies(200, 100_001), 1200),
     "stalled": _Load(lambda trial, seed: loads.StalledBodies(trial, seed, 120), 120),
     "responses": _Load(lambda trial, seed: loads.Responses(trial, seed, 40), 80),
-    "configurations": _Load(_configurations(3_200_000), 60),
-    "lost-disk": _Load(_configurations(3_200_000), 60, lost_disk=True),
+    "configurations": _Load(_configurations(_ROUTES), 60),
+    "lost-disk": _Load(_configurations(_ROUTES), 60, lost_disk=True),
 }
 
 
