Operators: an evacuation doesn't wait for the conversion of configurations

Found on reading the change: every request at the operators' interface took the lock under which one configuration at a time is converted, so an evacuation could wait for eight large ones, each some tenths of a second. Requests without a body and answers without a document don't take it. The new test holds the lock and times out without the change (by reading; it was run on this code only).

--- a/libs/pulleyhitch/src/pulleyhitch/gateway.py
+++ b/libs/pulleyhitch/src/pulleyhitch/gateway.py
@@ -153,9 +153,13 @@
         return future, finish, on_disconnect
 
     def _read(self, handler):
-        """(verb, body) of an operator's request, or a Failure.  A configuration stays encoded."""
+        """(verb, body) of an operator's request, or a Failure.  A configuration stays encoded.
+        Requests without a body, such as evacuations, don't wait for conversions."""
+        request = request_of(handler.wsgi_environ)
+        if not request.content_length:
+            return self._dialect.read_operator_request(request)
         with self._converting:
-            facts = self._dialect.read_operator_request(request_of(handler.wsgi_environ))
+            facts = self._dialect.read_operator_request(request)
             if isinstance(facts, failures.Failure) or _CONFIGURATION not in facts[1]:
                 return facts
             verb, body = facts
@@ -167,14 +171,13 @@
         return Response(body, status, headers)(environ, start_response)
 
     def _response(self, verb, outcome):
-        """(status, headers, body as bytes) for an operator.  Reads of the same configuration share
+        """(status, headers, body) for an operator.  Reads of the same configuration share
         their body."""
         document = outcome.body.get("document") if isinstance(outcome, CommandResult) else None
+        if document is None:
+            return self._dialect.operator_response(verb, outcome)
         with self._converting:
-            if document is None or self._last_read[0] is not document:
+            if self._last_read[0] is not document:
                 status, headers, text = self._dialect.operator_response(verb, outcome)
-                response = status, headers, text.encode()
-                if document is None:
-                    return response
-                self._last_read = (document, response)
+                self._last_read = (document, (status, headers, text.encode()))
             return self._last_read[1]
--- a/tests/test_operator_memory.py
+++ b/tests/test_operator_memory.py
@@ -37,7 +37,7 @@
         self.address = ("127.0.0.1", port)
         process = lone_counter(self, self.handle, DIALECT, doors={"operators": f"127.0.0.1:{port}"})
         process.start()
-        gateway = OperatorGateway(process)
+        self.gateway = gateway = OperatorGateway(process)
         thread = threading.Thread(target=gateway.run, daemon=True)
         thread.start()
         self.addCleanup(thread.join, WAIT_S)
@@ -55,6 +55,8 @@
         if verb == "written":
             self.tokens.append(event.token)
             self.bodies.append(event.body)
+        if verb == "zone":
+            return [Reply(event.token, CommandResult(200, {}))]
         if verb == "abandoned":
             return [Reply(event.token, failures.MajorityLost(1000))]
         if verb == "read":
@@ -108,3 +110,9 @@
         self.assertThat([first[:12] for first in firsts], Equals([b"HTTP/1.1 200"] * OPERATORS))
         self.assertThat(firsts[0], StartsWith(b"HTTP/1.1 200"))
         self.assertThat(peak / len(self.data), LessThan(4.0))
+
+    # EVAC: an evacuation must not wait until large configurations have been decoded.
+    def test_an_evacuation_does_not_wait_for_conversions(self):
+        with self.gateway._converting:
+            sock = self.connect(b"POST /evacuate/z HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertThat(sock.recv(PART_BYTES), StartsWith(b"HTTP/1.1 200"))
