Signals: the test of a series of them sends beside the taking by construction

test_signals_that_interrupt_the_handler_and_the_wait failed beside 14 busy processes, 5 of 8 runs here. The test was wrong, not the product: its sender could send all 20,000 signals before the loop looked for the first time, so the loop never ran, and the request that was there then was not looked at.

Now the sender goes on until two requests were taken beside it, then waits until the loop has stopped, and sends one signal more, which must be taken.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -15,10 +15,14 @@
 from pulleyhitch.signals import Request, Signals
 from simulation.platform_fleet import PlatformFleet
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, LessThan, Not
 
 LIMIT_S = 60.0
 SERIES = 20_000
+# Requests taken while the signals are sent.
+TAKEN_BESIDE = 2
+# A signal that was sent arrives within this time.
+QUIET_S = 0.2
 # Signals sent without a pause, so that the process gets to run beside them.
 SENT_AT_ONCE = 50
 
@@ -42,16 +46,39 @@
         self.assertThat(self.signals.wait(0), Equals(None))
 
     def test_signals_that_interrupt_the_handler_and_the_wait(self):
-        """Another thread sends without a pause while this one takes them."""
-        me, taken = os.getpid(), 0
-        sender = threading.Thread(
-            target=lambda: [os.kill(me, signal.SIGHUP) for _ in range(SERIES)]
-        )
+        """Another thread sends without a pause while this one takes them, and none is lost after
+        that."""
+        sender = SignalSender()
         sender.start()
-        while sender.is_alive():
-            taken += self.signals.wait(0.01) is Request.RELOAD
+        while not sender.has_sent_series.is_set():
+            sender.taken += self.signals.wait(QUIET_S) is Request.RELOAD
+        while self.signals.wait(QUIET_S) is not None:
+            pass
+        sender.may_send_last.set()
         sender.join()
-        self.assertThat(taken > 0, Equals(True))
+        self.assertThat(self.signals.wait(LIMIT_S), Equals(Request.RELOAD))
+        self.assertThat(self.signals.wait(QUIET_S), Equals(None))
+        self.assertThat(sender.taken, Not(LessThan(TAKEN_BESIDE)))
+
+
+class SignalSender(threading.Thread):
+    """Sends at least SERIES signals to this process without a pause, and goes on until
+    TAKEN_BESIDE requests were taken meanwhile, so that the taking runs beside the sending however
+    busy the machine is; then one more signal, once it may."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.taken = 0
+        self.has_sent_series, self.may_send_last = threading.Event(), threading.Event()
+
+    def run(self):
+        process_id, sent, end_s = os.getpid(), 0, time.monotonic() + LIMIT_S
+        while sent < SERIES or (self.taken < TAKEN_BESIDE and time.monotonic() < end_s):
+            os.kill(process_id, signal.SIGHUP)
+            sent += 1
+        self.has_sent_series.set()
+        self.may_send_last.wait(LIMIT_S)
+        os.kill(process_id, signal.SIGHUP)
 
 
 class RealProcess(TestCase):
