Responses: a head that tells the length in a spoilt way, or holds a line that is no field, is refused

Seen by callers: an engine in trouble sends such a head, and the caller gets a complete response with a body that isn't the engine's, for instance the sizes of chunks as parts of it, or half of a body that ran until the connection closed, with the engine's stamp.

Cause: one response had two readers. curl framed the body by its own lenient reading of the head; what was passed on, and whether the end of the body can be recognised, was decided by a second reading with other rules: a line without a name was a field, any Content-Length told an end. A length of 23 digits is none for curl, which then reads until the connection closes.

Change: routing.response_head reads the whole head once, when it is complete and before anything of it is used, and refuses what two parsers may read differently; curl then breaks the transfer off. The attempt has failed after it was sent: no promise, status, field or byte of the response counts, and the connection is closed. Interim responses are read by the same rules. Where RFC 9112 (6.3) leaves a choice (two lengths alike, a length beside chunks), the response is refused, as requests are; a folded line is put together by curl and read as one (5.2). Trailer fields no longer stand as fields of the head, since the head ends before them. The length's grammar is shared with that of requests.

Not tried: h11 as the parser of heads. The grammar is four patterns, three of which requests and trailers need as well, and a dependency fewer.

--- a/libs/pulleyhitch/src/pulleyhitch/request_framing.py
+++ b/libs/pulleyhitch/src/pulleyhitch/request_framing.py
@@ -7,18 +7,21 @@
 import re
 from dataclasses import dataclass, field
 
+from routing import http_grammar
+
 __all__ = ["Complete", "Incomplete", "Malformed", "parse_request", "HEAD_LIMIT_BYTES"]
 
 HEAD_LIMIT_BYTES = 32 << 10
 # Longest size line of a chunk, including chunk extensions.
 _SIZE_LINE_LIMIT_BYTES = 256
 _HEAD_END = b"\r\n\r\n"
-_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
-_FIELD = _TOKEN + rb":[^\r\n\0]*\r\n"
-_HEAD = re.compile(_TOKEN + rb" [!-~\x80-\xff]+ HTTP/1\.[01]\r\n(?:" + _FIELD + rb")*\r\n")
+_FIELD = http_grammar.TOKEN + rb":[^\r\n\0]*\r\n"
+_HEAD = re.compile(
+    http_grammar.TOKEN + rb" [!-~\x80-\xff]+ HTTP/1\.[01]\r\n(?:" + _FIELD + rb")*\r\n"
+)
 _TRAILERS = re.compile(rb"(?:" + _FIELD + rb")*\r\n")
 _FRAMING_FIELD = re.compile(rb"\r\n(content-length|transfer-encoding|host):[ \t]*([^\r]*)", re.I)
-_LENGTH = re.compile(rb"[0-9]{1,12}")
+_LENGTH = re.compile(http_grammar.LENGTH)
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n\0]*)?\r\n")
 
 
--- a/libs/routing/src/routing/engine_calls.py
+++ b/libs/routing/src/routing/engine_calls.py
@@ -6,14 +6,18 @@
 
 import pycurl
 
+from routing import response_framing
 from routing.connect_timeout import TIMED_OUT, ConnectTimeout, has_sent_request
+from routing.response_head import MALFORMED
 
-__all__ = ["ABANDONED", "AttemptEnd", "call", "stream"]
+__all__ = ["ABANDONED", "NO_END", "AttemptEnd", "call", "end_of_transfer", "stream"]
 
 _MAX_POLL_S = 0.25
 _MAX_RESPONSE_BYTES = 8 << 20
 # The cause of an attempt whose response is no longer awaited.
 ABANDONED = "abandoned"
+# The cause of an attempt whose response may be cut off: its end can't be recognised.
+NO_END = "no end"
 
 
 @dataclass(frozen=True)
@@ -29,6 +33,17 @@
     head: object = None
 
 
+def end_of_transfer(curl, reader, method, error):
+    """The AttemptEnd of a transfer that curl has ended with `error`, its code, or 0 if it found
+    none.  `reader`: the ResponseReader of the transfer."""
+    if error:
+        cause = MALFORMED if reader.is_malformed else str(error)
+        return AttemptEnd(0, b"", has_sent_request(curl), cause)
+    if reader.head is None or not response_framing.is_delimited(method, reader.head):
+        return AttemptEnd(0, b"", True, NO_END)
+    return AttemptEnd(reader.head.code, b"", True)
+
+
 def _curl(request, timeout_ms, headers=()):
     """A curl handle for one request on a new connection."""
     curl = pycurl.Curl()
@@ -69,11 +84,11 @@
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         curl.close()
         return AttemptEnd(0, b"", False, "late")
-    ended = _end_of_transfer(_transfer(curl, connect_ms), is_abandoned)
+    ended = _end_unless_abandoned(_transfer(curl, connect_ms), is_abandoned)
     return replace(ended, data=b"".join(chunks) if ended.code else b"")
 
 
-def _end_of_transfer(transfer, is_abandoned):
+def _end_unless_abandoned(transfer, is_abandoned):
     """The AttemptEnd of a transfer; it is broken off once `is_abandoned()`."""
     for ended in transfer:
         if ended is not None:
--- a/libs/routing/src/routing/proxying.py
+++ b/libs/routing/src/routing/proxying.py
@@ -7,21 +7,19 @@
 
 import io
 import time
-from dataclasses import dataclass
 
 import pycurl
 
 from routing import response_framing
-from routing.connect_timeout import TIMED_OUT, ConnectTimeout, has_sent_request
-from routing.engine_calls import AttemptEnd
+from routing.connect_timeout import TIMED_OUT, ConnectTimeout
+from routing.engine_calls import AttemptEnd, end_of_transfer
+from routing.response_head import ResponseReader
 
-__all__ = ["ResponseHead", "stream", "call"]
+__all__ = ["stream", "call"]
 
 _MAX_POLL_S = 0.25
 _MAX_RESPONSE_BYTES = 8 << 20
 _NO_TIMEOUT_MS = 1e12
-# The first status of a final response; those below are interim.
-_FIRST_FINAL_STATUS = 200
 # Prefixes of the pool's addresses for connections that carry reports and orders.  They keep these
 # connections apart from each other and from those of callers' requests, since the responses to
 # reports and orders carry no id.
@@ -29,30 +27,6 @@
 _SAFE_METHODS = ("GET", "HEAD")
 
 
-@dataclass(frozen=True)
-class ResponseHead:
-    """The head of an engine's final response.  `kept`: the connection came from the pool, so
-    the response may belong to an earlier request."""
-
-    code: int
-    reason: str
-    headers: tuple
-    kept: bool = False
-
-    def get(self, name, default=None):
-        """The first header of a name, which is given in lower case."""
-        return next((v for n, v in self.headers if n.lower() == name), default)
-
-
-def _head(lines, kept):
-    """The ResponseHead of the given status and header lines."""
-    words = lines[0].split(None, 2)
-    pairs = tuple(
-        (n.strip(), v.strip()) for n, s, v in (line.partition(":") for line in lines[1:]) if s
-    )
-    return ResponseHead(int(words[1]), words[2].strip() if len(words) > 2 else "", pairs, kept)
-
-
 def _prepare(curl, request, timeout_ms):
     """Set up a curl handle for one request."""
     base, target = _split_url(request.url)
@@ -86,32 +60,6 @@
     return (url, "/") if end < 0 else (url[:end], url[end:])
 
 
-class _ResponseReader:
-    """Collects the response of one transfer.  Interim responses are dropped, and a head is returned
-    only once it is complete."""
-
-    def __init__(self):
-        self.chunks = []
-        self._lines, self._is_complete = [], False
-
-    def on_header(self, line):
-        """Add one status or header line; curl calls this."""
-        text = line.decode("latin1").rstrip("\r\n")
-        if text.startswith("HTTP/"):
-            self._lines, self._is_complete = [text], False
-        elif text:
-            self._lines.append(text)
-        else:
-            self._is_complete = True
-
-    def head(self, kept):
-        """The final response's head, or None until it is complete."""
-        if not self._is_complete:
-            return None
-        head = _head(self._lines, kept)
-        return head if head.code >= _FIRST_FINAL_STATUS else None
-
-
 def stream(pool, base, request, timeout_ms, connect_ms, fresh, silent_ms=None):
     """Yield the events of one attempt; closing the generator aborts it.  If no head has come after
     `silent_ms`, ("silent", None) is yielded once.  `base` is the address under which the
@@ -130,7 +78,7 @@
 
 def _exchange(pool, base, connection, kept, request, timeout_ms, connect_ms, silent_ms):
     """One request on one connection: yields events and returns the AttemptEnd."""
-    reader, added, keep = _ResponseReader(), False, False
+    reader, added, keep = ResponseReader(kept), False, False
     curl, multi = connection.curl, connection.multi
     try:
         _prepare(curl, request, timeout_ms)
@@ -138,18 +86,18 @@
         multi.add_handle(curl)
         added = True
         connect_timeout = ConnectTimeout(curl, connect_ms)
-        head, ended = yield from _transfer(curl, multi, reader, kept, connect_timeout, silent_ms)
-        if ended.code and not response_framing.is_delimited(request.method, head):
-            ended = AttemptEnd(0, b"", True, "no end")
+        ended = yield from _transfer(
+            curl, multi, reader, request.method, connect_timeout, silent_ms
+        )
         fd = curl.getinfo(pycurl.LASTSOCKET)
         whole = bool(ended.code) and _sent_whole(curl, request)
-        keep = base is not None and whole and response_framing.is_reusable(head) and fd >= 0
+        keep = base is not None and whole and response_framing.is_reusable(reader.head) and fd >= 0
         return ended
     finally:
         if added:
             multi.remove_handle(curl)
         if keep:
-            pool.release(base, connection, fd, response_framing.keep_alive_s(head))
+            pool.release(base, connection, fd, response_framing.keep_alive_s(reader.head))
         else:
             connection.close()
 
@@ -166,26 +114,23 @@
         curl.setopt(pycurl.FRESH_CONNECT, 1)
 
 
-def _transfer(curl, multi, reader, kept, connect_timeout, silent_ms):
-    """Yield the events of a transfer; returns (head, AttemptEnd)."""
+def _transfer(curl, multi, reader, method, connect_timeout, silent_ms):
+    """Yield the events of a transfer; returns its AttemptEnd."""
     head = None
     silence_end_s = time.monotonic() + (silent_ms if silent_ms else _NO_TIMEOUT_MS) / 1000
     while True:
         connect_timeout.before_poll()
         _, active = multi.perform()
-        if head is None:
-            head = reader.head(kept)
-            if head is not None:
-                yield "head", head
+        if head is None and reader.head is not None:
+            head = reader.head
+            yield "head", head
         while reader.chunks:
             yield "data", reader.chunks.pop(0)
         _, good, bad = multi.info_read()
-        if good:
-            return head, AttemptEnd(head.code if head else 0, b"", True)
-        if bad:
-            return head, AttemptEnd(0, b"", has_sent_request(curl), str(bad[0][1]))
+        if good or bad:
+            return end_of_transfer(curl, reader, method, bad[0][1] if bad else 0)
         if connect_timeout.has_expired():
-            return head, AttemptEnd(0, b"", False, TIMED_OUT)
+            return AttemptEnd(0, b"", False, TIMED_OUT)
         if not active:
             continue
         now_s = time.monotonic()
--- /dev/null
+++ b/libs/routing/src/routing/response_head.py
@@ -0,0 +1,108 @@
+"""Heads of engines' HTTP/1.1 responses (RFC 9110, section 5; RFC 9112, sections 2 to 7).
+
+curl frames a response's body, and everything else is decided by the head that is parsed here.
+curl is lenient, so a head that two parsers might read differently is refused here, and the
+attempt has failed: a line that is no field, or ends in another way than by CR LF, and a body whose
+length is told in more than one way, or by a value that is no length.
+"""
+
+import re
+from dataclasses import dataclass
+
+from routing import http_grammar
+
+__all__ = ["MALFORMED", "ResponseHead", "ResponseReader"]
+
+# The cause of an attempt whose response was malformed.
+MALFORMED = "malformed response"
+# What a header callback returns so that curl breaks the transfer off.
+_BREAK_OFF = 0
+_LINE_END = b"\r\n"
+_NO_CONTENT = 204
+# The first status of a final response; those below are interim.
+_FIRST_FINAL_STATUS = 200
+_FIELD_LINE = rb"[^:\s][^:\r\n]*:[^\r\n]*\r\n"
+_STATUS_LINE = rb"HTTP/([0-9.]+)[ \t]+([0-9]+)([^\r\n]*)\r\n"
+_HEAD = re.compile(_STATUS_LINE + rb"((?:" + _FIELD_LINE + rb")*)\r\n")
+_LENGTH = re.compile(http_grammar.LENGTH)
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """The head of an engine's final response.  `kept`: the connection came from the pool, so
+    the response may belong to an earlier request."""
+
+    code: int
+    reason: str
+    headers: tuple
+    kept: bool = False
+
+    def get(self, name, default=None):
+        """The first header of a name, which is given in lower case."""
+        return next((v for n, v in self.headers if n.lower() == name), default)
+
+
+class ResponseReader:
+    """Collects the response of one transfer.  `head` is the final response's, None until it is
+    complete; `chunks` has the pieces of the body that haven't been taken yet.  Interim responses
+    are checked and dropped, trailers dropped."""
+
+    def __init__(self, kept=False):
+        self.chunks: list[bytes] = []
+        self.head: ResponseHead | None = None
+        self.is_malformed = False
+        self._kept = kept
+        self._lines: list[bytes] = []
+
+    def on_header(self, line):
+        """Read a line of the head or the trailer; curl calls this.  Returns what curl expects:
+        None, or _BREAK_OFF once the response turns out to be malformed."""
+        if self.head is not None:
+            return None
+        if line[:1] not in (b"\r", b"\n"):
+            self._lines.append(line)
+            return None
+        is_valid = self._end_head(line)
+        self.is_malformed |= not is_valid
+        return None if is_valid else _BREAK_OFF
+
+    def _end_head(self, line):
+        """Parse the head that ends with an empty line; returns whether it is well-formed."""
+        head = _parse(b"".join(self._lines) + line, self._kept)
+        self._lines = []
+        if head is None:
+            return False
+        if head.code >= _FIRST_FINAL_STATUS:
+            self.head = head
+        return True
+
+
+def _parse(data, kept):
+    """The ResponseHead in `data`, None if it is malformed."""
+    match = _HEAD.fullmatch(data)
+    if match is None:
+        return None
+    version, status, reason, lines = match.groups(b"")
+    fields = [line.partition(b":") for line in lines.split(_LINE_END)[:-1]]
+    headers = tuple(
+        (name.decode("latin1").strip(), value.decode("latin1").strip()) for name, _, value in fields
+    )
+    head = ResponseHead(int(status), reason.decode("latin1").strip(), headers, kept)
+    return head if _has_clear_length(head, version) else None
+
+
+def _has_clear_length(head, version):
+    """Whether the length of the body is told at most once, as a length or as chunks, and not for a
+    response that can't be framed so (RFC 9112, sections 6.1 and 6.3)."""
+    lengths = [value for name, value in head.headers if name.lower() == "content-length"]
+    codings = [value for name, value in head.headers if name.lower() == "transfer-encoding"]
+    if len(lengths) + len(codings) > 1:
+        return False
+    has_no_body = head.code < _FIRST_FINAL_STATUS or head.code == _NO_CONTENT
+    if codings:
+        return codings[0].lower() == "chunked" and version == b"1.1" and not has_no_body
+    if not lengths:
+        return True
+    if _LENGTH.fullmatch(lengths[0].encode("latin1")) is None:
+        return False
+    return not has_no_body or int(lengths[0]) == 0
--- a/libs/routing/src/routing/response_reading.py
+++ b/libs/routing/src/routing/response_reading.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass, field
 
-from routing import attempts, proxying, responses
+from routing import attempts, responses
+from routing.response_head import ResponseHead
 
 __all__ = ["MAX_HELD_BYTES", "EngineResponse", "read"]
 
@@ -20,7 +21,7 @@
     """The engine's own response: its head and the first of its body, in `chunks`.  `arrives`: the
     rest of it is still to be read from the engine."""
 
-    head: proxying.ResponseHead
+    head: ResponseHead
     chunks: list = field(default_factory=list)
     arrives: bool = False
 
--- a/libs/simulation/src/simulation/platform_faults.py
+++ b/libs/simulation/src/simulation/platform_faults.py
@@ -6,8 +6,10 @@
 import time
 from enum import Enum, auto
 
-__all__ = ["Fault", "NOT_RUN", "deliver", "reset"]
+__all__ = ["BROKEN_STAMP", "Fault", "NOT_RUN", "deliver", "reset"]
 
+# What the stamp of an answer with a broken head begins with.
+BROKEN_STAMP = "broken."
 _RESET = struct.pack("ii", 1, 0)
 # Between two parts of an answer, so that they arrive one by one.
 _PART_S = 0.01
@@ -44,11 +46,20 @@
     GARBAGE = auto()
     FAILURE = auto()
     BARE_PROMISE = auto()
+    SPOILT_LENGTH = auto()
+    NO_FIELD = auto()
 
 
 NOT_RUN = {Fault.FULL: 503, Fault.MOVED: 421, Fault.RATE: 429}
 
 
+# The line that breaks the head of an answer.
+_BROKEN_LINES = {
+    Fault.SPOILT_LENGTH: b"Content-Length: 99999999999999999999999",
+    Fault.NO_FIELD: b": no field",
+}
+
+
 def reset(handler):
     """End a handler's connection with a reset."""
     handler.close_connection = True
@@ -77,6 +88,19 @@
     return plain[:-2] + told + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
 
 
+def _broken(fault, good):
+    """The answer with its body in one chunk, the length of half of it as well if no other is told,
+    and a head that is broken."""
+    head, _, body = good.partition(b"\r\n\r\n")
+    stamp = next(h for h in head.split(b"\r\n") if h.lower().startswith(b"x-postmark:"))
+    marked = b"X-Postmark: " + BROKEN_STAMP.encode() + stamp.partition(b":")[2].strip()
+    line = _BROKEN_LINES.get(fault, b"X-Broken: 1")
+    told = (b"content-length", b"transfer-encoding", b"x-postmark")
+    framing = [] if fault is Fault.SPOILT_LENGTH else [b"Content-Length: %d" % (len(body) // 2)]
+    broken = _with_head(head + b"\r\n\r\n", without=told, more=(line, *framing, marked))
+    return broken + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+
+
 def _cut(handler, good, fault):
     """Part of the answer, then the end of the connection."""
     head = good.find(b"\r\n\r\n") + 4
@@ -125,10 +149,11 @@
         handler.wfile.write(good)
     else:
         handler.wfile.write(_changed(fault, good, previous))
-        if fault in (Fault.UNMARKED_END, Fault.GARBAGE):
+        if fault in (Fault.UNMARKED_END, Fault.GARBAGE, *_BROKEN):
             _close(handler)
 
 
+_BROKEN = (*_BROKEN_LINES,)
 _CUTS = (
     Fault.RESET,
     Fault.CLOSE,
@@ -156,6 +181,8 @@
         return _with_head(good, without=framing)[:-1]
     if fault is Fault.BOTH_LENGTHS:
         return _chunked(good)
+    if fault in _BROKEN:
+        return _broken(fault, good)
     if fault is Fault.FAILURE:
         return _with_head(good, line=b"HTTP/1.1 500 Failed")
     if fault is Fault.BARE_PROMISE:
--- /dev/null
+++ b/tests/test_broken_responses.py
@@ -0,0 +1,71 @@
+"""Callers whose engine sends broken responses, over real sockets: they get a failure of this
+product's own, never anything of the response, and no promise that the request hasn't run."""
+
+import json
+
+from gateway_harness import GatewayTestCase
+from testtools.matchers import Equals
+
+OWN = b"X-Try-Id: %s\r\nX-Postmark: engine.%s\r\n"
+LENGTH = b"Content-Length: 5\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
+OK, REFUSED = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Full\r\nX-Not-Run: full\r\n"
+
+
+class BrokenResponse(GatewayTestCase):
+    """`sent`: what the engine sends, without the fields that every response has; it closes the
+    connection afterwards.  A good response if that is None."""
+
+    KIND, GOOD = "safe", b"4"
+
+    def respond(self, handler, body):
+        if self.sent is None:
+            return super().respond(handler, body)
+        id_ = handler.headers["X-Try-Id"].encode()
+        first, _, rest = self.sent.partition(b"\r\n")
+        handler.wfile.write(first + b"\r\n" + OWN % (id_, id_) + rest)
+        handler.close_connection = True
+
+    def decide(self, event):
+        if getattr(event, "verb", "") == "ended":
+            self.proofs.append(event.body["proof"])
+        effects = super().decide(event)
+        if getattr(event, "verb", "") == "passage":
+            event.body["kind"] = self.KIND
+        return effects
+
+    def assert_fails(self, *responses):
+        for number, self.sent in enumerate(responses):
+            self.proofs = []
+            head, _, body = self.whole_exchange(number, b"q").partition(b"\r\n\r\n")
+            self.assertThat(head.partition(b"\r\n")[0], Equals(b"HTTP/1.1 502 BAD GATEWAY"))
+            self.assertThat(json.loads(body)["cause"], Equals("caller-left"))
+            self.assertThat(b"ostmark" in head, Equals(False), f"{self.sent} {head}")
+            self.assertThat(self.proofs, Equals(["unknown"]), repr(self.sent))
+        self.sent, self.proofs = None, []
+        self.assertThat(self.exchange(99, b"four"), Equals(self.GOOD))
+
+
+class Responses(BrokenResponse):
+    def test_spoilt_lengths(self):
+        for first in (OK, REFUSED):
+            self.assert_fails(
+                first + b"Content-Length: 99999999999999999999999\r\n\r\nhello",
+                first + b"Content-Length: 5x\r\n\r\nhello",
+                first + b"Content-Length: 5, 5\r\n\r\nhello",
+                first + CHUNKED + LENGTH + b"\r\n" + CHUNKS,
+            )
+
+    def test_lines_that_are_no_fields(self):
+        for first in (OK, REFUSED):
+            self.assert_fails(
+                first + b": no field\r\n" + LENGTH + b"\r\nhello",
+                first + b"no field\r\n" + LENGTH + b"\r\nhello",
+                first + LENGTH + b"A: 1\n\r\nhello",
+                b"\r\n" + first + LENGTH + b"\r\nhello",
+            )
+
+
+class Streams(Responses):
+    KIND, GOOD = "stream", b"1\r\n4\r\n0\r\n\r\n"
--- a/tests/test_platform_pool.py
+++ b/tests/test_platform_pool.py
@@ -6,7 +6,7 @@
 from routing import connection_pool, proxying, response_framing
 from routing.connection_pool import ConnectionPool
 from routing.engine_api import EngineRequest
-from routing.proxying import ResponseHead
+from routing.response_head import ResponseHead
 from testtools import TestCase
 from testtools.matchers import Equals
 
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -9,7 +9,7 @@
 from placement import engine_list_polling, engine_reports
 from placement import state as dispatching
 from replication.shard_log import ShardLog
-from routing.proxying import ResponseHead
+from routing.response_head import ResponseHead
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 from transport import failures
--- a/tests/test_platform_relaying.py
+++ b/tests/test_platform_relaying.py
@@ -6,8 +6,8 @@
 from adapter.dialect import DIALECT
 from routing import proxying
 from routing.engine_calls import AttemptEnd
-from routing.proxying import ResponseHead
 from routing.relaying import RequestRelay
+from routing.response_head import ResponseHead
 from routing.router import Attempt
 from routing.tasks import Done, KeepWaiting
 from testtools import TestCase
--- a/tests/test_response_identity.py
+++ b/tests/test_response_identity.py
@@ -9,7 +9,7 @@
 from routing import connection_pool, engine_calls, proxying
 from routing.connection_pool import ConnectionPool
 from routing.engine_api import EngineRequest
-from routing.proxying import ResponseHead
+from routing.response_head import ResponseHead
 from testtools import TestCase
 from testtools.matchers import Equals
 
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -22,7 +22,7 @@
 from simulation import platform_engine as core
 from simulation.fleet import free_ports
 from simulation.placing import engine_facts
-from simulation.platform_faults import Fault
+from simulation.platform_faults import BROKEN_STAMP, Fault
 from simulation.platform_serving import EngineDoor, now_ms
 
 WAIT_S = 30
@@ -147,6 +147,8 @@
 
 def find_violation(request, answer, runs):
     """Description of a violation in a response, or an empty string."""
+    if answer.headers.get("x-postmark", "").startswith(BROKEN_STAMP):
+        return "a broken response, passed on"
     if answer.status in NOT_RUN_STATUSES and runs:
         return "it ran, though the status says that it did not"
     content_length = answer.headers.get("content-length")
--- a/tests/test_task_completion.py
+++ b/tests/test_task_completion.py
@@ -17,8 +17,8 @@
 from routing import choice, proxying, responses, router
 from routing.byte_budget import ByteBudget
 from routing.engine_calls import AttemptEnd
-from routing.proxying import ResponseHead
 from routing.relaying import RequestRelay
+from routing.response_head import ResponseHead
 from routing.router import Attempt
 from routing.tasks import Done
 from simulation.placing import SHARDS, engine_facts
