Responses: a field name that is no token, or a control byte in a field, makes the head malformed

Seen by callers: an engine in trouble sends a field whose name holds a blank or a control byte. The line is passed on as it is, or without what stood beside the name, and where the field tells the length, the body isn't the engine's: `Transfer-Encoding : chunked` beside `Content-Length: 5` gives `5\r\nhe`.

Cause: names were stripped of blanks and control bytes here, not by curl, so what framed the body and what was taken for its framing were different fields; inside a name anything but a colon went.

Change: the line must match the grammar: a token, the same that requests must have, a colon right behind it, and a value of visible characters, blanks, tabs and bytes over 127 (RFC 9110, 5.1 and 5.5; RFC 9112, 5.1 has a proxy remove blanks before the colon, or fail: it fails here, since curl has framed the body already).

Evidence: tests of each place in a name, through curl, a gateway, and the faults SPOILT_NAME and CONTROL_IN_NAME of the stand-in engines.

--- a/libs/routing/src/routing/response_head.py
+++ b/libs/routing/src/routing/response_head.py
@@ -2,8 +2,8 @@
 
 curl frames a response's body, and everything else is decided by the head that is parsed here.
 curl is lenient, so a head that two parsers might read differently is refused here, and the
-attempt has failed: a line that is no field, or ends in another way than by CR LF, and a body whose
-length is told in more than one way, or by a value that is no length.
+attempt has failed: a line that is no field by the grammar, or ends in another way than by CR LF,
+and a body whose length is told in more than one way, or by a value that is no length.
 """
 
 import re
@@ -21,7 +21,8 @@
 _NO_CONTENT = 204
 # The first status of a final response; those below are interim.
 _FIRST_FINAL_STATUS = 200
-_FIELD_LINE = rb"[^:\s][^:\r\n]*:[^\r\n]*\r\n"
+_TEXT = rb"[\t -~\x80-\xff]*"
+_FIELD_LINE = http_grammar.TOKEN + rb":" + _TEXT + rb"\r\n"
 _STATUS_LINE = rb"HTTP/([0-9.]+)[ \t]+([0-9]+)([^\r\n]*)\r\n"
 _HEAD = re.compile(_STATUS_LINE + rb"((?:" + _FIELD_LINE + rb")*)\r\n")
 _LENGTH = re.compile(http_grammar.LENGTH)
@@ -85,7 +86,7 @@
     version, status, reason, lines = match.groups(b"")
     fields = [line.partition(b":") for line in lines.split(_LINE_END)[:-1]]
     headers = tuple(
-        (name.decode("latin1").strip(), value.decode("latin1").strip()) for name, _, value in fields
+        (name.decode("latin1"), value.strip(b" \t").decode("latin1")) for name, _, value in fields
     )
     head = ResponseHead(int(status), reason.decode("latin1").strip(), headers, kept)
     return head if _has_clear_length(head, version) else None
--- a/libs/simulation/src/simulation/platform_faults.py
+++ b/libs/simulation/src/simulation/platform_faults.py
@@ -48,6 +48,8 @@
     BARE_PROMISE = auto()
     SPOILT_LENGTH = auto()
     NO_FIELD = auto()
+    SPOILT_NAME = auto()
+    CONTROL_IN_NAME = auto()
 
 
 NOT_RUN = {Fault.FULL: 503, Fault.MOVED: 421, Fault.RATE: 429}
@@ -57,6 +59,8 @@
 _BROKEN_LINES = {
     Fault.SPOILT_LENGTH: b"Content-Length: 99999999999999999999999",
     Fault.NO_FIELD: b": no field",
+    Fault.SPOILT_NAME: b"Transfer-Encoding : chunked",
+    Fault.CONTROL_IN_NAME: b"X-A\x01: 1",
 }
 
 
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -66,6 +66,18 @@
                 b"\r\n" + first + LENGTH + b"\r\nhello",
             )
 
+    def test_spoilt_names(self):
+        for first in (OK, REFUSED):
+            self.assert_fails(
+                first + b"Transfer-Encoding : chunked\r\n" + LENGTH + b"\r\n" + CHUNKS,
+                first + b"Content-Length\x01: 5\r\n\r\nhello",
+                first + b"Content-Length : 5\r\n\r\nhello",
+                first + b"X A: 1\r\n" + LENGTH + b"\r\nhello",
+                first + b"\x01X-A: 1\r\n" + LENGTH + b"\r\nhello",
+                first + b"X-A\x00: 1\r\n" + LENGTH + b"\r\nhello",
+                first + b"X-A: \x01\r\n" + LENGTH + b"\r\nhello",
+            )
+
 
 class Streams(Responses):
     KIND, GOOD = "stream", b"1\r\n4\r\n0\r\n\r\n"
--- a/tests/test_response_head.py
+++ b/tests/test_response_head.py
@@ -138,6 +138,48 @@
             self.refused(b"HTTP/1.1 103 Early\r\n" + interim + b"\r\n" + OK + LENGTH + b"\r\nhello")
 
 
+class SpoiltNames(Read):
+    SPOILT = (
+        b" ",
+        b"\t",
+        b"\x00",
+        b"\x01",
+        b"\x0b",
+        b"\x1f",
+        b"\x7f",
+        b"\x80",
+        b"\xff",
+        b"(",
+        b"@",
+    )
+
+    def test_of_any_field(self):
+        for spoilt in self.SPOILT:
+            for name in (spoilt + b"X-A", b"X-" + spoilt + b"A", b"X-A" + spoilt):
+                self.refused(
+                    OK + LENGTH + name + b": 1\r\n\r\nhello",
+                    OK + name + b": 1\r\n" + LENGTH + b"\r\nhello",
+                )
+
+    def test_of_a_field_that_tells_the_length(self):
+        for spoilt in self.SPOILT:
+            self.refused(
+                OK + b"Content-Length" + spoilt + b": 5\r\n\r\nhello",
+                OK + b"Content" + spoilt + b"-Length: 5\r\n\r\nhello",
+                OK + b"Transfer-Encoding" + spoilt + b": chunked\r\n" + LENGTH + b"\r\n" + CHUNKS,
+                OK + b"Transfer-" + spoilt + b"Encoding: chunked\r\n" + LENGTH + b"\r\n" + CHUNKS,
+                OK + b"Transfer-Encoding" + spoilt + b": chunked\r\n\r\n" + CHUNKS,
+            )
+
+    def test_control_bytes_in_values(self):
+        for spoilt in (b"\x00", b"\x01", b"\x0b", b"\x0c", b"\x1b", b"\x7f"):
+            self.refused(
+                OK + LENGTH + b"X-A: 1" + spoilt + b"\r\n\r\nhello",
+                OK + LENGTH + b"X-A:" + spoilt + b"1\r\n\r\nhello",
+                OK + LENGTH + b"X-A: a" + spoilt + b"b\r\n\r\nhello",
+            )
+
+
 class Trailers(Read):
     def test_are_no_part_of_the_head(self):
         """Whether they arrive with the head or after it."""
