Responses: a status line that doesn't follow the grammar is no response

Seen by callers: other spoilt status lines were passed on as responses: 600, 999, 2000, a tab after the version, `http/1.1`, control bytes in the reason. `HTTP/1.1 200OK` and `HTTP/1.1 200: OK` raised in the request's thread: the caller got 500, and the event loop heard that the caller had left, so the engine didn't count as one that failed.

Cause: the status was whatever int() takes as the second of the line's words.

Change: version 1.0 or 1.1, one blank, three digits from 100 to 599 (RFC 9110, 15), and a reason of visible characters, blanks and tabs, which may be missing with its blank. 101 is refused: no request asks for another protocol, and what follows it isn't HTTP.

--- a/libs/routing/src/routing/response_head.py
+++ b/libs/routing/src/routing/response_head.py
@@ -2,8 +2,9 @@
 
 curl frames a response's body, and everything else is decided by the head that is parsed here.
 curl is lenient, so a head that two parsers might read differently is refused here, and the
-attempt has failed: a line that is no field by the grammar, or ends in another way than by CR LF,
-and a body whose length is told in more than one way, or by a value that is no length.
+attempt has failed: a status line or field line that doesn't follow the grammar, or ends in another
+way than by CR LF, and a body whose length is told in more than one way, or by a value that is no
+length.
 """
 
 import re
@@ -18,12 +19,14 @@
 # What a header callback returns so that curl breaks the transfer off.
 _BREAK_OFF = 0
 _LINE_END = b"\r\n"
+# No request asks for another protocol.
+_SWITCHING_PROTOCOLS = 101
 _NO_CONTENT = 204
 # The first status of a final response; those below are interim.
 _FIRST_FINAL_STATUS = 200
 _TEXT = rb"[\t -~\x80-\xff]*"
 _FIELD_LINE = http_grammar.TOKEN + rb":" + _TEXT + rb"\r\n"
-_STATUS_LINE = rb"HTTP/([0-9.]+)[ \t]+([0-9]+)([^\r\n]*)\r\n"
+_STATUS_LINE = rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: (" + _TEXT + rb"))?\r\n"
 _HEAD = re.compile(_STATUS_LINE + rb"((?:" + _FIELD_LINE + rb")*)\r\n")
 _LENGTH = re.compile(http_grammar.LENGTH)
 
@@ -71,7 +74,7 @@
         """Parse the head that ends with an empty line; returns whether it is well-formed."""
         head = _parse(b"".join(self._lines) + line, self._kept)
         self._lines = []
-        if head is None:
+        if head is None or head.code == _SWITCHING_PROTOCOLS:
             return False
         if head.code >= _FIRST_FINAL_STATUS:
             self.head = head
@@ -83,16 +86,16 @@
     match = _HEAD.fullmatch(data)
     if match is None:
         return None
-    version, status, reason, lines = match.groups(b"")
+    minor_version, status, reason, lines = match.groups(b"")
     fields = [line.partition(b":") for line in lines.split(_LINE_END)[:-1]]
     headers = tuple(
         (name.decode("latin1"), value.strip(b" \t").decode("latin1")) for name, _, value in fields
     )
-    head = ResponseHead(int(status), reason.decode("latin1").strip(), headers, kept)
-    return head if _has_clear_length(head, version) else None
+    head = ResponseHead(int(status), reason.strip(b" \t").decode("latin1"), headers, kept)
+    return head if _has_clear_length(head, minor_version) else None
 
 
-def _has_clear_length(head, version):
+def _has_clear_length(head, minor_version):
     """Whether the length of the body is told at most once, as a length or as chunks, and not for a
     response that can't be framed so (RFC 9112, sections 6.1 and 6.3)."""
     lengths = [value for name, value in head.headers if name.lower() == "content-length"]
@@ -101,7 +104,7 @@
         return False
     has_no_body = head.code < _FIRST_FINAL_STATUS or head.code == _NO_CONTENT
     if codings:
-        return codings[0].lower() == "chunked" and version == b"1.1" and not has_no_body
+        return codings[0].lower() == "chunked" and minor_version == b"1" and not has_no_body
     if not lengths:
         return True
     if _LENGTH.fullmatch(lengths[0].encode("latin1")) is None:
--- a/libs/simulation/src/simulation/platform_faults.py
+++ b/libs/simulation/src/simulation/platform_faults.py
@@ -50,6 +50,8 @@
     NO_FIELD = auto()
     SPOILT_NAME = auto()
     CONTROL_IN_NAME = auto()
+    STATUS_ZERO = auto()
+    STATUS_BEYOND = auto()
 
 
 NOT_RUN = {Fault.FULL: 503, Fault.MOVED: 421, Fault.RATE: 429}
@@ -62,6 +64,11 @@
     Fault.SPOILT_NAME: b"Transfer-Encoding : chunked",
     Fault.CONTROL_IN_NAME: b"X-A\x01: 1",
 }
+# The status line that breaks the head of an answer.
+_BROKEN_STATUS_LINES = {
+    Fault.STATUS_ZERO: b"HTTP/1.1 000 Told",
+    Fault.STATUS_BEYOND: b"HTTP/1.1 600 Told",
+}
 
 
 def reset(handler):
@@ -101,7 +108,8 @@
     line = _BROKEN_LINES.get(fault, b"X-Broken: 1")
     told = (b"content-length", b"transfer-encoding", b"x-postmark")
     framing = [] if fault is Fault.SPOILT_LENGTH else [b"Content-Length: %d" % (len(body) // 2)]
-    broken = _with_head(head + b"\r\n\r\n", without=told, more=(line, *framing, marked))
+    first = _BROKEN_STATUS_LINES.get(fault)
+    broken = _with_head(head + b"\r\n\r\n", first, without=told, more=(line, *framing, marked))
     return broken + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
 
 
@@ -157,7 +165,10 @@
             _close(handler)
 
 
-_BROKEN = (*_BROKEN_LINES,)
+_BROKEN = (
+    *_BROKEN_LINES,
+    *_BROKEN_STATUS_LINES,
+)
 _CUTS = (
     Fault.RESET,
     Fault.CLOSE,
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -78,6 +78,24 @@
                 first + b"X-A: \x01\r\n" + LENGTH + b"\r\nhello",
             )
 
+    def test_spoilt_status_lines(self):
+        self.assert_fails(
+            *(
+                line + b"\r\n" + LENGTH + b"\r\nhello"
+                for line in (
+                    b"HTTP/1.1 000 OK",
+                    b"HTTP/1.1 600 OK",
+                    b"HTTP/1.1 999 OK",
+                    b"HTTP/1.1 2000 OK",
+                    b"HTTP/1.1 200OK",
+                    b"HTTP/1.1 200: OK",
+                    b"HTTP/1.1 200 O\x01K",
+                    b"HTTP/2 200 OK",
+                    b"HTTP/1.1 101 Switching",
+                )
+            )
+        )
+
 
 class Streams(Responses):
     KIND, GOOD = "stream", b"1\r\n4\r\n0\r\n\r\n"
