Engine calls: responses to tasks, orders, reports and operators' commands are read by the same reader

Seen by callers: the product's own interface, and calls to engines without a platform's dialect, took the status and body that curl made of a broken head, and a body without a recognisable end as whole.

Cause: engine_calls asked curl for the status and looked at no head.

Change: one reader, and one function that says how a transfer ended, for routing.proxying and routing.engine_calls; no other part of the product reads HTTP responses.

Evidence: every broken response of the tests, and the 400 changed heads, are read by `call` and `stream` as well.

--- a/libs/routing/src/routing/engine_calls.py
+++ b/libs/routing/src/routing/engine_calls.py
@@ -8,7 +8,7 @@
 
 from routing import response_framing
 from routing.connect_timeout import TIMED_OUT, ConnectTimeout, has_sent_request
-from routing.response_reader import MALFORMED
+from routing.response_reader import MALFORMED, ResponseReader
 
 __all__ = ["ABANDONED", "NO_END", "AttemptEnd", "call", "end_of_transfer", "stream"]
 
@@ -44,8 +44,8 @@
     return AttemptEnd(reader.head.code, b"", True)
 
 
-def _curl(request, timeout_ms, headers=()):
-    """A curl handle for one request on a new connection."""
+def _curl(request, timeout_ms, reader, headers=()):
+    """A curl handle for one request on a new connection, which passes the response to `reader`."""
     curl = pycurl.Curl()
     curl.setopt(pycurl.URL, request.url)
     curl.setopt(pycurl.NOSIGNAL, 1)
@@ -58,6 +58,7 @@
         headers = ["Content-Type: application/json", "Expect:", *headers]
     if headers:
         curl.setopt(pycurl.HTTPHEADER, list(headers))
+    reader.bind(curl)
     return curl
 
 
@@ -79,12 +80,14 @@
         chunks.append(data)
         return len(data) if size <= _MAX_RESPONSE_BYTES else 0
 
-    curl = _curl(request, timeout_ms, headers)
+    reader = ResponseReader()
+    curl = _curl(request, timeout_ms, reader, headers)
     curl.setopt(pycurl.WRITEFUNCTION, keep)
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         curl.close()
         return AttemptEnd(0, b"", False, "late")
-    ended = _end_unless_abandoned(_transfer(curl, connect_ms), is_abandoned)
+    transfer = _transfer(curl, reader, request.method, connect_ms)
+    ended = _end_unless_abandoned(transfer, is_abandoned)
     return replace(ended, data=b"".join(chunks) if ended.code else b"")
 
 
@@ -99,7 +102,7 @@
     return AttemptEnd(0, b"", True, ABANDONED)
 
 
-def _transfer(curl, connect_ms):
+def _transfer(curl, reader, method, connect_ms):
     """Carry out a transfer: yields None after each poll of the socket, then the AttemptEnd."""
     multi = pycurl.CurlMulti()
     multi.add_handle(curl)
@@ -109,10 +112,8 @@
             connect_timeout.before_poll()
             _, active = multi.perform()
             _, good, bad = multi.info_read()
-            if good:
-                ended = AttemptEnd(curl.getinfo(pycurl.RESPONSE_CODE), b"", True)
-            elif bad:
-                ended = AttemptEnd(0, b"", has_sent_request(curl), str(bad[0][1]))
+            if good or bad:
+                ended = end_of_transfer(curl, reader, method, bad[0][1] if bad else 0)
             elif connect_timeout.has_expired():
                 ended = AttemptEnd(0, b"", False, TIMED_OUT)
             elif active:
@@ -131,13 +132,12 @@
     Nothing is read from the engine while the consumer of this generator takes no events, so a slow
     caller slows down its own stream and nothing is buffered here.
     """
-    chunks, has_head = [], False
-    curl = _curl(request, timeout_ms)
-    curl.setopt(pycurl.WRITEFUNCTION, lambda data: chunks.append(data))
-    for ended in _transfer(curl, connect_ms):
-        if not has_head and chunks:
+    reader, has_head = ResponseReader(), False
+    curl = _curl(request, timeout_ms, reader)
+    for ended in _transfer(curl, reader, request.method, connect_ms):
+        if not has_head and reader.head is not None and not reader.is_malformed:
             has_head = True
-            yield "head", curl.getinfo(pycurl.RESPONSE_CODE)
-        while chunks:
-            yield "data", chunks.pop(0)
+            yield "head", reader.head.code
+        while reader.chunks:
+            yield "data", reader.chunks.pop(0)
         yield ("idle", None) if ended is None else ("end", ended)
--- a/tests/test_response_head.py
+++ b/tests/test_response_head.py
@@ -119,7 +119,7 @@
         names = (
             b"!#$%&'*+-.^_`|~09azAZ: 1\r\nX-Empty:\r\nX-Blanks: \t a b\t \r\nX-Latin: \xe9\xff\r\n"
         )
-        for sent, _, _ in (
+        for sent, code, body in (
             (OK + names + LENGTH + b"\r\nhello", 200, b"hello"),
             (OK + names + CHUNKED + b"\r\n" + CHUNKS, 200, b"hello"),
             (b"HTTP/1.1 200 \r\n" + LENGTH + b"\r\nhello", 200, b"hello"),
@@ -145,6 +145,8 @@
             (OK + LENGTH + b"A: 1\r\n  2\r\n\r\nhello", 200, b"hello"),
         ):
             self.assertThat(self.proxied(sent), Equals(strict_responses.parse(sent)), repr(sent))
+            self.assertThat(self.called(sent), Equals((code, body)), repr(sent))
+            self.assertThat(self.streamed(sent), Equals((code, body)), repr(sent))
 
     def test_of_a_request_for_the_head_alone(self):
         for sent in (
--- a/tests/test_response_lines.py
+++ b/tests/test_response_lines.py
@@ -159,3 +159,5 @@
     def test_read_as_a_strict_parser_reads_it(self, sent):
         expected = strict_responses.parse(sent)
         self.assertThat(self.proxied(sent), Equals(expected), repr(sent))
+        seen = None if expected is None else (expected.code, expected.body)
+        self.assertThat(self.called(sent), Equals(seen), repr(sent))
