Responses: nothing is passed on of a success whose end can't be recognised

Seen by callers: a stream whose `Transfer-Encoding` is spoilt to another good name, or that tells no length at all, was passed on as it came, the sizes of chunks as parts of it, and broken off at its end.

Cause: whether the end of a response can be recognised was looked at when it had ended. Responses that are read whole first failed then, but a stream had been passed on by then.

Change: a success (2xx) without a length or chunks fails its attempt when its head has come, so it can go to another engine if it may be repeated. It never counted as complete before either. A refusal without a length still says what its head says: the head is well-formed.

--- a/libs/routing/src/routing/proxying.py
+++ b/libs/routing/src/routing/proxying.py
@@ -12,7 +12,7 @@
 
 from routing import response_framing
 from routing.connect_timeout import TIMED_OUT, ConnectTimeout
-from routing.engine_calls import AttemptEnd, end_of_transfer
+from routing.engine_calls import NO_END, AttemptEnd, end_of_transfer
 from routing.response_reader import ResponseReader
 
 __all__ = ["stream", "call"]
@@ -25,6 +25,8 @@
 # reports and orders carry no id.
 _REPORT_PREFIX, _ORDER_PREFIX = "report ", "order "
 _SAFE_METHODS = ("GET", "HEAD")
+# The first status that reports no success.
+_FIRST_UNSUCCESSFUL_STATUS = 300
 
 
 def _prepare(curl, request, timeout_ms):
@@ -122,6 +124,8 @@
         _, active = multi.perform()
         if head is None and reader.head is not None and not reader.is_malformed:
             head = reader.head
+            if _is_endless_success(method, head):
+                return AttemptEnd(0, b"", True, NO_END)
             yield "head", head
         while reader.chunks:
             yield "data", reader.chunks.pop(0)
@@ -143,6 +147,14 @@
         yield "idle", None
 
 
+def _is_endless_success(method, head):
+    """Whether a response reports a success that can never be known to be complete.  None of it is
+    passed on: if the field that tells the length is spoilt, what follows isn't the body."""
+    return head.code < _FIRST_UNSUCCESSFUL_STATUS and not response_framing.is_delimited(
+        method, head
+    )
+
+
 def _sent_whole(curl, request):
     """Whether the whole body of the request was written to the socket.  An engine may respond
     before it has read a long body, keep the connection and read on; a request sent on it next
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -57,6 +57,14 @@
                 first + CHUNKED + LENGTH + b"\r\n" + CHUNKS,
             )
 
+    def test_lengths_that_are_not_told(self):
+        """A good name that isn't the one it was leaves a body without an end."""
+        self.assert_fails(
+            OK + b"Transfer-Encodinh: chunked\r\n\r\n" + CHUNKS,
+            OK + b"Content-Lengths: 5\r\n\r\nhello",
+            OK + b"\r\nhello",
+        )
+
     def test_lines_that_are_no_fields(self):
         for first in (OK, REFUSED):
             self.assert_fails(
--- a/tests/test_response_head.py
+++ b/tests/test_response_head.py
@@ -71,6 +71,15 @@
             b"HTTP/1.1 103 Early\r\n" + CHUNKED + b"\r\n" + OK + LENGTH + b"\r\nhello",
         )
 
+    def test_nothing_is_passed_on_if_the_length_is_not_told(self):
+        """A name that is spoilt to another good name leaves a body without an end, and if it was
+        `Transfer-Encoding`, the sizes of chunks would be passed on as parts of the body."""
+        for name in (b"Transfer-Encodinh", b"ransfer-Encoding", b"X"):
+            engine = self.engine(["read", OK + name + b": chunked\r\n\r\n" + CHUNKS, "close"])
+            head, body, ended = self.ask(engine)
+            self.assertThat((head, body, ended.code), Equals((None, b"", 0)), name)
+            self.refused(OK + name + b": chunked\r\n\r\n" + CHUNKS)
+
 
 class LinesThatAreNoFields(Read):
     def test_lines(self):
