Responses: one limit of a body's length, one rule for responses without a body, a head is decoded once

Found when the change was read once more; no response is read in another way.

- engine_calls.call had a write callback of its own for its limit of 8 MiB, beside the reader's, so a malformed chunk didn't break the transfer off there before its end.
The reader has the limit now.
- That a response to HEAD, a 204 and a 304 have no body stood in response_framing and in responses.
- The lines of a head are decoded at once, not name by name and value by value.
- Tests: the responses of test_broken_responses are built from the parts in response_harness.

--- a/libs/routing/src/routing/engine_calls.py
+++ b/libs/routing/src/routing/engine_calls.py
@@ -72,23 +72,14 @@
 ):
     """Make a request and read its response whole.  It isn't sent after `not_after_ms`, and its
     response isn't awaited any more once `is_abandoned()`."""
-    chunks, size = [], 0
-
-    def keep(data):
-        nonlocal size
-        size += len(data)
-        chunks.append(data)
-        return len(data) if size <= _MAX_RESPONSE_BYTES else 0
-
-    reader = ResponseReader()
+    reader = ResponseReader(max_body_bytes=_MAX_RESPONSE_BYTES)
     curl = _curl(request, timeout_ms, reader, headers)
-    curl.setopt(pycurl.WRITEFUNCTION, keep)
     if not_after_ms is not None and time.monotonic() * 1000 > not_after_ms:
         curl.close()
         return AttemptEnd(0, b"", False, "late")
     transfer = _transfer(curl, reader, request.method, connect_ms)
     ended = _end_unless_abandoned(transfer, is_abandoned)
-    return replace(ended, data=b"".join(chunks) if ended.code else b"")
+    return replace(ended, data=b"".join(reader.chunks) if ended.code else b"")
 
 
 def _end_unless_abandoned(transfer, is_abandoned):
--- a/libs/routing/src/routing/response_head.py
+++ b/libs/routing/src/routing/response_head.py
@@ -17,7 +17,8 @@
 # The first status of a final response; those below are interim.
 FIRST_FINAL_STATUS = 200
 _NO_CONTENT = 204
-_LINE_END = b"\r\n"
+_LINE_END = "\r\n"
+_BLANKS = " \t"
 _STATUS_LINE = rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: (" + http_grammar.TEXT + rb"))?\r\n"
 _HEAD = re.compile(_STATUS_LINE + rb"((?:" + http_grammar.FIELD_LINE + rb")*)\r\n")
 _LENGTH = re.compile(http_grammar.LENGTH)
@@ -44,11 +45,9 @@
     if match is None:
         return None
     minor_version, status, reason, lines = match.groups(b"")
-    fields = [line.partition(b":") for line in lines.split(_LINE_END)[:-1]]
-    headers = tuple(
-        (name.decode("latin1"), value.strip(b" \t").decode("latin1")) for name, _, value in fields
-    )
-    head = ResponseHead(int(status), reason.strip(b" \t").decode("latin1"), headers, kept)
+    fields = [line.partition(":") for line in lines.decode("latin1").split(_LINE_END)[:-1]]
+    headers = tuple((name, value.strip(_BLANKS)) for name, _, value in fields)
+    head = ResponseHead(int(status), reason.decode("latin1").strip(_BLANKS), headers, kept)
     return head if _has_clear_length(head, minor_version) else None
 
 
--- a/libs/routing/src/routing/response_reader.py
+++ b/libs/routing/src/routing/response_reader.py
@@ -23,13 +23,16 @@
 class ResponseReader:
     """Collects the response of one transfer.  `head` is the final response's, None until it is
     complete; `chunks` has the pieces of the body that haven't been taken yet.  Interim responses
-    and trailers are checked and dropped.  `kept`: as in ResponseHead."""
+    and trailers are checked and dropped.  `kept`: as in ResponseHead.  A transfer whose body is
+    longer than `max_body_bytes`, if that is given, is broken off."""
 
-    def __init__(self, kept=False):
+    def __init__(self, kept=False, max_body_bytes=None):
         self.chunks: list[bytes] = []
         self.head: response_head.ResponseHead | None = None
         self.is_malformed = False
         self._kept = kept
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
         self._lines: list[bytes] = []
         self._chunked_body: ChunkedBodyCheck | None = None
 
@@ -72,7 +75,9 @@
 
     def _on_data(self, data):
         """Keep a piece of the decoded body.  Returns what curl expects, as `_on_header` does."""
-        if self.is_malformed:
+        self._body_bytes += len(data)
+        is_oversized = self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes
+        if self.is_malformed or is_oversized:
             return _BREAK_OFF
         self.chunks.append(data)
         return None
--- a/libs/routing/src/routing/responses.py
+++ b/libs/routing/src/routing/responses.py
@@ -6,6 +6,8 @@
 
 from werkzeug.wrappers import Response
 
+from routing.response_framing import has_no_body
+
 __all__ = ["ResponseAborted", "StreamedBody", "start", "build", "is_streamed"]
 
 _HOP_BY_HOP = frozenset(
@@ -22,18 +24,12 @@
 )
 
 
-_WITHOUT_BODY = (204, 304)
-
-
-def _has_no_body(request, head):
-    """Whether a response to this request has no body by HTTP's rules."""
-    return request["method"] == "HEAD" or head.code in _WITHOUT_BODY
-
-
 def is_streamed(request, head):
     """Whether a response is passed on as it arrives.  Failures are read whole first, so that they
     are passed on completely or not at all."""
-    return request["kind"] == "stream" and head.code < 300 and not _has_no_body(request, head)
+    return (
+        request["kind"] == "stream" and head.code < 300 and not has_no_body(request["method"], head)
+    )
 
 
 class ResponseAborted(ConnectionError):
@@ -75,7 +71,7 @@
     that is passed on, if that is a list; otherwise it is the engine's, and omitted for a stream,
     which may be joined from several attempts."""
     headers = [(n, v) for n, v in head.headers if n.lower() not in _HOP_BY_HOP]
-    if not _has_no_body(request, head):
+    if not has_no_body(request["method"], head):
         headers = [(n, v) for n, v in headers if n.lower() != "content-length"]
         if isinstance(body, list):
             headers.append(("Content-Length", str(sum(map(len, body)))))
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -4,13 +4,11 @@
 import json
 
 from gateway_harness import GatewayTestCase
+from response_harness import CHUNKED, CHUNKS, LENGTH, OK
 from testtools.matchers import Equals
 
 OWN = b"X-Try-Id: %s\r\nX-Postmark: engine.%s\r\n"
-LENGTH = b"Content-Length: 5\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
-CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
-OK, REFUSED = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 Full\r\nX-Not-Run: full\r\n"
+REFUSED = b"HTTP/1.1 503 Full\r\nX-Not-Run: full\r\n"
 
 
 class BrokenResponse(GatewayTestCase):
