--- a/review/standins2/running.py
+++ b/review/standins2/running.py
@@ -4,7 +4,6 @@
 import sys
 import threading
 import traceback
-from pathlib import Path
 
 from standins2.fleet import Record
 
@@ -14,11 +13,12 @@
 _LIMIT_S = 115.0
 
 
-def run(script, case):
-    """`case(record, trouble)` returns (whether the rule was broken, what was seen)."""
-    record = Record(Path(script).parent / "record.txt")
+def run(record_path, case):
+    """`case(record, trouble)` returns (whether the rule was broken, what was seen); the record of
+    the run is written to `record_path`."""
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record("case", Path(script).parent.name, "with" if trouble else "without", "the disruption")
+    record("case", record_path.parent.name, "with" if trouble else "without", "the disruption")
 
     def give_up():
         record.verdict("could not run: out of time")
